--- a/packages/scheduling/include/cuminroad/scheduling/TaskRef.h
+++ b/packages/scheduling/include/cuminroad/scheduling/TaskRef.h
@@ -1,9 +1,9 @@
 #ifndef CUMINROAD_SCHEDULING_TASKREF_H
 #define CUMINROAD_SCHEDULING_TASKREF_H
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace cuminroad {
 
@@ -12,7 +12,10 @@
   std::string Job;
   int Index = 0;
 
-  auto operator<=>(const TaskRef &) const = default;
+  bool operator==(const TaskRef &) const = default;
+  friend bool operator<(const TaskRef &Left, const TaskRef &Right) {
+    return std::tie(Left.Job, Left.Index) < std::tie(Right.Job, Right.Index);
+  }
 };
 
 /// One start of a task. Attempts of one task only rise, also over changes of
@@ -21,7 +24,11 @@
   TaskRef Task;
   std::int64_t Attempt = 0;
 
-  auto operator<=>(const TaskAttempt &) const = default;
+  bool operator==(const TaskAttempt &) const = default;
+  friend bool operator<(const TaskAttempt &Left, const TaskAttempt &Right) {
+    return std::tie(Left.Task, Left.Attempt) <
+           std::tie(Right.Task, Right.Attempt);
+  }
 };
 
 } // namespace cuminroad
--- a/packages/scheduling/src/PackingScheduler.cpp
+++ b/packages/scheduling/src/PackingScheduler.cpp
@@ -45,10 +45,9 @@
 void PackingScheduler::vmClaimed(std::string_view Id,
                                  std::span<const InventoryTask> Inventory) {
   const int Index = vmIndex(Id);
-  if (Index < 0 || Vms_[Index].Condition == VmCondition::Gone)
+  if (Index < 0 || Vms_[Index].Gone)
     return;
-  if (Vms_[Index].Condition == VmCondition::Unclaimed)
-    Vms_[Index].Condition = VmCondition::Usable;
+  Vms_[Index].Claimed = true;
   dropAbsent(Index, Inventory);
   for (const InventoryTask &Entry : Inventory)
     adopt(Index, Entry);
@@ -126,10 +125,8 @@
 
 void PackingScheduler::vmLeaving(std::string_view Id) {
   VmState *Vm = findVm(Id);
-  if (!Vm || Vm->Condition == VmCondition::Gone ||
-      Vm->Condition == VmCondition::Leaving)
+  if (!Vm || Vm->Gone || std::exchange(Vm->Leaving, true))
     return;
-  Vm->Condition = VmCondition::Leaving;
   const std::vector<TaskPlace> Places = Vm->Tasks;
   for (const TaskPlace &Place : Places) {
     JobState &Job = Jobs_[Place.Job];
@@ -152,7 +149,8 @@
   if (Index < 0)
     return;
   VmState &Vm = Vms_[Index];
-  Vm.Condition = ForGood ? VmCondition::Gone : VmCondition::Unclaimed;
+  Vm.Claimed = false;
+  Vm.Gone = ForGood;
   std::erase_if(Strays_, [&](const auto &Entry) {
     if (Entry.second.Vm != Index)
       return false;
@@ -198,8 +196,7 @@
     return failure(ErrorCode::QuotaTooSmall, Spec.Customer);
   std::int64_t Places = 0;
   for (const VmState &Vm : Vms_) {
-    if (Vm.Condition == VmCondition::Gone ||
-        Vm.Condition == VmCondition::Leaving)
+    if (Vm.Gone || Vm.Leaving)
       continue;
     Capacity Room = Vm.Spec.Total;
     while (Places < AtOnce && Spec.PerTask.fitsIn(Room)) {
@@ -477,7 +474,7 @@
 std::vector<VmView> PackingScheduler::vms() const {
   std::vector<VmView> Out;
   for (const VmState &Vm : Vms_)
-    Out.push_back(VmView{Vm.Spec.Id, Vm.Condition, Vm.Spec.Total, Vm.Free,
+    Out.push_back(VmView{Vm.Spec.Id, Vm.condition(), Vm.Spec.Total, Vm.Free,
                          Vm.Quarantined, Vm.ReservedFor >= 0,
                          static_cast<int>(Vm.Tasks.size())});
   return Out;
--- a/packages/scheduling/src/SchedulingPass.cpp
+++ b/packages/scheduling/src/SchedulingPass.cpp
@@ -169,12 +169,26 @@
 }
 
 void PackingScheduler::startEarmarked(int Index) {
-  VmState &Vm = Vms_[Index];
-  if (!Capacity{}.fitsIn(Vm.Free))
+  // A VM that is being given up frees room too.
+  if (Vms_[Index].condition() != VmCondition::Usable ||
+      !Capacity{}.fitsIn(Vms_[Index].Free))
     return;
-  for (const TaskPlace &Place : Vm.Tasks)
-    if (Jobs_[Place.Job].Tasks[Place.Index].Phase == TaskPhase::Earmarked)
+  const std::vector<TaskPlace> Places = Vms_[Index].Tasks;
+  for (const TaskPlace &Place : Places) {
+    const JobState &Job = Jobs_[Place.Job];
+    if (Job.Tasks[Place.Index].Phase != TaskPhase::Earmarked)
+      continue;
+    // The limit may have been lowered while the room was being made.
+    const CustomerState &Customer = Customers_[Job.Customer];
+    if (Customer.Limit &&
+        (Customer.Held + unknownCapacity()).fitsIn(Customer.Limit->MaxHeld)) {
       startOn(Place);
+      continue;
+    }
+    unhold(Place);
+    requeue(Place);
+    Freed_.note(Index);
+  }
 }
 
 bool PackingScheduler::mayUse(const VmState &Vm, int Index) const {
--- a/packages/scheduling/src/VmState.h
+++ b/packages/scheduling/src/VmState.h
@@ -20,7 +20,10 @@
 /// A VM in the scheduler's table.
 struct VmState {
   VmSpec Spec;
-  VmCondition Condition = VmCondition::Unclaimed;
+  bool Claimed = false;
+  /// Takes no new work; stays so when the VM is lost and claimed again.
+  bool Leaving = false;
+  bool Gone = false;
   /// Capacity that no task holds. Negative in part while a task waits for the
   /// preempted ones to stop, so that nothing else takes their place.
   Capacity Free;
@@ -37,8 +40,15 @@
   int ReservedFor = -1;
   TimePoint ReservedFrom{};
 
+  VmCondition condition() const {
+    if (Gone)
+      return VmCondition::Gone;
+    if (Leaving)
+      return VmCondition::Leaving;
+    return Claimed ? VmCondition::Usable : VmCondition::Unclaimed;
+  }
   bool takesWork() const {
-    return Condition == VmCondition::Usable && !Quarantined &&
+    return condition() == VmCondition::Usable && !Quarantined &&
            (!Probation || Tasks.empty());
   }
   bool hasAccelerators() const { return Spec.Total.Accelerators > 0; }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,4 +5,5 @@
 Build=${1:-build}
 git ls-files 'packages/*.cpp' 'programs/*.cpp' 'standins/*.cpp' |
   grep -v 'RestinioHttpServer.cpp' |
-  xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$Build" --warnings-as-errors='*'
+  xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$Build" \
+    --extra-arg=-Wno-unknown-warning-option --warnings-as-errors='*'
