Run the whole system under faults, and check histories

Trials start daemons, stand-ins and relays as processes, strike a fault under load, and check what backend servers and callers saw. Found and mended: - A task ran to its end twice after the platform had been down. Cause: a VM repeats an end until it is acknowledged, and the repetition was acknowledged because the end was known in memory, not in the table; the next owner knew nothing of it. Now only an end that is in the table is acknowledged. - Every outage of the platform changed all owners: a standby counted the time in which it could not read the row. That time no longer counts. - After a takeover that outlasted the grants' lease nobody had slots until everything had settled: front doors reported lapsed caps as none, though the owner keeps them. They report them now, and still don't use them.

--- a/packages/daemon/include/cuminroad/daemon/Admission.h
+++ b/packages/daemon/include/cuminroad/daemon/Admission.h
@@ -44,8 +44,11 @@
   explicit Admission(const Clock &Clock);
 
   /// Applies an answer to the request sent at \p AskedAt; an answer to any but
-  /// the newest request is ignored.
-  void apply(const GrantReply &Reply, TimePoint AskedAt, milliseconds Lease);
+  /// the newest request is ignored. The caps can be used for \p Lease from
+  /// then on. For \p Keep beyond it the owner gives them to nobody else, so
+  /// that a new owner can let this front door go on with them.
+  void apply(const GrantReply &Reply, TimePoint AskedAt, milliseconds Lease,
+             milliseconds Keep);
   /// Fills in caps and demand, and makes this the newest request.
   void report(GrantRequest &Request);
   /// Stops using a VM that said that it is leaving.
@@ -92,6 +95,7 @@
   std::int64_t Seq_ = 0;
   std::int64_t VmTable_ = 0;
   TimePoint ValidUntil_{};
+  TimePoint KeptUntil_{};
   std::map<std::string, VmCap> Vms_;
   std::map<std::string, CustomerCap> Customers_;
   /// Waiting requests: not urgent, start by, id.
--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -45,7 +45,12 @@
   /// transaction that is under way.
   void close();
   void create(JobRow Row, Created Done);
-  void markEnded(const TaskRef &Task, bool Failed, Committed Done);
+  /// \returns false where the end is known and its write under way; then
+  /// \p Done is dropped.
+  bool markEnded(const TaskRef &Task, bool Failed, Committed Done);
+  /// Whether the task's end is in the table, or its job is not one of the
+  /// unfinished ones.
+  bool hasEnd(const TaskRef &Task) const;
   void recordStart(const TaskRef &Task, Committed Done);
   void markCancelled(const std::string &Job, Committed Done);
   /// Moves the job to the finished ones.
@@ -60,6 +65,8 @@
     JobRow Row;
     bool InTable = false;
     bool Finished = false;
+    /// Ends that are not yet in the table.
+    std::set<int> NewEnds;
   };
   struct Creation {
     std::string Job;
@@ -69,6 +76,7 @@
     std::set<std::string> Jobs;
     std::vector<Creation> Creations;
     std::vector<Committed> Callbacks;
+    std::vector<TaskRef> Ends;
   };
 
   std::string jobKey(const std::string &Job) const;
@@ -82,6 +90,7 @@
   void settleCommitted(Batch Sent, std::int64_t Revision);
   void settleConflict(Batch Sent, const std::vector<std::string> &Conflicts);
   void settleUnavailable(Batch Sent);
+  void keepForLater(Batch &Sent);
   void lookUpName(Creation Lost);
   static std::string nameKey(const JobRow &Row);
 
--- a/packages/daemon/include/cuminroad/daemon/Ownership.h
+++ b/packages/daemon/include/cuminroad/daemon/Ownership.h
@@ -78,6 +78,7 @@
   TimePoint NotBefore_{};
   std::int64_t SeenVersion_ = -1;
   TimePoint SeenAt_{};
+  TimePoint ReadAt_{};
   std::int64_t RowVersion_ = 0;
   std::int64_t EpochRow_ = 0;
   TimePoint LeaseEnds_{};
--- a/packages/daemon/src/Admission.cpp
+++ b/packages/daemon/src/Admission.cpp
@@ -23,10 +23,11 @@
 bool Admission::leaseHolds() const { return Clock_.now() < ValidUntil_; }
 
 void Admission::apply(const GrantReply &Reply, TimePoint AskedAt,
-                      milliseconds Lease) {
+                      milliseconds Lease, milliseconds Keep) {
   if (Reply.Seq != Seq_)
     return;
   ValidUntil_ = AskedAt + Lease;
+  KeptUntil_ = ValidUntil_ + Keep;
   if (Reply.Vms) {
     VmTable_ = Reply.VmTable;
     std::set<std::string> Listed;
@@ -55,10 +56,9 @@
 void Admission::report(GrantRequest &Request) {
   Request.Seq = ++Seq_;
   Request.VmTable = VmTable_;
-  const bool Valid = leaseHolds();
+  const bool Kept = Clock_.now() < KeptUntil_;
   for (auto &[Id, Vm] : Vms_) {
-    // A lapsed grant allows no more than what is in flight already.
-    if (!Valid)
+    if (!Kept)
       Vm.Cap = 0;
     addCount(Request.VmCaps, Id, std::max(Vm.Cap, Vm.Busy));
     addCount(Request.ServiceDemand, Vm.Service, Vm.Busy);
@@ -66,7 +66,7 @@
       Request.Leaving.push_back(Id);
   }
   for (auto &[Name, Customer] : Customers_) {
-    if (!Valid)
+    if (!Kept)
       Customer.Cap = 0;
     addCount(Request.CustomerCaps, Name, std::max(Customer.Cap, Customer.Busy));
     addCount(Request.CustomerDemand, Name, Customer.Busy);
--- a/packages/daemon/src/DomainOwner.cpp
+++ b/packages/daemon/src/DomainOwner.cpp
@@ -352,14 +352,11 @@
     if (KnownVm *Vm = find(Id))
       Vm->Session->acknowledge(Task);
   };
-  const JobRow *Row = Jobs_->find(End.Task.Task.Job);
-  const bool Known = !Row || Row->Ended.contains(End.Task.Task.Index);
-  if (!Known && !End.Stopped) {
-    Context_.Events.record(EventId::TaskEnded, taskText(End.Task), Id);
-    Jobs_->markEnded(End.Task.Task, End.Failed, Acknowledge);
-  } else {
+  // Only an end that is in the table may be forgotten by the VM.
+  if (End.Stopped || Jobs_->hasEnd(End.Task.Task))
     Acknowledge();
-  }
+  else if (Jobs_->markEnded(End.Task.Task, End.Failed, Acknowledge))
+    Context_.Events.record(EventId::TaskEnded, taskText(End.Task), Id);
   Scheduler_->taskEnded(End.Task, End.Failed, End.Stopped);
 }
 
--- a/packages/daemon/src/FrontDoor.cpp
+++ b/packages/daemon/src/FrontDoor.cpp
@@ -437,7 +437,8 @@
 void FrontDoor::applyGrants(const GrantReply &Reply) {
   {
     const std::lock_guard Lock(Mutex_);
-    Admission_.apply(Reply, GrantsAskedAt_, Context_.Config.Times.GrantLease);
+    Admission_.apply(Reply, GrantsAskedAt_, Context_.Config.Times.GrantLease,
+                     Context_.Config.Times.MaxRequestTime);
   }
   dispatch();
 }
--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -61,7 +61,7 @@
                  const auto Job = parseJobRow(Row.Value);
                  if (!Job)
                    continue;
-                 Self->Jobs_[Job->Spec.Id] = Kept{*Job, true, false};
+                 Self->Jobs_[Job->Spec.Id] = Kept{*Job, true, false, {}};
                  Out.push_back(*Job);
                }
                Done(std::move(Out));
@@ -82,7 +82,7 @@
 
 void JobStore::create(JobRow Row, Created Done) {
   const std::string Job = Row.Spec.Id;
-  Jobs_[Job] = Kept{std::move(Row), false, false};
+  Jobs_[Job] = Kept{std::move(Row), false, false, {}};
   Next_.Jobs.insert(Job);
   Next_.Creations.push_back(Creation{Job, std::move(Done)});
   plan();
@@ -95,12 +95,23 @@
   plan();
 }
 
-void JobStore::markEnded(const TaskRef &Task, bool Failed, Committed Done) {
+bool JobStore::markEnded(const TaskRef &Task, bool Failed, Committed Done) {
+  Kept &Job = Jobs_.at(Task.Job);
+  if (!Job.NewEnds.insert(Task.Index).second)
+    return false;
+  Job.Row.Ended[Task.Index] = Failed;
+  Next_.Ends.push_back(Task);
+  touch(Task.Job, std::move(Done));
+  return true;
+}
+
+bool JobStore::hasEnd(const TaskRef &Task) const {
   const auto Found = Jobs_.find(Task.Job);
   if (Found == Jobs_.end())
-    return Done();
-  Found->second.Row.Ended[Task.Index] = Failed;
-  touch(Task.Job, std::move(Done));
+    return true;
+  const Kept &Job = Found->second;
+  return Job.Row.Ended.contains(Task.Index) &&
+         !Job.NewEnds.contains(Task.Index);
 }
 
 void JobStore::recordStart(const TaskRef &Task, Committed Done) {
@@ -165,6 +176,7 @@
   }
   if (!Next_.Jobs.empty()) {
     Next_.Callbacks.swap(Sent.Callbacks);
+    Next_.Ends.swap(Sent.Ends);
     const auto Later = std::partition(
         Sent.Creations.begin(), Sent.Creations.end(),
         [&](const Creation &Each) { return Sent.Jobs.contains(Each.Job); });
@@ -195,6 +207,8 @@
 
 void JobStore::settleCommitted(Batch Sent, std::int64_t Revision) {
   MarkerVersion_ = Revision;
+  for (const TaskRef &Task : Sent.Ends)
+    Jobs_.at(Task.Job).NewEnds.erase(Task.Index);
   for (const std::string &Job : Sent.Jobs) {
     const auto Found = Jobs_.find(Job);
     Found->second.InTable = true;
@@ -237,10 +251,8 @@
     Sent.Jobs.erase(Each.Job);
     lookUpName(std::move(Each));
   }
-  Next_.Jobs.merge(Sent.Jobs);
+  keepForLater(Sent);
   std::move(Again.begin(), Again.end(), std::back_inserter(Next_.Creations));
-  std::move(Sent.Callbacks.begin(), Sent.Callbacks.end(),
-            std::back_inserter(Next_.Callbacks));
 }
 
 void JobStore::settleUnavailable(Batch Sent) {
@@ -252,15 +264,21 @@
   }
   if (Closed_)
     return;
-  Next_.Jobs.merge(Sent.Jobs);
-  std::move(Sent.Callbacks.begin(), Sent.Callbacks.end(),
-            std::back_inserter(Next_.Callbacks));
+  keepForLater(Sent);
   if (Next_.Jobs.empty())
     return;
   Writing_ = true;
   Home_.after(RetryDelay, [Self = shared_from_this()] { Self->write(); });
 }
 
+void JobStore::keepForLater(Batch &Sent) {
+  Next_.Jobs.merge(Sent.Jobs);
+  std::move(Sent.Callbacks.begin(), Sent.Callbacks.end(),
+            std::back_inserter(Next_.Callbacks));
+  std::move(Sent.Ends.begin(), Sent.Ends.end(),
+            std::back_inserter(Next_.Ends));
+}
+
 void JobStore::lookUpName(Creation Lost) {
   const std::string Key = nameKey(Jobs_.at(Lost.Job).Row);
   Jobs_.erase(Lost.Job);
--- a/packages/daemon/src/Ownership.cpp
+++ b/packages/daemon/src/Ownership.cpp
@@ -50,7 +50,11 @@
 
 void Ownership::examine(const TableRow &Row) {
   const TimePoint Now = Time_.now();
-  if (Row.Version != SeenVersion_) {
+  // While the row can't be read, its owner can't renew it either, or renews it
+  // unseen: that time doesn't count.
+  const bool Blind = Now - ReadAt_ > Config_.Times.OwnerLease / 2;
+  ReadAt_ = Now;
+  if (Row.Version != SeenVersion_ || Blind) {
     SeenVersion_ = Row.Version;
     SeenAt_ = Now;
   }
--- a/packages/daemon/tests/GrantTest.cpp
+++ b/packages/daemon/tests/GrantTest.cpp
@@ -112,7 +112,8 @@
     case 8:
       if (!Replies.empty()) {
         const auto [Index, Reply] = Replies[Rest % Replies.size()];
-        Members[Index].Book.apply(Reply, Members[Index].AskedAt, Lease);
+        Members[Index].Book.apply(Reply, Members[Index].AskedAt, Lease,
+                                  MaxRequestTime);
       }
       break;
     case 9:
--- a/standins/backend/BackendVm.cpp
+++ b/standins/backend/BackendVm.cpp
@@ -85,8 +85,11 @@
   const bool Plain = !Body.is_object();
   const int Work = (Plain ? 0 : Body.value("work_ms", 0)) + Faults_.SlowMs;
   const std::string Mark = Plain ? "" : Body.value("mark", "");
-  Log_.write(
-      {{"ev", "request_start"}, {"vm", Id_}, {"id", Id}, {"mark", Mark}});
+  Log_.write({{"ev", "request_start"},
+              {"vm", Id_},
+              {"id", Id},
+              {"mark", Mark},
+              {"customer", findHeader(Request.Headers, "X-Customer")}});
   const bool Hang = Faults_.HangRequests;
   const auto Finish = [this, Id, Mark, Hang, Respond, Text = Request.Body] {
     --Busy_;
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -18,15 +19,37 @@
 START_TIMEOUT_S = 20
 
 
-def free_ports(count):
-    """Returns ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+# Below the range from which the system takes ports for connections.
+PORT_BLOCKS = range(10000, 32000, 100)
+
+
+class Ports:
+    """A block of ports of one cluster's own, held by a socket on its first."""
+
+    def __init__(self):
+        self._guard = socket.socket()
+        blocks = list(PORT_BLOCKS)
+        random.SystemRandom().shuffle(blocks)
+        for self._next in blocks:
+            try:
+                self._guard.bind(("127.0.0.1", self._next))
+                return
+            except OSError:
+                continue
+        raise AssertionError("no block of ports is free")
+
+    def take(self):
+        while True:
+            self._next += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", self._next))
+                    return self._next
+                except OSError:
+                    continue
+
+    def close(self):
+        self._guard.close()
 
 
 def call(port, method, path, body=None, headers=None, timeout=40):
@@ -114,12 +137,13 @@
 
     def __init__(self, build, domains=2, daemons=2, vms=2, slots=8,
                  milli_cores=16000, memory_mb=32000, accelerators=0,
-                 timings=None, address_maps=None, vm_shapes=None):
+                 timings=None, network=None, vm_shapes=None):
         self.build = os.path.abspath(build)
         self.directory = tempfile.mkdtemp(prefix="cuminroad-")
         self.domains = ["d%d" % (n + 1) for n in range(domains)]
         self.timings = timings or {}
-        self.platform_port = free_ports(1)[0]
+        self.ports = Ports()
+        self.platform_port = self.ports.take()
         self.platform = Process(
             "platform", [self._binary("standins/standin_platform"),
                          str(self.platform_port)], self.directory)
@@ -127,17 +151,17 @@
         self.backend_ports = {}
         self.vms = {}
         self.daemons = {}
-        self.address_maps = address_maps or {}
+        self.network = network
         shape = dict(milli_cores=milli_cores, memory_mb=memory_mb,
                      accelerators=accelerators, slots=slots)
         for domain in self.domains:
             shapes = vm_shapes or [shape] * vms
             self._add_backend(domain, shapes)
-        ports = free_ports(2 * daemons * domains)
-        for domain in self.domains:
-            for number in range(daemons):
-                self._add_daemon("%s-%s" % (domain, "abcdefgh"[number]),
-                                 domain, (ports.pop(), ports.pop()))
+        places = {"%s-%s" % (domain, "abcdefgh"[number]):
+                  (domain, (self.ports.take(), self.ports.take()))
+                  for domain in self.domains for number in range(daemons)}
+        for name, (domain, own_ports) in places.items():
+            self._add_daemon(name, domain, own_ports, places)
 
     def _binary(self, path):
         return os.path.join(self.build, path)
@@ -146,7 +170,7 @@
         return os.path.join(self.directory, "history-%s.jsonl" % domain)
 
     def _add_backend(self, domain, shapes):
-        port = free_ports(1)[0]
+        port = self.ports.take()
         specs = []
         for number, shape in enumerate(shapes):
             name = "%s-vm%d" % (domain, number + 1)
@@ -165,15 +189,31 @@
             [self._binary("standins/standin_backend"), str(port), path,
              self.history_path(domain)], self.directory)
 
-    def _add_daemon(self, name, domain, ports):
+    def _map_addresses(self, name, places):
+        """Returns the address map of a daemon, and its platform's port."""
+        if self.network is None:
+            return {}, self.platform_port
+        targets = [("backend-" + domain, port)
+                   for domain, port in self.backend_ports.items()]
+        targets += [(other, port) for other, (_, ports) in places.items()
+                    if other != name for port in ports]
+        addresses = {}
+        for target, port in targets:
+            here = self.network.link(name, target, port)
+            addresses["127.0.0.1:%d" % port] = "127.0.0.1:%d" % here
+        return addresses, self.network.link(name, "platform",
+                                            self.platform_port)
+
+    def _add_daemon(self, name, domain, ports, places):
+        addresses, platform_port = self._map_addresses(name, places)
         settings = {
             "name": name, "failure_domain": domain,
             "all_failure_domains": self.domains,
             "http": {"address": "127.0.0.1", "port": ports[0]},
             "peer": {"address": "127.0.0.1", "port": ports[1]},
-            "platform_url": "http://127.0.0.1:%d" % self.platform_port,
+            "platform_url": "http://127.0.0.1:%d" % platform_port,
             "operator_token": TOKEN, "timings_ms": self.timings,
-            "address_map": self.address_maps.get(name, {})}
+            "address_map": addresses}
         path = os.path.join(self.directory, name + ".json")
         with open(path, "w") as file:
             file.write("// Settings of one daemon.\n" +
@@ -217,6 +257,7 @@
         for process in everything:
             process.signal(signal.SIGCONT)
             process.kill()
+        self.ports.close()
         if keep:
             print("logs are kept in", self.directory)
         else:
--- /dev/null
+++ b/tests/support/faults.py
@@ -0,0 +1,147 @@
+"""The faults that trials are made of. Each takes the trial it strikes."""
+
+import signal
+import time
+
+LONGER_THAN_LEASES_S = 7
+
+
+def kill_owner(trial):
+    owner = trial.owner()
+    owner.kill()
+    time.sleep(4)
+    owner.start()
+
+
+def kill_standby(trial):
+    standby = trial.standby()
+    standby.kill()
+    time.sleep(1)
+    standby.start()
+
+
+def freeze_owner(trial):
+    owner = trial.owner()
+    owner.signal(signal.SIGSTOP)
+    time.sleep(LONGER_THAN_LEASES_S)
+    owner.signal(signal.SIGCONT)
+
+
+def freeze_backend(trial):
+    backend = trial.running.backends["d1"]
+    backend.signal(signal.SIGSTOP)
+    time.sleep(LONGER_THAN_LEASES_S)
+    backend.signal(signal.SIGCONT)
+
+
+def cut_owner_from_platform(trial):
+    owner = trial.owner()
+    trial.network.cut(owner.name, "platform")
+    time.sleep(5)
+    trial.network.heal()
+
+
+def cut_owner_from_peers(trial):
+    owner, standby = trial.owner(), trial.standby()
+    trial.network.cut(owner.name, standby.name)
+    trial.network.cut(standby.name, owner.name)
+    time.sleep(5)
+    trial.network.heal()
+
+
+def cut_owner_from_all(trial):
+    owner = trial.owner()
+    trial.network.cut(owner.name, None)
+    trial.network.cut(None, owner.name)
+    time.sleep(LONGER_THAN_LEASES_S)
+    trial.network.heal()
+
+
+def cut_answers_from_backend(trial):
+    """Calls reach the backend servers, their answers do not come back."""
+    trial.network.cut(trial.owner().name, "backend-d1", ("back",))
+    time.sleep(5)
+    trial.network.heal()
+
+
+def cut_domain(trial):
+    """The domain is cut off from the platform and the other domain."""
+    others = [d.name for d in trial.running.daemons.values()
+              if d.domain != "d1"]
+    for daemon in trial.running.in_domain("d1"):
+        for target in others + ["platform"]:
+            trial.network.cut(daemon.name, target)
+        for source in others:
+            trial.network.cut(source, daemon.name)
+    time.sleep(LONGER_THAN_LEASES_S)
+    trial.network.heal()
+
+
+def platform_down(trial):
+    trial.platform(down=True)
+    time.sleep(5)
+    trial.platform(down=False)
+
+
+def platform_slow(trial):
+    trial.platform(slow_ms=700)
+    time.sleep(5)
+    trial.platform(slow_ms=0)
+
+
+def platform_loses_replies(trial):
+    for _ in range(4):
+        trial.platform(lose_replies=2)
+        time.sleep(1)
+
+
+def vm_leaves(trial):
+    trial.running.vm_control("d1-vm1", leaving=True)
+    time.sleep(LONGER_THAN_LEASES_S)
+
+
+def vm_unreachable(trial):
+    trial.running.vm_control("d1-vm2", unreachable=True)
+    time.sleep(LONGER_THAN_LEASES_S + 2)
+    trial.running.vm_control("d1-vm2", unreachable=False)
+
+
+def vm_refuses_starts(trial):
+    trial.running.vm_control("d1-vm3", refuse_starts=True)
+    time.sleep(3)
+    trial.running.vm_control("d1-vm3", refuse_starts=False)
+
+
+def vm_loses_answers(trial):
+    trial.running.vm_control("d1-vm3", hang_requests=True)
+    time.sleep(4)
+    trial.running.vm_control("d1-vm3", hang_requests=False)
+
+
+def restart_all(trial):
+    """Replaces every daemon, one after the other, by a planned stop."""
+    for daemon in trial.running.daemons.values():
+        daemon.signal(signal.SIGTERM)
+        daemon.wait(30)
+        daemon.start()
+        time.sleep(1)
+
+
+def kill_owner_while_platform_is_down(trial):
+    trial.platform(down=True)
+    time.sleep(1)
+    for daemon in trial.running.in_domain("d1"):
+        # While the platform is down every daemon still answers operators.
+        if daemon.state()["is_owner"]:
+            daemon.kill()
+            break
+    time.sleep(LONGER_THAN_LEASES_S)
+    trial.platform(down=False)
+    daemon.start()
+
+
+ALL = [kill_owner, kill_standby, freeze_owner, freeze_backend,
+       cut_owner_from_platform, cut_owner_from_peers, cut_owner_from_all,
+       cut_answers_from_backend, cut_domain, platform_down, platform_slow,
+       platform_loses_replies, vm_leaves, vm_unreachable, vm_refuses_starts,
+       vm_loses_answers, restart_all, kill_owner_while_platform_is_down]
--- /dev/null
+++ b/tests/support/relay.py
@@ -0,0 +1,113 @@
+"""A network that can be cut: TCP relays between the processes of a cluster.
+
+Each link, from one daemon to one address, has a relay of its own. A cut link
+keeps its connections open and forwards nothing, as a partition would; when it
+is healed, those connections are closed.
+"""
+
+import asyncio
+import threading
+
+
+class Link:
+    """One relay: listens, connects on, and forwards unless it is cut."""
+
+    def __init__(self, loop, target_port):
+        self._loop = loop
+        self._target_port = target_port
+        self._writers = set()
+        self._cut = {"forth": False, "back": False}
+        self._delay_s = 0
+        self.port = None
+
+    async def open(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        onward = None
+        try:
+            while any(self._cut.values()):
+                await asyncio.sleep(0.05)
+                if writer.is_closing():
+                    return
+            there, onward = await asyncio.open_connection("127.0.0.1",
+                                                          self._target_port)
+            self._writers.add(onward)
+            await asyncio.gather(self._pump(reader, onward, "forth"),
+                                 self._pump(there, writer, "back"))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for each in (writer, onward):
+                if each is not None:
+                    self._writers.discard(each)
+                    each.close()
+
+    async def _pump(self, reader, writer, direction):
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                break
+            if self._delay_s:
+                await asyncio.sleep(self._delay_s)
+            while self._cut[direction]:
+                await asyncio.sleep(0.05)
+                if writer.is_closing():
+                    return
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    def cut(self, directions=("forth", "back")):
+        self._loop.call_soon_threadsafe(self._set, directions, True)
+
+    def heal(self):
+        self._loop.call_soon_threadsafe(self._set, ("forth", "back"), False)
+
+    def delay(self, seconds):
+        self._delay_s = seconds
+
+    def _set(self, directions, value):
+        was_cut = any(self._cut.values())
+        for direction in directions:
+            self._cut[direction] = value
+        if was_cut and not value:
+            for writer in list(self._writers):
+                writer.close()
+
+
+class Network:
+    """All links of a cluster, on a thread of their own."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._links = {}
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def link(self, source, target_name, target_port):
+        """Returns the port that source uses to reach the target."""
+        link = Link(self._loop, target_port)
+        asyncio.run_coroutine_threadsafe(link.open(), self._loop).result()
+        self._links.setdefault((source, target_name), []).append(link)
+        return link.port
+
+    def between(self, source, target):
+        """Returns the links from source to target; None stands for any."""
+        return [link for (a, b), links in self._links.items()
+                if source in (None, a) and target in (None, b)
+                for link in links]
+
+    def cut(self, source, target, directions=("forth", "back")):
+        for link in self.between(source, target):
+            link.cut(directions)
+
+    def delay(self, source, target, seconds):
+        for link in self.between(source, target):
+            link.delay(seconds)
+
+    def heal(self):
+        for link in self.between(None, None):
+            link.heal()
+            link.delay(0)
