Start requests after a takeover without waiting for all to settle

Cause, by a trace of callers by second after the owner's death: 26 of 82 calls were refused with 'customer limit reached' though the customer had 1 of 6 in flight. (1) A front door kept caps that it no longer wanted for up to two renewals; (2) while a new owner's book settles, the part kept for silent daemons was taken off twice. Ruled out: lost messages, the VMs' slots (free all the time), the retry budget.

Change: half of a customer's share is split evenly among front doors, half goes by demand; an idle holder is nudged when another lacks, and who lacks when something was given back; front doors report at once what they gave back. At most ten requests for grants a second and front door.

--- a/packages/daemon/include/cuminroad/daemon/Admission.h
+++ b/packages/daemon/include/cuminroad/daemon/Admission.h
@@ -67,8 +67,9 @@
   /// Gives a slot back after \p Held of use.
   void giveBack(const Slot &Held, milliseconds Time);
 
-  /// Whether a waiting request lacks a cap, so that asking the owner helps.
-  bool wantsMore() const;
+  /// Whether the owner should hear now: requests wait, or caps were given back
+  /// since the last report, which others may wait for.
+  bool shouldReport() const { return !Waiting_.empty() || GaveBack_; }
   bool leaseHolds() const;
   std::size_t waiting() const { return Waiting_.size(); }
   int busyOn(const std::string &Vm) const;
@@ -93,6 +94,7 @@
 
   const Clock &Clock_;
   std::int64_t Seq_ = 0;
+  bool GaveBack_ = false;
   std::int64_t VmTable_ = 0;
   TimePoint ValidUntil_{};
   TimePoint KeptUntil_{};
--- a/packages/daemon/include/cuminroad/daemon/DomainOwner.h
+++ b/packages/daemon/include/cuminroad/daemon/DomainOwner.h
@@ -82,6 +82,8 @@
   std::function<void(std::int64_t Epoch, const std::string &Holder)> OnStale;
   /// Called when the grants of all front doors should be renewed at once.
   std::function<void()> OnGrantsChanged;
+  /// Called with the daemons whose grants should be renewed at once.
+  std::function<void(const std::vector<std::string> &)> OnNudge;
   /// Called with the names of daemons whose VM is gone.
   std::function<void(const std::vector<std::string> &)> OnGoneEntries;
 
--- a/packages/daemon/include/cuminroad/daemon/GrantBook.h
+++ b/packages/daemon/include/cuminroad/daemon/GrantBook.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_DAEMON_GRANTBOOK_H
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,13 @@
   milliseconds Settle;
 };
 
+/// What a front door gets, and which others should report.
+struct GrantDecision {
+  GrantReply Reply;
+  /// Daemons that hold what this one lacks, or that lack what it gave back.
+  std::vector<std::string> Nudge;
+};
+
 /// The owner's account of which front door may have how many requests in
 /// flight on each VM and for each customer of the domain.
 ///
@@ -43,7 +51,7 @@
   /// Sets the domain's share of a customer's requests; 0 to refuse all.
   void setCustomer(const std::string &Customer, int Share);
   /// Takes in a front door's report and decides on its grants.
-  GrantReply answer(const GrantRequest &Request);
+  GrantDecision answer(const GrantRequest &Request);
 
   /// \returns what all front doors together may have in flight on \p Vm.
   int boundOfVm(const std::string &Vm) const;
@@ -58,6 +66,10 @@
     /// What the reports account for while the settling time lasts.
     int Reported = 0;
     Counts Bounds;
+    /// Who got less than its part at its last request.
+    std::set<std::string> Lacking;
+    /// When any front door last had demand.
+    TimePoint WantedAt{};
     int bound() const;
     int boundOf(const std::string &Who) const;
   };
@@ -71,10 +83,12 @@
 
   void forgetSilent();
   void report(std::map<std::string, Pool> &Pools, const std::string &Who,
-              const Counts &Caps, bool First);
+              const Counts &Caps, bool First, std::set<std::string> &Nudge);
   int grant(Pool &Pool, const std::string &Who, int Target, bool ByCustomer);
-  int target(const std::string &Name, const Pool &Pool, const std::string &Who,
-             bool ByCustomer) const;
+  Counts targets(const std::string &Name, const Pool &Pool,
+                 bool ByCustomer) const;
+  void decide(std::map<std::string, Pool> &Pools, const std::string &Who,
+              bool ByCustomer, Counts &Caps, std::set<std::string> &Nudge);
   int available(const Pool &Pool, bool ByCustomer) const;
   bool silent(const std::string &Member) const;
 
--- a/packages/daemon/src/Admission.cpp
+++ b/packages/daemon/src/Admission.cpp
@@ -11,6 +11,11 @@
 /// Requests that may wait in one front door.
 constexpr std::size_t MaxWaiting = 20000;
 
+int countOf(const Counts &Values, const std::string &Name) {
+  const auto Found = Values.find(Name);
+  return Found == Values.end() ? 0 : Found->second;
+}
+
 void addCount(Counts &Values, const std::string &Name, int Count) {
   if (Count > 0)
     Values[Name] += Count;
@@ -41,13 +46,17 @@
     });
   }
   for (auto &[Id, Vm] : Vms_) {
-    const auto Found = Reply.VmCaps.find(Id);
-    Vm.Cap = Found == Reply.VmCaps.end() ? 0 : Found->second;
+    const int Cap = countOf(Reply.VmCaps, Id);
+    GaveBack_ = GaveBack_ || Cap < Vm.Cap;
+    Vm.Cap = Cap;
   }
-  for (auto &[Name, Customer] : Customers_)
-    Customer.Cap = 0;
   for (const auto &[Name, Cap] : Reply.CustomerCaps)
-    Customers_[Name].Cap = Cap;
+    Customers_[Name].Cap = std::max(Customers_[Name].Cap, Cap);
+  for (auto &[Name, Customer] : Customers_) {
+    const int Cap = countOf(Reply.CustomerCaps, Name);
+    GaveBack_ = GaveBack_ || Cap < Customer.Cap;
+    Customer.Cap = Cap;
+  }
   std::erase_if(Customers_, [](const auto &Entry) {
     return Entry.second.Cap == 0 && Entry.second.Busy == 0;
   });
@@ -55,6 +64,7 @@
 
 void Admission::report(GrantRequest &Request) {
   Request.Seq = ++Seq_;
+  GaveBack_ = false;
   Request.VmTable = VmTable_;
   const bool Kept = Clock_.now() < KeptUntil_;
   for (auto &[Id, Vm] : Vms_) {
@@ -198,17 +208,19 @@
 
 void Admission::giveBack(const Slot &Held, milliseconds Time) {
   if (const auto Vm = Vms_.find(Held.Vm); Vm != Vms_.end()) {
+    // In use beyond a lowered cap: only now does the slot go back.
+    GaveBack_ = GaveBack_ || Vm->second.Busy > Vm->second.Cap;
     --Vm->second.Busy;
     double &Smoothed = HoldTime_[Vm->second.Service];
     Smoothed += HoldTimeWeight * (static_cast<double>(Time.count()) - Smoothed);
   }
   if (const auto Customer = Customers_.find(Held.Customer);
-      Customer != Customers_.end())
+      Customer != Customers_.end()) {
+    GaveBack_ = GaveBack_ || Customer->second.Busy > Customer->second.Cap;
     --Customer->second.Busy;
+  }
 }
 
-bool Admission::wantsMore() const { return !Waiting_.empty(); }
-
 int Admission::busyOn(const std::string &Vm) const {
   const auto Found = Vms_.find(Vm);
   return Found == Vms_.end() ? 0 : Found->second.Busy;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -17,8 +17,10 @@
 
 constexpr milliseconds SweepInterval{10};
 constexpr milliseconds ExpireInterval{1000};
-/// Least time between two requests for grants.
-constexpr milliseconds AskInterval{10};
+/// Delay of a request for grants, which lets several causes share it, and the
+/// least time between two: it bounds the control traffic of an overload.
+constexpr milliseconds AskDelay{5};
+constexpr milliseconds AskInterval{100};
 constexpr milliseconds StandbyListPoll{10000};
 /// Time for the last message to a peer to leave.
 constexpr milliseconds PartingTime{200};
@@ -48,6 +50,7 @@
   void take(const GrantNotice &Message);
   void sendTo(const std::string &Address, const PeerMessage &Message);
   void sendNotices();
+  void sendNotice(const std::string &Name);
   void beginStop();
   void finishStop();
 
@@ -61,6 +64,7 @@
   std::thread Drainer_;
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> AskPlanned_{false};
+  TimePoint AskedAt_{};
   bool ReadyTold_ = false;
 };
 
@@ -146,6 +150,10 @@
     });
   };
   Parts_.Domain->OnGrantsChanged = [this] { sendNotices(); };
+  Parts_.Domain->OnNudge = [this](const std::vector<std::string> &Names) {
+    for (const std::string &Name : Names)
+      sendNotice(Name);
+  };
   Parts_.Domain->OnGoneEntries = [this](const std::vector<std::string> &Names) {
     Parts_.Keeper.removeMembers(Names);
   };
@@ -161,13 +169,20 @@
 }
 
 void EntryDaemon::sendNotices() {
-  const GrantNotice Notice{Parts_.Self.Name, Parts_.Owners.owner().Epoch,
-                           Parts_.Self.Peer, Parts_.Self.Http,
-                           Parts_.Events.logicalClock().next()};
   for (const Identity &Member : Parts_.Members.inDomain(Parts_.Self.Domain))
-    if (Member.Name != Parts_.Self.Name)
-      sendTo(Member.Peer, Notice);
-  askOwnerSoon();
+    sendNotice(Member.Name);
+}
+
+void EntryDaemon::sendNotice(const std::string &Name) {
+  if (Name == Parts_.Self.Name)
+    return askOwnerSoon();
+  const auto Member = Parts_.Members.find(Name);
+  if (!Member)
+    return;
+  sendTo(Member->Peer, GrantNotice{Parts_.Self.Name,
+                                   Parts_.Owners.owner().Epoch,
+                                   Parts_.Self.Peer, Parts_.Self.Http,
+                                   Parts_.Events.logicalClock().next()});
 }
 
 void EntryDaemon::sendTo(const std::string &Address,
@@ -178,9 +193,13 @@
 void EntryDaemon::askOwnerSoon() {
   if (AskPlanned_.exchange(true))
     return;
-  Parts_.Control->after(AskInterval, [this] {
-    AskPlanned_ = false;
-    askOwner();
+  Parts_.Control->post([this] {
+    const auto Since = std::chrono::duration_cast<milliseconds>(
+        Parts_.Time.now() - AskedAt_);
+    Parts_.Control->after(std::max(AskInterval - Since, AskDelay), [this] {
+      AskPlanned_ = false;
+      askOwner();
+    });
   });
 }
 
@@ -188,6 +207,7 @@
   const OwnerInfo &Owner = Parts_.Owners.owner();
   if (!Parts_.Domain && Owner.Peer.empty())
     return;
+  AskedAt_ = Parts_.Time.now();
   GrantRequest Request;
   Request.From = Parts_.Self.Name;
   Request.Incarnation = Parts_.Self.Incarnation;
--- a/packages/daemon/src/DomainOwner.cpp
+++ b/packages/daemon/src/DomainOwner.cpp
@@ -298,7 +298,10 @@
 GrantReply DomainOwner::answerGrants(const GrantRequest &Request) {
   for (const std::string &Vm : Request.Leaving)
     leaving(Vm);
-  GrantReply Reply = Grants_.answer(Request);
+  GrantDecision Decision = Grants_.answer(Request);
+  if (OnNudge && !Decision.Nudge.empty())
+    OnNudge(Decision.Nudge);
+  GrantReply Reply = std::move(Decision.Reply);
   Reply.Owner = Context_.Self.Name;
   Reply.Epoch = Term_.Epoch;
   // The epoch makes tables of two owners differ.
--- a/packages/daemon/src/FrontDoor.cpp
+++ b/packages/daemon/src/FrontDoor.cpp
@@ -306,7 +306,7 @@
       Ready.emplace_back(std::move(Found->second), std::move(Held));
       Waiting_.erase(Found);
     }
-    Ask = Admission_.wantsMore();
+    Ask = Admission_.shouldReport();
   }
   for (auto &[Call, Held] : Ready)
     send(std::move(Call), std::move(Held));
--- a/packages/daemon/src/GrantBook.cpp
+++ b/packages/daemon/src/GrantBook.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A customer that had no request for this long is granted nothing in advance.
+constexpr milliseconds IdleTime{30000};
+
 int countOf(const Counts &Values, const std::string &Name) {
   const auto Found = Values.find(Name);
   return Found == Values.end() ? 0 : Found->second;
@@ -98,13 +101,18 @@
 }
 
 void GrantBook::report(std::map<std::string, Pool> &Pools,
-                       const std::string &Who, const Counts &Caps, bool First) {
+                       const std::string &Who, const Counts &Caps, bool First,
+                       std::set<std::string> &Nudge) {
   // The report is what the front door may use: it ignores the answers to all
   // its earlier requests from now on.
   for (auto &[Name, Pool] : Pools) {
     const int Cap = countOf(Caps, Name);
     if (First)
       Pool.Reported += Cap;
+    if (Cap < Pool.boundOf(Who))
+      for (const std::string &Other : Pool.Lacking)
+        if (Holders_.contains(Other))
+          Nudge.insert(Holders_.at(Other).Member);
     if (Cap > 0)
       Pool.Bounds[Who] = Cap;
     else
@@ -118,10 +126,12 @@
 }
 
 int GrantBook::available(const Pool &Pool, bool ByCustomer) const {
-  const bool Settled = Clock_.now() >= SettledAt_;
-  int Limit = Settled ? Pool.Limit : std::min(Pool.Limit, Pool.Reported);
+  // Until all is settled, what the reports don't account for may be in use.
+  if (Clock_.now() < SettledAt_)
+    return std::min(Pool.Limit, Pool.Reported);
   if (!ByCustomer || Members_.empty())
-    return Limit;
+    return Pool.Limit;
+  int Limit = Pool.Limit;
   const int Count = static_cast<int>(Members_.size());
   const int Part = (Pool.Limit + Count - 1) / Count;
   for (const std::string &Member : Members_)
@@ -130,24 +140,58 @@
   return std::max(Limit, 0);
 }
 
-int GrantBook::target(const std::string &Name, const Pool &Pool,
-                      const std::string &Who, bool ByCustomer) const {
+Counts GrantBook::targets(const std::string &Name, const Pool &Pool,
+                          bool ByCustomer) const {
+  // Half is split evenly, so that a first request needs no message; half goes
+  // where the demand is. A customer that was idle for long gets nothing, which
+  // keeps the messages short.
+  const TimePoint Now = Clock_.now();
+  const bool Idle = ByCustomer && Now - Pool.WantedAt > IdleTime;
   std::vector<double> Weights;
-  std::size_t Position = 0;
-  // A VM's slots are split evenly but for the demand; a customer's share goes
-  // where the demand is.
-  const double Even = ByCustomer ? 0.0 : static_cast<double>(Pool.Limit) / 2.0;
+  std::vector<std::string> Names;
   for (const auto &[Other, State] : Holders_) {
-    if (Clock_.now() - State.HeardAt > Times_.Lease)
+    if (Now - State.HeardAt > Times_.Lease)
       continue;
-    if (Other == Who)
-      Position = Weights.size();
-    Weights.push_back(
-        Even + (ByCustomer ? countOf(State.CustomerDemand, Name)
-                           : countOf(State.ServiceDemand, Pool.Service)));
+    const int Demand = ByCustomer ? countOf(State.CustomerDemand, Name)
+                                  : countOf(State.ServiceDemand, Pool.Service);
+    Names.push_back(Other);
+    Weights.push_back(Demand + (Idle ? 0.0 : Pool.Limit / 2.0));
+  }
+  const std::vector<int> Parts =
+      apportion(available(Pool, ByCustomer), Weights,
+                std::hash<std::string>{}(Name));
+  Counts Out;
+  for (std::size_t Index = 0; Index < Names.size(); ++Index)
+    Out[Names[Index]] = Parts[Index];
+  return Out;
+}
+
+void GrantBook::decide(std::map<std::string, Pool> &Pools,
+                       const std::string &Who, bool ByCustomer, Counts &Caps,
+                       std::set<std::string> &Nudge) {
+  const Holder &State = Holders_.at(Who);
+  for (auto &[Name, Pool] : Pools) {
+    const int Demand = ByCustomer ? countOf(State.CustomerDemand, Name)
+                                  : countOf(State.ServiceDemand, Pool.Service);
+    if (Demand > 0)
+      Pool.WantedAt = Clock_.now();
+    const Counts Targets = targets(Name, Pool, ByCustomer);
+    const int Target = countOf(Targets, Who);
+    const int Cap = grant(Pool, Who, Target, ByCustomer);
+    if (Cap > 0)
+      Caps[Name] = Cap;
+    // A VM's slots are spread over many VMs; only a lack that makes a request
+    // wait is worth a message.
+    if (Cap >= Target || Demand <= Cap) {
+      Pool.Lacking.erase(Who);
+      continue;
+    }
+    Pool.Lacking.insert(Who);
+    for (const auto &[Other, Bound] : Pool.Bounds)
+      if (Other != Who && Bound > countOf(Targets, Other) &&
+          Holders_.contains(Other))
+        Nudge.insert(Holders_.at(Other).Member);
   }
-  const std::size_t Turn = std::hash<std::string>{}(Name);
-  return apportion(available(Pool, ByCustomer), Weights, Turn)[Position];
 }
 
 int GrantBook::grant(Pool &Pool, const std::string &Who, int Target,
@@ -162,32 +206,31 @@
   return Granted;
 }
 
-GrantReply GrantBook::answer(const GrantRequest &Request) {
+GrantDecision GrantBook::answer(const GrantRequest &Request) {
   forgetSilent();
   const std::string Who = holderName(Request);
-  GrantReply Reply;
-  Reply.Seq = Request.Seq;
+  GrantDecision Out;
+  Out.Reply.Seq = Request.Seq;
   const bool First = !Holders_.contains(Who);
   Holder &State = Holders_[Who];
   if (!First && Request.Seq <= State.Seq) {
     // A delayed copy: what it reports is out of date.
-    Reply.Seq = 0;
-    return Reply;
+    Out.Reply.Seq = 0;
+    return Out;
   }
   State.Seq = Request.Seq;
   State.Member = Request.From;
   State.HeardAt = Clock_.now();
   State.ServiceDemand = Request.ServiceDemand;
   State.CustomerDemand = Request.CustomerDemand;
-  report(Vms_, Who, Request.VmCaps, First);
-  report(Customers_, Who, Request.CustomerCaps, First);
-  for (auto &[Name, Pool] : Vms_)
-    if (const int Cap = grant(Pool, Who, target(Name, Pool, Who, false), false))
-      Reply.VmCaps[Name] = Cap;
-  for (auto &[Name, Pool] : Customers_)
-    if (const int Cap = grant(Pool, Who, target(Name, Pool, Who, true), true))
-      Reply.CustomerCaps[Name] = Cap;
-  return Reply;
+  std::set<std::string> Nudge;
+  report(Vms_, Who, Request.VmCaps, First, Nudge);
+  report(Customers_, Who, Request.CustomerCaps, First, Nudge);
+  decide(Vms_, Who, false, Out.Reply.VmCaps, Nudge);
+  decide(Customers_, Who, true, Out.Reply.CustomerCaps, Nudge);
+  Nudge.erase(Request.From);
+  Out.Nudge.assign(Nudge.begin(), Nudge.end());
+  return Out;
 }
 
 int GrantBook::boundOfVm(const std::string &Vm) const {
--- a/standins/backend/BackendVm.cpp
+++ b/standins/backend/BackendVm.cpp
@@ -271,7 +271,7 @@
   reply(Respond, 200);
 }
 
-void BackendVm::endTask(const TaskKey &Key, bool Failed, bool Stopped) {
+void BackendVm::endTask(TaskKey Key, bool Failed, bool Stopped) {
   const auto Found = Tasks_.find(Key);
   if (Found == Tasks_.end())
     return;
--- a/standins/backend/BackendVm.h
+++ b/standins/backend/BackendVm.h
@@ -59,7 +59,8 @@
   void stop(const nlohmann::json &Body, const HttpResponder &Respond);
   void throttle(const nlohmann::json &Body, const HttpResponder &Respond);
   void control(const nlohmann::json &Body, const HttpResponder &Respond);
-  void endTask(const TaskKey &Key, bool Failed, bool Stopped);
+  /// Takes a copy: the key may be the one of the entry that it erases.
+  void endTask(TaskKey Key, bool Failed, bool Stopped);
   void answerRenewal();
   bool hasNews() const;
   void note(const char *What, const TaskKey &Key, const Task &Entry);
--- /dev/null
+++ b/tests/failure/fault_test.py
@@ -0,0 +1,55 @@
+"""The whole system under each fault on its own, and under some at once.
+
+The faults are in tests/support/faults.py, the checks in checker.py. Longer
+and random trials: make soak SEEDS=n.
+"""
+
+import os
+import threading
+import unittest
+
+import faults
+import trial
+
+# The group of this run; the groups run side by side.
+GROUP = os.environ.get("CUMINROAD_FAULTS", "")
+
+
+def together(*both):
+    def strike(subject):
+        threads = [threading.Thread(target=each, args=(subject,))
+                   for each in both]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    return strike
+
+
+class FaultTest(unittest.TestCase):
+    """Each test is one trial under load."""
+
+
+def add_test(name, *strikes):
+    def test(self):
+        subject = trial.Trial(seed=7)
+        subject.run(*strikes)
+        print(name + ":", subject.summary(), flush=True)
+        # A trial in which little was done would prove little.
+        done = sum(call["outcome"] == "done" for call in subject.load.calls)
+        self.assertGreater(done, 50)
+        self.assertGreater(len(subject.load.jobs), 5)
+    setattr(FaultTest, "test_" + name, test)
+
+
+for each in faults.ALL:
+    if not GROUP or each.__name__ in GROUP.split(","):
+        add_test(each.__name__, each)
+for first, second in [(faults.kill_owner, faults.platform_loses_replies),
+                      (faults.freeze_owner, faults.vm_unreachable)]:
+    pair = first.__name__ + "_and_" + second.__name__
+    if not GROUP or pair in GROUP.split(","):
+        add_test(pair, together(first, second))
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -6,7 +6,13 @@
 LONGER_THAN_LEASES_S = 7
 
 
+def vms_of_domain(trial, domain="d1"):
+    return {name for name, vm in trial.running.vms.items()
+            if vm["domain"] == domain}
+
+
 def kill_owner(trial):
+    trial.breaks_calls = True
     owner = trial.owner()
     owner.kill()
     time.sleep(4)
@@ -14,6 +20,7 @@
 
 
 def kill_standby(trial):
+    trial.breaks_calls = True
     standby = trial.standby()
     standby.kill()
     time.sleep(1)
@@ -21,6 +28,7 @@
 
 
 def freeze_owner(trial):
+    trial.breaks_calls = True
     owner = trial.owner()
     owner.signal(signal.SIGSTOP)
     time.sleep(LONGER_THAN_LEASES_S)
@@ -29,6 +37,7 @@
 
 def freeze_backend(trial):
     backend = trial.running.backends["d1"]
+    trial.cut_off_vms |= vms_of_domain(trial)
     backend.signal(signal.SIGSTOP)
     time.sleep(LONGER_THAN_LEASES_S)
     backend.signal(signal.SIGCONT)
@@ -59,6 +68,7 @@
 
 def cut_answers_from_backend(trial):
     """Calls reach the backend servers, their answers do not come back."""
+    trial.cut_off_vms |= vms_of_domain(trial)
     trial.network.cut(trial.owner().name, "backend-d1", ("back",))
     time.sleep(5)
     trial.network.heal()
@@ -101,6 +111,7 @@
 
 
 def vm_unreachable(trial):
+    trial.cut_off_vms.add("d1-vm2")
     trial.running.vm_control("d1-vm2", unreachable=True)
     time.sleep(LONGER_THAN_LEASES_S + 2)
     trial.running.vm_control("d1-vm2", unreachable=False)
@@ -128,6 +139,7 @@
 
 
 def kill_owner_while_platform_is_down(trial):
+    trial.breaks_calls = True
     trial.platform(down=True)
     time.sleep(1)
     for daemon in trial.running.in_domain("d1"):
