Move customers' limits to the failure domain that needs them

Cause: each domain had a fixed third of each contract, so a customer whose work comes to one domain waited, or was refused, with two thirds unused. A giver first lowers its own limit and waits until nothing uses the difference.

--- a/benchmark/FirstComeFirstFit.h
+++ b/benchmark/FirstComeFirstFit.h
@@ -21,7 +21,9 @@
   void vmEmptied(std::string_view, bool) override {}
   void setLimit(std::string_view, const ContractTerms &) override {}
   void removeLimit(std::string_view) override {}
-  Result<void> check(const JobSpec &) const override { return {}; }
+  Result<void> check(const JobSpec &, const Capacity &) const override {
+    return {};
+  }
   void submit(const JobSpec &Spec) override;
   void recover(const RecoveredJob &) override {}
   void cancel(std::string_view) override {}
@@ -35,6 +37,8 @@
   std::vector<JobView> jobs() const override { return {}; }
   std::vector<VmView> vms() const override;
   Capacity held(std::string_view) const override { return {}; }
+  Capacity waitingSize(std::string_view) const override { return {}; }
+  bool resolved() const override { return true; }
 
 private:
   struct Vm {
--- /dev/null
+++ b/benchmark/takeover.py
@@ -0,0 +1,71 @@
+#!/usr/bin/env python3
+"""Measures how long a domain is without placements after its owner's death.
+
+Kills the owner while jobs and requests keep coming through the standby, and
+reads from the backend servers' own history when the next task started.
+"""
+
+import argparse
+import os
+import statistics
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "tests", "support"))
+import cluster  # noqa: E402
+
+
+def submit_until(daemon, stop):
+    while not stop.is_set():
+        try:
+            daemon.call("POST", "/v1/jobs", dict(
+                customer="load", kind="batch", milli_cores=100, memory_mb=100,
+                duration_ms=10), timeout=5)
+        except OSError:
+            pass
+        time.sleep(0.02)
+
+
+def measure(build):
+    """Returns seconds from the kill to the next task and to the next answer."""
+    with cluster.Cluster(build, domains=1, daemons=3, vms=10) as running:
+        running.contract("load", requests=96)
+        owner = running.owner("d1")
+        standby = [d for d in running.in_domain("d1") if d is not owner][0]
+        stop = threading.Event()
+        thread = threading.Thread(target=submit_until, args=(standby, stop))
+        thread.start()
+        time.sleep(2)
+        owner.kill()
+        killed = time.monotonic_ns()
+        answered = None
+        while answered is None and time.monotonic_ns() - killed < 20e9:
+            outcome, _, _ = cluster.request(standby, "load", body="{}",
+                                            idempotent=True)
+            if outcome == "done":
+                answered = time.monotonic_ns()
+        time.sleep(6)
+        stop.set()
+        thread.join()
+        starts = [line["t"] for line in running.history()
+                  if line["ev"] == "task_start" and line["t"] > killed]
+        return (min(starts) - killed) / 1e9, (answered - killed) / 1e9
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--rounds", type=int, default=5)
+    options = parser.parse_args()
+    runs = [measure(options.build) for _ in range(options.rounds)]
+    for name, place in (("next task", 0), ("next answer", 1)):
+        values = [run[place] for run in runs]
+        print("%s after the owner's death: median %.2f s, from %.2f to %.2f "
+              "(%d runs)" % (name, statistics.median(values), min(values),
+                             max(values), len(values)))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/include/cuminroad/daemon/DomainOwner.h
+++ b/packages/daemon/include/cuminroad/daemon/DomainOwner.h
@@ -14,6 +14,7 @@
 #include "cuminroad/daemon/GrantBook.h"
 #include "cuminroad/daemon/Identity.h"
 #include "cuminroad/daemon/JobStore.h"
+#include "cuminroad/daemon/ShareKeeper.h"
 #include "cuminroad/daemon/VmSession.h"
 #include "cuminroad/net/HttpClient.h"
 #include "cuminroad/net/Loop.h"
@@ -53,6 +54,7 @@
 /// decides by the scheduler, keeps the jobs' rows, and grants slots to the
 /// domain's front doors. Runs on the control thread.
 class DomainOwner final : public VmEvents,
+                          public ShareUse,
                           public std::enable_shared_from_this<DomainOwner> {
 public:
   using Submitted = std::function<void(Result<std::string>)>;
@@ -101,6 +103,10 @@
   void superseded(const std::string &Vm, std::int64_t Epoch,
                   const std::string &Holder) override;
 
+  ShareAmount demand(const std::string &Customer) const override;
+  ShareAmount bound(const std::string &Customer) const override;
+  bool certain() const override;
+
 private:
   struct KnownVm {
     ListedVm Listed;
@@ -123,8 +129,7 @@
   void execute(const EndJob &Do);
   void applyEnd(const std::string &Vm, const EndedTask &Task);
   void updateSlots(const std::string &Vm);
-  ContractTerms share(const std::string &Customer,
-                      const ContractTerms &Terms) const;
+  void applyLimits();
   KnownVm *find(const std::string &Vm);
 
   OwnerContext Context_;
@@ -132,12 +137,13 @@
   std::unique_ptr<Scheduler> Scheduler_;
   GrantBook Grants_;
   std::shared_ptr<JobStore> Jobs_;
+  std::shared_ptr<ShareKeeper> Shares_;
   std::map<std::string, KnownVm> Vms_;
   std::int64_t VmTable_ = 0;
   bool ListRead_ = false;
   bool Loaded_ = false;
   bool Closed_ = false;
-  std::set<std::string> Limited_;
+  std::map<std::string, ContractTerms> Contracts_;
   /// Starts that wait until they are in the table.
   std::set<TaskAttempt> Recording_;
 };
--- a/packages/daemon/include/cuminroad/daemon/GrantBook.h
+++ b/packages/daemon/include/cuminroad/daemon/GrantBook.h
@@ -56,6 +56,10 @@
   /// \returns what all front doors together may have in flight on \p Vm.
   int boundOfVm(const std::string &Vm) const;
   int boundOfCustomer(const std::string &Customer) const;
+  /// \returns the customer's requests in flight and waiting, as reported.
+  int demandOfCustomer(const std::string &Customer) const;
+  /// Whether the book knows all that any daemon may be using.
+  bool certain() const;
   /// \returns the front doors heard of and not yet given up.
   std::vector<std::string> holders() const;
 
--- a/packages/daemon/src/DomainOwner.cpp
+++ b/packages/daemon/src/DomainOwner.cpp
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include "cuminroad/base/Ids.h"
-#include "cuminroad/daemon/DomainShare.h"
 
 namespace cuminroad {
 
@@ -40,7 +39,13 @@
       Jobs_(std::make_shared<JobStore>(Context.Rows, Context.Home,
                                        JobStoreScope{Context.Self.Domain,
                                                      Term_.EpochKey,
-                                                     Term_.EpochVersion})) {}
+                                                     Term_.EpochVersion})),
+      Shares_(std::make_shared<ShareKeeper>(
+          Context.Rows, Context.Home,
+          ShareScope{Context.Self.Domain, Context.Config.Domains,
+                     Term_.EpochKey, Term_.EpochVersion,
+                     Term_.EpochVersion != 0},
+          *this)) {}
 
 void DomainOwner::start() {
   configChanged();
@@ -48,6 +53,13 @@
     if (!Closed_ && OnStale)
       OnStale(Term_.Epoch + 1, "");
   };
+  Shares_->OnChanged = [this] {
+    if (Closed_)
+      return;
+    applyLimits();
+    run();
+  };
+  Shares_->start();
   // The VMs must be known first: what an earlier owner started may run on any
   // of them. Without the table the jobs stay unknown, and what runs goes on.
   if (Term_.EpochVersion == 0)
@@ -59,6 +71,7 @@
 void DomainOwner::close() {
   Closed_ = true;
   Jobs_->close();
+  Shares_->close();
   for (auto &[Id, Vm] : Vms_)
     if (Vm.Session)
       Vm.Session->close();
@@ -168,29 +181,42 @@
        Context_.Contracts.members().inDomain(Context_.Self.Domain))
     Names.push_back(Member.Name);
   Grants_.setMembers(std::move(Names));
-  std::set<std::string> Now;
-  for (const auto &[Customer, Kept] : Context_.Contracts.contracts()) {
-    const auto Terms = Kept.Record.effective();
-    if (!Terms)
-      continue;
-    Now.insert(Customer);
-    const ContractTerms Part = share(Customer, *Terms);
-    Scheduler_->setLimit(Customer, Part);
-    Grants_.setCustomer(Customer, static_cast<int>(Part.MaxRequests));
-  }
-  for (const std::string &Customer : Limited_)
+  std::map<std::string, ContractTerms> Now;
+  for (const auto &[Customer, Kept] : Context_.Contracts.contracts())
+    if (const auto Terms = Kept.Record.effective())
+      Now.emplace(Customer, *Terms);
+  for (const auto &[Customer, Terms] : Contracts_)
     if (!Now.contains(Customer)) {
       Scheduler_->removeLimit(Customer);
       Grants_.setCustomer(Customer, 0);
     }
-  Limited_ = std::move(Now);
+  Contracts_ = std::move(Now);
+  Shares_->setContracts(Contracts_);
+  applyLimits();
   run();
 }
 
-ContractTerms DomainOwner::share(const std::string &Customer,
-                                 const ContractTerms &Terms) const {
-  return domainShare(Terms, Customer, Context_.Self.Domain,
-                     Context_.Config.Domains);
+void DomainOwner::applyLimits() {
+  for (const auto &[Customer, Terms] : Contracts_) {
+    const ContractTerms Part = Shares_->share(Customer, Terms);
+    Scheduler_->setLimit(Customer, Part);
+    Grants_.setCustomer(Customer, static_cast<int>(Part.MaxRequests));
+  }
+}
+
+ShareAmount DomainOwner::demand(const std::string &Customer) const {
+  return ShareAmount{Scheduler_->held(Customer) +
+                         Scheduler_->waitingSize(Customer),
+                     Grants_.demandOfCustomer(Customer)};
+}
+
+ShareAmount DomainOwner::bound(const std::string &Customer) const {
+  return ShareAmount{Scheduler_->held(Customer),
+                     Grants_.boundOfCustomer(Customer)};
+}
+
+bool DomainOwner::certain() const {
+  return Loaded_ && Scheduler_->resolved() && Grants_.certain();
 }
 
 void DomainOwner::tick() {
@@ -251,7 +277,11 @@
 void DomainOwner::submit(JobSpec Spec, Submitted Done) {
   if (!Loaded_ || Closed_)
     return Done(failure(ErrorCode::NoOwner, Context_.Self.Domain));
-  const auto Checked = Scheduler_->check(Spec);
+  const auto Contract = Contracts_.find(Spec.Customer);
+  if (Contract == Contracts_.end())
+    return Done(failure(ErrorCode::UnknownCustomer, Spec.Customer));
+  const auto Checked = Scheduler_->check(
+      Spec, Shares_->largestShare(Spec.Customer, Contract->second).MaxHeld);
   if (!Checked) {
     Context_.Events.record(EventId::JobRefused, Spec.Customer,
                            Checked.error().text());
--- a/packages/daemon/src/GrantBook.cpp
+++ b/packages/daemon/src/GrantBook.cpp
@@ -157,9 +157,8 @@
     Names.push_back(Other);
     Weights.push_back(Demand + (Idle ? 0.0 : Pool.Limit / 2.0));
   }
-  const std::vector<int> Parts =
-      apportion(available(Pool, ByCustomer), Weights,
-                std::hash<std::string>{}(Name));
+  const std::vector<int> Parts = apportion(available(Pool, ByCustomer), Weights,
+                                           std::hash<std::string>{}(Name));
   Counts Out;
   for (std::size_t Index = 0; Index < Names.size(); ++Index)
     Out[Names[Index]] = Parts[Index];
@@ -265,6 +264,20 @@
   return Found == Customers_.end() ? 0 : Found->second.bound();
 }
 
+int GrantBook::demandOfCustomer(const std::string &Customer) const {
+  int Sum = 0;
+  for (const auto &[Name, State] : Holders_)
+    if (Clock_.now() - State.HeardAt <= Times_.Lease)
+      Sum += countOf(State.CustomerDemand, Customer);
+  return Sum;
+}
+
+bool GrantBook::certain() const {
+  return Clock_.now() >= SettledAt_ &&
+         std::none_of(Members_.begin(), Members_.end(),
+                      [this](const std::string &Name) { return silent(Name); });
+}
+
 std::vector<std::string> GrantBook::holders() const {
   std::vector<std::string> Out;
   for (const auto &[Name, State] : Holders_)
--- a/packages/daemon/tests/GrantTest.cpp
+++ b/packages/daemon/tests/GrantTest.cpp
@@ -20,7 +20,9 @@
 constexpr milliseconds MaxRequestTime{2000};
 constexpr milliseconds Settle{8000};
 constexpr int Slots = 8;
-constexpr int Share = 10;
+/// Below all slots in some histories, above them in others.
+constexpr int Shares[] = {10, 40};
+constexpr int Burst = 10;
 constexpr int Doors = 3;
 constexpr int Vms = 2;
 
@@ -52,7 +54,9 @@
   std::vector<std::pair<int, GrantReply>> Replies;
   std::string Violation;
 
-  Network() {
+  int Share;
+
+  explicit Network(int Share) : Share(Share) {
     for (int Index = 0; Index < Doors; ++Index)
       Members.emplace_back(fmt::format("door{}", Index), Time);
     startOwner(false);
@@ -117,23 +121,21 @@
       }
       break;
     case 9:
-      Time.advance(milliseconds(Rest % 1000));
+      Time.advance(milliseconds(Rest % 300));
       break;
     case 10:
-      if (Rest % 8 == 0)
+      if (Rest % 8 < 2)
         startOwner(true);
+      else if (Rest % 8 == 2)
+        Time.advance(Settle);
       break;
     case 11:
       endHeld(Chosen);
       break;
-    default: {
-      SlotDemand Demand;
-      Demand.Id = Chosen.NextId++;
-      Demand.Customer = "c";
-      Demand.Service = "s";
-      Demand.StartBy = Time.now() + milliseconds(500);
-      (void)Chosen.Book.enqueue(Demand);
-    }
+    default:
+      // More than there is, so that each cap is used up.
+      for (int Count = 0; Count < Burst; ++Count)
+        enqueue(Chosen);
     }
     // Requests end by themselves within their longest time.
     for (Door &Each : Members)
@@ -148,6 +150,15 @@
     check();
   }
 
+  void enqueue(Door &At) {
+    SlotDemand Demand;
+    Demand.Id = At.NextId++;
+    Demand.Customer = "c";
+    Demand.Service = "s";
+    Demand.StartBy = Time.now() + milliseconds(500);
+    (void)At.Book.enqueue(Demand);
+  }
+
   void endHeld(Door &Of) {
     if (Of.Held.empty())
       return;
@@ -178,7 +189,7 @@
   const bool Held =
       rc::check("caps are never exceeded",
                 [&Started](const std::vector<std::uint32_t> &History) {
-                  Network Net;
+                  Network Net(Shares[History.size() % std::size(Shares)]);
                   for (const std::uint32_t Word : History) {
                     Net.play(Word);
                     for (const Door &Each : Net.Members)
--- /dev/null
+++ b/packages/daemon/tests/ShareTest.cpp
@@ -0,0 +1,238 @@
+// Parts of a customer's limits move between domains by a table that loses
+// replies; whatever happens in whatever order, the parts in use never add up
+// to more than the contract.
+
+#include <cstdlib>
+#include <deque>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include "cuminroad/daemon/DomainShare.h"
+#include "cuminroad/daemon/ShareKeeper.h"
+
+using namespace cuminroad;
+
+namespace {
+
+struct FixedSeed {
+  FixedSeed() {
+    setenv("RC_PARAMS", "seed=20261204 max_success=1000 max_size=600", 0);
+  }
+};
+BOOST_GLOBAL_FIXTURE(FixedSeed);
+
+const std::vector<std::string> Domains{"d1", "d2", "d3"};
+const std::string Customer = "c";
+
+ContractTerms makeTerms(std::int64_t Cores, std::int64_t Requests) {
+  ContractTerms Terms;
+  Terms.MaxHeld = Capacity{Cores, Cores * 2, 0};
+  Terms.MaxRequests = Requests;
+  return Terms;
+}
+
+/// Runs one piece of work, chosen by the test, at a time.
+class AnyOrderLoop final : public Loop {
+public:
+  void post(Work Run) override { Waiting.push_back(std::move(Run)); }
+  void after(milliseconds, Work Run) override {
+    Waiting.push_back(std::move(Run));
+  }
+  void step(std::uint32_t Choice) {
+    if (Waiting.empty())
+      return;
+    const auto Chosen = Waiting.begin() + Choice % Waiting.size();
+    const Work Run = std::move(*Chosen);
+    Waiting.erase(Chosen);
+    Run();
+  }
+  std::deque<Work> Waiting;
+};
+
+/// A table whose answers come later, in any order.
+class SlowTable final : public Table {
+public:
+  explicit SlowTable(Loop &Home) : Home_(Home) {}
+
+  void commit(Transaction Change, CommitDone Done) override {
+    CommitOutcome Out;
+    for (const VersionCheck &Check : Change.Checks)
+      if (Rows_[Check.Key].Version != Check.Version)
+        Out.Conflicts.push_back(Check.Key);
+    if (Out.Conflicts.empty()) {
+      Out.Revision = ++Revision_;
+      for (const RowWrite &Write : Change.Writes)
+        Rows_[Write.Key] =
+            TableRow{Write.Key, Revision_, Write.Value, Change.WriteId};
+    }
+    Home_.post([Done, Out] { Done(Out); });
+  }
+  void read(std::string Key, RowDone Done) override {
+    Home_.post([Done, Row = Rows_[Key]] { Done(Row); });
+  }
+  void scan(std::string Prefix, RowsDone Done) override {
+    std::vector<TableRow> Out;
+    for (const auto &[Key, Row] : Rows_)
+      if (Key.starts_with(Prefix) && Row.Version != 0)
+        Out.push_back(Row);
+    Home_.post([Done, Out] { Done(Out); });
+  }
+
+private:
+  Loop &Home_;
+  std::map<std::string, TableRow> Rows_;
+  std::int64_t Revision_ = 0;
+};
+
+/// A domain that uses what it may, up to what it wants.
+struct Site final : ShareUse {
+  ShareAmount Wanted;
+  ShareAmount Used;
+  std::shared_ptr<ShareKeeper> Keeper;
+  ContractTerms Terms;
+
+  ShareAmount demand(const std::string &) const override {
+    ShareAmount Out = Wanted;
+    Out.Requests = std::max(Wanted.Requests, Used.Requests);
+    return Out;
+  }
+  ShareAmount bound(const std::string &) const override { return Used; }
+  bool certain() const override { return true; }
+
+  void use() {
+    const ShareAmount May = limitOf(Keeper->share(Customer, Terms));
+    const auto Grow = [](std::int64_t &Now, std::int64_t Want,
+                         std::int64_t Limit) {
+      Now = std::max(Now, std::min(Want, Limit));
+    };
+    Grow(Used.Held.MilliCores, Wanted.Held.MilliCores, May.Held.MilliCores);
+    Grow(Used.Requests, Wanted.Requests, May.Requests);
+  }
+  void rest() {
+    Used.Held.MilliCores =
+        std::min(Used.Held.MilliCores, Wanted.Held.MilliCores);
+    Used.Requests = std::min(Used.Requests, Wanted.Requests);
+  }
+};
+
+struct World {
+  AnyOrderLoop Home;
+  SlowTable Rows{Home};
+  std::map<std::string, Site> Sites;
+  std::int64_t LargestCores = 3000;
+  std::set<std::string> Moved;
+
+  World() {
+    for (const std::string &Domain : Domains)
+      startKeeper(Domain);
+  }
+
+  void startKeeper(const std::string &Domain) {
+    Site &Of = Sites[Domain];
+    if (Of.Keeper)
+      Of.Keeper->close();
+    else
+      Of.Terms = makeTerms(3000, 9);
+    Of.Keeper = std::make_shared<ShareKeeper>(
+        Rows, Home, ShareScope{Domain, Domains, "epoch", 0}, Of);
+    Of.Keeper->setContracts({{Customer, Of.Terms}});
+    Of.Keeper->start();
+  }
+
+  void play(std::uint32_t Word) {
+    Site &Of = Sites[Domains[(Word >> 4) % Domains.size()]];
+    const std::uint32_t Rest = Word >> 8;
+    switch (Word % 16) {
+    case 0:
+      Of.Wanted.Held.MilliCores = Rest % 3500;
+      break;
+    case 1:
+      Of.Wanted.Requests = Rest % 12;
+      break;
+    case 2:
+      Of.rest();
+      break;
+    case 3:
+      if (Rest % 16 == 0)
+        startKeeper(Domains[(Word >> 4) % Domains.size()]);
+      break;
+    default:
+      Home.step(Rest);
+    }
+    for (auto &[Domain, Each] : Sites) {
+      Each.use();
+      if (Each.Used.Held.MilliCores > 1000)
+        Moved.insert(Domain);
+    }
+  }
+
+  std::string violation() const {
+    ShareAmount Sum;
+    for (const auto &[Domain, Each] : Sites)
+      Sum += Each.Used;
+    if (Sum.Held.MilliCores > 3000 || Sum.Requests > 9)
+      return fmt::format("{} millicores, {} requests", Sum.Held.MilliCores,
+                         Sum.Requests);
+    return {};
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(partsInUseNeverExceedTheContract) {
+  std::size_t Moves = 0;
+  const bool Held =
+      rc::check("parts in use never exceed the contract",
+                [&Moves](const std::vector<std::uint32_t> &History) {
+                  World All;
+                  for (const std::uint32_t Word : History) {
+                    All.play(Word);
+                    RC_ASSERT(All.violation() == std::string());
+                  }
+                  Moves += All.Moved.size();
+                });
+  BOOST_CHECK(Held);
+  // Histories in which nothing moved would prove nothing.
+  BOOST_CHECK_GT(Moves, 50);
+}
+
+BOOST_AUTO_TEST_CASE(scalingNeverGrowsTheSum) {
+  rc::check("scaling never grows the sum", [](std::uint16_t A, std::uint16_t B,
+                                              std::uint16_t C,
+                                              std::uint16_t To) {
+    ShareRow Row;
+    Row.Parts["d1"].Held.MilliCores = A;
+    Row.Parts["d2"].Held.MilliCores = B;
+    Row.Parts["d3"].Held.MilliCores = C;
+    Row.Limit.Held.MilliCores = A + B + C;
+    const ContractTerms Terms = makeTerms(To, 3);
+    std::int64_t Sum = 0;
+    for (const std::string &Domain : Domains)
+      Sum +=
+          shareUnder(Row, Terms, Customer, Domain, Domains).MaxHeld.MilliCores;
+    RC_ASSERT(Sum <= To);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(evenSharesAddUpExactly) {
+  for (int Total = 0; Total < 20; ++Total) {
+    std::int64_t Sum = 0;
+    for (const std::string &Domain : Domains)
+      Sum += domainShare(makeTerms(Total, Total), Customer, Domain, Domains)
+                 .MaxRequests;
+    BOOST_CHECK_EQUAL(Sum, Total);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(rowSurvivesTheTable) {
+  ShareRow Row = evenShares(makeTerms(100, 7), Customer, Domains);
+  Row.Wants["d2"].Requests = 3;
+  const auto Back = parseShareRow(toJson(Row));
+  BOOST_REQUIRE(Back);
+  BOOST_CHECK(Back->Parts == Row.Parts);
+  BOOST_CHECK(Back->Wants == Row.Wants);
+}
--- a/packages/scheduling/include/cuminroad/scheduling/Scheduler.h
+++ b/packages/scheduling/include/cuminroad/scheduling/Scheduler.h
@@ -68,7 +68,9 @@
   virtual void removeLimit(std::string_view Customer) = 0;
 
   /// \returns nothing, or the reason why the job can never run.
-  virtual Result<void> check(const JobSpec &Spec) const = 0;
+  /// \param Largest the most that the customer's limit can become here.
+  virtual Result<void> check(const JobSpec &Spec,
+                             const Capacity &Largest) const = 0;
   /// Queues a job that passed check() and is in the table.
   virtual void submit(const JobSpec &Spec) = 0;
   /// Queues a job of an earlier owner. None of its tasks starts until every VM
@@ -96,6 +98,10 @@
   virtual std::vector<VmView> vms() const = 0;
   /// \returns what the customer holds in this domain.
   virtual Capacity held(std::string_view Customer) const = 0;
+  /// \returns the size of all the customer's waiting tasks.
+  virtual Capacity waitingSize(std::string_view Customer) const = 0;
+  /// Whether all that runs on the listed VMs is known.
+  virtual bool resolved() const = 0;
 };
 
 /// \param Epoch the owner's epoch; attempts of a later epoch are larger.
--- a/packages/scheduling/src/PackingScheduler.cpp
+++ b/packages/scheduling/src/PackingScheduler.cpp
@@ -186,13 +186,14 @@
   Customers_[customerIndex(Customer)].Limit.reset();
 }
 
-Result<void> PackingScheduler::check(const JobSpec &Spec) const {
+Result<void> PackingScheduler::check(const JobSpec &Spec,
+                                     const Capacity &Largest) const {
   const auto Found = CustomerIndex_.find(Spec.Customer);
   if (Found == CustomerIndex_.end() || !Customers_[Found->second].Limit)
     return failure(ErrorCode::UnknownCustomer, Spec.Customer);
   const int AtOnce = Spec.Kind == JobKind::Gang ? Spec.Tasks : 1;
   const Capacity Needed = Spec.PerTask * AtOnce;
-  if (!Needed.fitsIn(Customers_[Found->second].Limit->MaxHeld))
+  if (!Needed.fitsIn(Largest))
     return failure(ErrorCode::QuotaTooSmall, Spec.Customer);
   std::int64_t Places = 0;
   for (const VmState &Vm : Vms_) {
@@ -501,6 +502,17 @@
   return Out;
 }
 
+Capacity PackingScheduler::waitingSize(std::string_view Customer) const {
+  Capacity Sum;
+  const auto Found = CustomerIndex_.find(std::string(Customer));
+  if (Found == CustomerIndex_.end())
+    return Sum;
+  for (const int Job : Customers_[Found->second].Queue)
+    Sum +=
+        Jobs_[Job].Size * static_cast<std::int64_t>(Jobs_[Job].Waiting.size());
+  return Sum;
+}
+
 Capacity PackingScheduler::held(std::string_view Customer) const {
   const auto Found = CustomerIndex_.find(std::string(Customer));
   return Found == CustomerIndex_.end() ? Capacity{}
--- a/packages/scheduling/src/PackingScheduler.h
+++ b/packages/scheduling/src/PackingScheduler.h
@@ -31,7 +31,8 @@
   void vmEmptied(std::string_view Vm, bool ForGood) override;
   void setLimit(std::string_view Customer, const ContractTerms &Share) override;
   void removeLimit(std::string_view Customer) override;
-  Result<void> check(const JobSpec &Spec) const override;
+  Result<void> check(const JobSpec &Spec,
+                     const Capacity &Largest) const override;
   void submit(const JobSpec &Spec) override;
   void recover(const RecoveredJob &Job) override;
   void cancel(std::string_view Job) override;
@@ -45,6 +46,8 @@
   std::vector<JobView> jobs() const override;
   std::vector<VmView> vms() const override;
   Capacity held(std::string_view Customer) const override;
+  Capacity waitingSize(std::string_view Customer) const override;
+  bool resolved() const override { return Unresolved_.empty(); }
 
 private:
   /// A task on a VM that is not the present attempt: it is being stopped and
--- a/packages/scheduling/tests/NaiveWorld.cpp
+++ b/packages/scheduling/tests/NaiveWorld.cpp
@@ -144,7 +144,7 @@
   Spec.Duration = milliseconds(Spec.Kind == JobKind::Service ? 0 : 1000);
   Spec.Restartable = (Word >> 17) % 4 != 0;
   Spec.Checkpointable = (Word >> 19) % 2 == 0;
-  const auto Checked = Scheduler_->check(Spec);
+  const auto Checked = Scheduler_->check(Spec, Limits_[Spec.Customer].MaxHeld);
   if (Checked.has_value() != canEverRun(Spec))
     fail(fmt::format("{}: refusal differs from the naive version", Spec.Id));
   if (!Checked)
--- a/packages/scheduling/tests/PolicyTest.cpp
+++ b/packages/scheduling/tests/PolicyTest.cpp
@@ -45,7 +45,7 @@
   void submit(const std::string &Id, const std::string &Customer, JobKind Kind,
               int Tasks, Capacity Size, milliseconds Duration) {
     JobSpec Spec{Id, Customer, Kind, Tasks, Size, Duration, true, true};
-    BOOST_REQUIRE(Core->check(Spec));
+    BOOST_REQUIRE(Core->check(Spec, {1'000'000, 1'000'000, 100}));
     Core->submit(Spec);
     run();
   }
--- a/tests/failure/checker_test.py
+++ b/tests/failure/checker_test.py
@@ -20,7 +20,7 @@
 
 def made(mark="m", outcome="done", idempotent=False, body="b", answer="b"):
     return dict(mark=mark, outcome=outcome, idempotent=idempotent, body=body,
-                answer=answer)
+                answer=answer, daemon="d1-a")
 
 
 GOOD_TASKS = [task("task_start", 1), task("task_end", 2)]
