Serve idle customers after a takeover, and send caps by entry

Cause: after an owner's death a customer that had been idle got no answer for 37 s: front doors hold no caps for idle customers, and a new owner gives nobody more than what was reported until every earlier grant has certainly ended. Changes: (1) half of each limit is always split evenly, idle or not, so a survivor has its part to go on with. (2) Once the earlier leases are over, the VMs tell which requests they have in flight from daemons that the owner has not heard of; only those are held back. (3) Messages carry the entries that differ, since all customers now have caps.

--- a/packages/daemon/include/cuminroad/daemon/DomainOwner.h
+++ b/packages/daemon/include/cuminroad/daemon/DomainOwner.h
@@ -130,6 +130,17 @@
   void applyEnd(const std::string &Vm, const EndedTask &Task);
   void updateSlots(const std::string &Vm);
   void applyLimits();
+  /// What the VMs said of requests whose daemons are not heard of.
+  struct UnheardRequests {
+    std::size_t Open = 0;
+    bool Complete = true;
+    Counts OnVms;
+    Counts OfCustomers;
+  };
+  void settleEarly();
+  void countUnheard(const std::string &Vm,
+                    const std::vector<RequestInFlight> &Requests,
+                    UnheardRequests &Into) const;
   KnownVm *find(const std::string &Vm);
 
   OwnerContext Context_;
--- a/packages/daemon/include/cuminroad/daemon/GrantBook.h
+++ b/packages/daemon/include/cuminroad/daemon/GrantBook.h
@@ -60,6 +60,11 @@
   int demandOfCustomer(const std::string &Customer) const;
   /// Whether the book knows all that any daemon may be using.
   bool certain() const;
+  /// Ends the settling time early: \p OnVms and \p OfCustomers are what the
+  /// VMs have in flight from daemons that holders() does not name. No daemon
+  /// may start more on an earlier owner's grants.
+  void settle(const Counts &OnVms, const Counts &OfCustomers);
+  bool settled() const { return Clock_.now() >= SettledAt_; }
   /// \returns the front doors heard of and not yet given up.
   std::vector<std::string> holders() const;
 
@@ -72,8 +77,6 @@
     Counts Bounds;
     /// Who got less than its part at its last request.
     std::set<std::string> Lacking;
-    /// When any front door last had demand.
-    TimePoint WantedAt{};
     int bound() const;
     int boundOf(const std::string &Who) const;
   };
@@ -90,7 +93,6 @@
   };
 
   void forgetSilent();
-  static void compress(GrantReply &Reply, const GrantRequest &Request);
   void report(std::map<std::string, Pool> &Pools, const std::string &Who,
               const Counts &Caps, bool First, std::set<std::string> &Nudge);
   int grant(Pool &Pool, const std::string &Who, int Target, bool ByCustomer);
--- a/packages/daemon/include/cuminroad/daemon/GrantMessages.h
+++ b/packages/daemon/include/cuminroad/daemon/GrantMessages.h
@@ -16,6 +16,12 @@
 /// Counts by VM, customer or service. Entries of 0 may be left out.
 using Counts = std::map<std::string, int>;
 
+/// \returns the entries of \p To that differ from \p From; 0 for those that it
+/// has no more.
+Counts difference(const Counts &From, const Counts &To);
+/// \returns \p Base changed by what difference() gave.
+Counts overlay(Counts Base, const Counts &Changes);
+
 /// A front door tells its domain's owner what it may use at present and what it
 /// wants. It is also the front door's heartbeat.
 struct GrantRequest {
@@ -27,7 +33,7 @@
   /// The version of the VM table that the front door has.
   std::int64_t VmTable = 0;
   /// Requests in flight that the front door may have, by VM and by customer.
-  /// Empty where they are those of the answer to the request Basis.
+  /// Where Basis is not 0, only what differs from the answer to that request.
   Counts VmCaps;
   Counts CustomerCaps;
   std::int64_t Basis = 0;
@@ -56,8 +62,7 @@
   std::int64_t Seq = 0;
   /// The owner does not know the request's basis: it wants all caps.
   bool Resend = false;
-  /// The caps stay as they were reported, and are left out.
-  bool Same = false;
+  /// What differs from the caps that the request reported.
   Counts VmCaps;
   Counts CustomerCaps;
   std::int64_t VmTable = 0;
--- a/packages/daemon/include/cuminroad/daemon/Identity.h
+++ b/packages/daemon/include/cuminroad/daemon/Identity.h
@@ -1,10 +1,14 @@
 #ifndef CUMINROAD_DAEMON_IDENTITY_H
 #define CUMINROAD_DAEMON_IDENTITY_H
 
+#include <cstddef>
 #include <string>
 
 namespace cuminroad {
 
+/// Digits of the incarnation that ids of requests carry.
+inline constexpr std::size_t IncarnationDigits = 8;
+
 /// Who a daemon is, for other daemons.
 struct Identity {
   std::string Name;
--- a/packages/daemon/include/cuminroad/daemon/VmSession.h
+++ b/packages/daemon/include/cuminroad/daemon/VmSession.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -48,6 +49,13 @@
                           const std::string &Holder) = 0;
 };
 
+/// A service request that a VM is working on.
+struct RequestInFlight {
+  /// "DAEMON-INCARNATION-...", see FrontDoor.
+  std::string Id;
+  std::string Customer;
+};
+
 /// Who claims, and where.
 struct VmClaim {
   std::string Vm;
@@ -77,6 +85,9 @@
   void throttleTask(const ThrottleTask &Command);
   /// The end of \p Task is in the table; the VM may forget it.
   void acknowledge(const TaskAttempt &Task);
+  /// Asks for the requests in flight; nothing where the VM does not answer.
+  void askRequests(
+      std::function<void(std::optional<std::vector<RequestInFlight>>)> Done);
   bool held() const { return Held_; }
   const std::string &vm() const { return Claim_.Vm; }
 
--- a/packages/daemon/src/Admission.cpp
+++ b/packages/daemon/src/Admission.cpp
@@ -36,8 +36,8 @@
     return;
   }
   BasisSeq_ = Reply.Seq;
-  BasisVms_ = Reply.Same ? ReportedVms_ : Reply.VmCaps;
-  BasisCustomers_ = Reply.Same ? ReportedCustomers_ : Reply.CustomerCaps;
+  BasisVms_ = overlay(ReportedVms_, Reply.VmCaps);
+  BasisCustomers_ = overlay(ReportedCustomers_, Reply.CustomerCaps);
   ValidUntil_ = AskedAt + Lease;
   KeptUntil_ = ValidUntil_ + Keep;
   if (Reply.Vms) {
@@ -94,12 +94,11 @@
   }
   ReportedVms_ = Request.VmCaps;
   ReportedCustomers_ = Request.CustomerCaps;
-  const bool All = std::exchange(SendAll_, false) || BasisSeq_ == 0;
-  if (All || ReportedVms_ != BasisVms_ || ReportedCustomers_ != BasisCustomers_)
+  if (std::exchange(SendAll_, false) || BasisSeq_ == 0)
     return;
   Request.Basis = BasisSeq_;
-  Request.VmCaps.clear();
-  Request.CustomerCaps.clear();
+  Request.VmCaps = difference(BasisVms_, ReportedVms_);
+  Request.CustomerCaps = difference(BasisCustomers_, ReportedCustomers_);
 }
 
 void Admission::markLeaving(const std::string &Vm) {
--- a/packages/daemon/src/DomainOwner.cpp
+++ b/packages/daemon/src/DomainOwner.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds TickInterval{50};
 /// Spare time for clocks and messages in the settling of grants.
 constexpr milliseconds SettleMargin{3000};
+constexpr milliseconds EarlySettleMargin{500};
 
 std::int64_t wallMillis() {
   return std::chrono::duration_cast<milliseconds>(
@@ -25,6 +26,20 @@
   return fmt::format("{}/{}", Task.Task.Job, Task.Task.Index);
 }
 
+/// After this nobody starts requests on an earlier owner's grants: the lease
+/// is over, and who is cut off together with that owner has noticed.
+milliseconds earlySettleTime(const Timings &Times) {
+  return Times.GrantLease + 2 * Times.GrantRenewal + EarlySettleMargin;
+}
+
+/// Request ids begin with the name and the first digits of the incarnation of
+/// the daemon, holders are NAME/INCARNATION.
+std::string requestIdPrefix(const std::string &Holder) {
+  const std::size_t Slash = Holder.find('/');
+  return Holder.substr(0, Slash) + "-" +
+         Holder.substr(Slash + 1, IncarnationDigits) + "-";
+}
+
 GrantTimes grantTimes(const Timings &Times) {
   return GrantTimes{Times.GrantLease,
                     Times.GrantLease + Times.MaxRequestTime + SettleMargin};
@@ -66,6 +81,47 @@
     applyList(Context_.LastListing);
   readList();
   tick();
+  if (Term_.Inherited)
+    Context_.Home.after(earlySettleTime(Context_.Config.Times),
+                        [Self = shared_from_this()] { Self->settleEarly(); });
+}
+
+void DomainOwner::settleEarly() {
+  if (Closed_ || Grants_.settled())
+    return;
+  const auto Round = std::make_shared<UnheardRequests>();
+  for (const auto &[Id, Vm] : Vms_)
+    Round->Open += Vm.Listed.State != ListedState::Gone;
+  for (const auto &[Id, Vm] : Vms_) {
+    if (Vm.Listed.State == ListedState::Gone)
+      continue;
+    Vm.Session->askRequests(
+        [Self = shared_from_this(), Round,
+         Id = Id](const std::optional<std::vector<RequestInFlight>> &Requests) {
+          if (Requests)
+            Self->countUnheard(Id, *Requests, *Round);
+          // A VM that is silent keeps the full settling time.
+          Round->Complete = Round->Complete && Requests;
+          if (--Round->Open == 0 && Round->Complete && !Self->Closed_)
+            Self->Grants_.settle(Round->OnVms, Round->OfCustomers);
+        });
+  }
+}
+
+void DomainOwner::countUnheard(const std::string &Vm,
+                               const std::vector<RequestInFlight> &Requests,
+                               UnheardRequests &Into) const {
+  const std::vector<std::string> Heard = Grants_.holders();
+  for (const RequestInFlight &Each : Requests) {
+    const bool Known =
+        std::any_of(Heard.begin(), Heard.end(), [&](const std::string &Holder) {
+          return Each.Id.starts_with(requestIdPrefix(Holder));
+        });
+    if (Known)
+      continue;
+    ++Into.OnVms[Vm];
+    ++Into.OfCustomers[Each.Customer];
+  }
 }
 
 void DomainOwner::close() {
--- a/packages/daemon/src/FrontDoor.cpp
+++ b/packages/daemon/src/FrontDoor.cpp
@@ -326,9 +326,10 @@
   HttpCall Out;
   Out.Method = "POST";
   Out.Url = Context_.Config.reachable(Held.Url + "/requests");
-  Out.RequestId = fmt::format("{}-{}-{}-{}", Context_.Self.Name,
-                              Context_.Self.Incarnation.substr(0, 8), Call->Id,
-                              Call->Attempts);
+  Out.RequestId =
+      fmt::format("{}-{}-{}-{}", Context_.Self.Name,
+                  Context_.Self.Incarnation.substr(0, IncarnationDigits),
+                  Call->Id, Call->Attempts);
   Out.Headers = {{"X-Customer", Call->Customer},
                  {"X-Deadline-Ms", std::to_string(Left.count())}};
   if (!Call->ContentType.empty())
--- a/packages/daemon/src/GrantBook.cpp
+++ b/packages/daemon/src/GrantBook.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// A customer that had no request for this long is granted nothing in advance.
-constexpr milliseconds IdleTime{30000};
+/// Stands for the requests of daemons that are not heard of.
+constexpr const char *UnheardName = "unheard";
 
 int countOf(const Counts &Values, const std::string &Name) {
   const auto Found = Values.find(Name);
@@ -127,7 +127,7 @@
 
 int GrantBook::available(const Pool &Pool, bool ByCustomer) const {
   // Until all is settled, what the reports don't account for may be in use.
-  if (Clock_.now() < SettledAt_)
+  if (!settled())
     return std::min(Pool.Limit, Pool.Reported);
   if (!ByCustomer || Members_.empty())
     return Pool.Limit;
@@ -142,11 +142,10 @@
 
 Counts GrantBook::targets(const std::string &Name, const Pool &Pool,
                           bool ByCustomer) const {
-  // Half is split evenly, so that a first request needs no message; half goes
-  // where the demand is. A customer that was idle for long gets nothing, which
-  // keeps the messages short.
+  // Half is split evenly, so that a first request needs no message and each
+  // front door has something to go on with under a new owner; half goes where
+  // the demand is.
   const TimePoint Now = Clock_.now();
-  const bool Idle = ByCustomer && Now - Pool.WantedAt > IdleTime;
   std::vector<double> Weights;
   std::vector<std::string> Names;
   for (const auto &[Other, State] : Holders_) {
@@ -155,7 +154,7 @@
     const int Demand = ByCustomer ? countOf(State.CustomerDemand, Name)
                                   : countOf(State.ServiceDemand, Pool.Service);
     Names.push_back(Other);
-    Weights.push_back(Demand + (Idle ? 0.0 : Pool.Limit / 2.0));
+    Weights.push_back(Demand + Pool.Limit / 2.0);
   }
   const std::vector<int> Parts = apportion(available(Pool, ByCustomer), Weights,
                                            std::hash<std::string>{}(Name));
@@ -172,8 +171,6 @@
   for (auto &[Name, Pool] : Pools) {
     const int Demand = ByCustomer ? countOf(State.CustomerDemand, Name)
                                   : countOf(State.ServiceDemand, Pool.Service);
-    if (Demand > 0)
-      Pool.WantedAt = Clock_.now();
     const Counts Targets = targets(Name, Pool, ByCustomer);
     const int Target = countOf(Targets, Who);
     const int Cap = grant(Pool, Who, Target, ByCustomer);
@@ -205,15 +202,6 @@
   return Granted;
 }
 
-void GrantBook::compress(GrantReply &Reply, const GrantRequest &Request) {
-  Reply.Same = Reply.VmCaps == Request.VmCaps &&
-               Reply.CustomerCaps == Request.CustomerCaps;
-  if (!Reply.Same)
-    return;
-  Reply.VmCaps.clear();
-  Reply.CustomerCaps.clear();
-}
-
 GrantDecision GrantBook::answer(GrantRequest Request) {
   forgetSilent();
   const std::string Who = holderName(Request);
@@ -237,8 +225,8 @@
   State.ServiceDemand = Request.ServiceDemand;
   State.CustomerDemand = Request.CustomerDemand;
   if (Request.Basis != 0) {
-    Request.VmCaps = State.VmCaps;
-    Request.CustomerCaps = State.CustomerCaps;
+    Request.VmCaps = overlay(State.VmCaps, Request.VmCaps);
+    Request.CustomerCaps = overlay(State.CustomerCaps, Request.CustomerCaps);
   }
   std::set<std::string> Nudge;
   report(Vms_, Who, Request.VmCaps, First, Nudge);
@@ -248,7 +236,9 @@
   State.AnswerSeq = Request.Seq;
   State.VmCaps = Out.Reply.VmCaps;
   State.CustomerCaps = Out.Reply.CustomerCaps;
-  compress(Out.Reply, Request);
+  Out.Reply.VmCaps = difference(Request.VmCaps, Out.Reply.VmCaps);
+  Out.Reply.CustomerCaps =
+      difference(Request.CustomerCaps, Out.Reply.CustomerCaps);
   Nudge.erase(Request.From);
   Out.Nudge.assign(Nudge.begin(), Nudge.end());
   return Out;
@@ -273,11 +263,21 @@
 }
 
 bool GrantBook::certain() const {
-  return Clock_.now() >= SettledAt_ &&
+  return settled() &&
          std::none_of(Members_.begin(), Members_.end(),
                       [this](const std::string &Name) { return silent(Name); });
 }
 
+void GrantBook::settle(const Counts &OnVms, const Counts &OfCustomers) {
+  SettledAt_ = Clock_.now();
+  // They end within the settling time, when a silent holder is forgotten.
+  Holders_[UnheardName].HeardAt = Clock_.now() - Times_.Lease;
+  for (const auto &[Vm, Count] : OnVms)
+    Vms_[Vm].Bounds[UnheardName] = Count;
+  for (const auto &[Customer, Count] : OfCustomers)
+    Customers_[Customer].Bounds[UnheardName] = Count;
+}
+
 std::vector<std::string> GrantBook::holders() const {
   std::vector<std::string> Out;
   for (const auto &[Name, State] : Holders_)
--- a/packages/daemon/src/GrantMessages.cpp
+++ b/packages/daemon/src/GrantMessages.cpp
@@ -30,7 +30,6 @@
                      {"e", Message.Epoch},
                      {"s", Message.Seq},
                      {"n", Message.Resend},
-                     {"u", Message.Same},
                      {"v", Message.VmCaps},
                      {"c", Message.CustomerCaps},
                      {"t", Message.VmTable},
@@ -72,7 +71,6 @@
   Input.at("e").get_to(Out.Epoch);
   Input.at("s").get_to(Out.Seq);
   Input.at("n").get_to(Out.Resend);
-  Input.at("u").get_to(Out.Same);
   Input.at("v").get_to(Out.VmCaps);
   Input.at("c").get_to(Out.CustomerCaps);
   Input.at("t").get_to(Out.VmTable);
@@ -97,6 +95,29 @@
 
 } // namespace
 
+Counts difference(const Counts &From, const Counts &To) {
+  Counts Out;
+  for (const auto &[Name, Count] : To) {
+    const auto Old = From.find(Name);
+    if (Old == From.end() || Old->second != Count)
+      Out[Name] = Count;
+  }
+  for (const auto &[Name, Count] : From)
+    if (!To.contains(Name))
+      Out[Name] = 0;
+  return Out;
+}
+
+Counts overlay(Counts Base, const Counts &Changes) {
+  for (const auto &[Name, Count] : Changes) {
+    if (Count == 0)
+      Base.erase(Name);
+    else
+      Base[Name] = Count;
+  }
+  return Base;
+}
+
 std::string encode(const PeerMessage &Message) {
   const nlohmann::json Body =
       std::visit([](const auto &Typed) { return toJson(Typed); }, Message);
--- a/packages/daemon/src/VmSession.cpp
+++ b/packages/daemon/src/VmSession.cpp
@@ -326,6 +326,23 @@
   call("throttle", Body, CallTimeout, [](const HttpResult &) {});
 }
 
+void VmSession::askRequests(
+    std::function<void(std::optional<std::vector<RequestInFlight>>)> Done) {
+  call("in_flight", fenced(), CallTimeout,
+       [Done = std::move(Done)](const HttpResult &Answer) {
+         const auto Body =
+             Answer && Answer->Status == 200
+                 ? parseJson(Answer->Body, false)
+                 : Result<nlohmann::json>(failure(ErrorCode::Timeout));
+         if (!Body)
+           return Done(std::nullopt);
+         std::vector<RequestInFlight> Out;
+         for (const nlohmann::json &Row : Body->at("requests"))
+           Out.push_back(RequestInFlight{Row.at("id"), Row.at("customer")});
+         Done(std::move(Out));
+       });
+}
+
 void VmSession::acknowledge(const TaskAttempt &Task) { Acks_.push_back(Task); }
 
 } // namespace cuminroad
--- a/packages/daemon/tests/GrantTest.cpp
+++ b/packages/daemon/tests/GrantTest.cpp
@@ -1,6 +1,7 @@
 // Grants between an owner and front doors over a network that loses, repeats
 // and delays messages: no VM's slots and no customer's share is ever exceeded.
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 
@@ -53,6 +54,7 @@
   std::vector<GrantRequest> Requests;
   std::vector<std::pair<int, GrantReply>> Replies;
   std::string Violation;
+  TimePoint TakenAt{};
 
   int Share;
 
@@ -74,6 +76,26 @@
     Owner->setCustomer("c", Share);
     // A new owner doesn't get what was sent to the old one.
     Requests.clear();
+    TakenAt = Time.now();
+  }
+
+  /// Once all earlier leases are over, the VMs tell what daemons that the owner
+  /// has not heard of have in flight.
+  void settleWhenDue() {
+    if (Owner->settled() || Time.now() - TakenAt <= Lease)
+      return;
+    const std::vector<std::string> Heard = Owner->holders();
+    Counts OnVms;
+    Counts OfCustomers;
+    for (const Door &Each : Members) {
+      if (std::count(Heard.begin(), Heard.end(), Each.Name + "/1") > 0)
+        continue;
+      for (const auto &[Held, Since] : Each.Held) {
+        ++OnVms[Held.Vm];
+        ++OfCustomers["c"];
+      }
+    }
+    Owner->settle(OnVms, OfCustomers);
   }
 
   void play(std::uint32_t Word) {
@@ -142,6 +164,7 @@
       while (!Each.Held.empty() &&
              Time.now() - Each.Held.front().second >= MaxRequestTime)
         endHeld(Each);
+    settleWhenDue();
     for (Door &Each : Members) {
       Each.Book.takeLate();
       for (const Slot &New : Each.Book.takeReady())
@@ -239,7 +262,8 @@
     Request.From = From;
     Request.Incarnation = "1";
     Request.Seq = Seq;
-    Request.CustomerCaps = {{"c", Cap}};
+    if (Cap > 0)
+      Request.CustomerCaps = {{"c", Cap}};
     Request.CustomerDemand = {{"c", Demand}};
     return Owner.answer(Request);
   };
--- a/standins/backend/BackendVm.cpp
+++ b/standins/backend/BackendVm.cpp
@@ -62,6 +62,8 @@
     return start(Body, Respond);
   if (Path == "stop")
     return stop(Body, Respond);
+  if (Path == "in_flight")
+    return listRequests(Respond);
   if (Path == "throttle")
     return throttle(Body, Respond);
   reply(Respond, 404);
@@ -81,6 +83,7 @@
     return refuseRequest(Respond, 429, "slots");
   }
   ++Busy_;
+  InFlight_[Id] = findHeader(Request.Headers, "X-Customer");
   nlohmann::json Body = nlohmann::json::parse(Request.Body, nullptr, false);
   const bool Plain = !Body.is_object();
   const int Work = (Plain ? 0 : Body.value("work_ms", 0)) + Faults_.SlowMs;
@@ -93,6 +96,7 @@
   const bool Hang = Faults_.HangRequests;
   const auto Finish = [this, Id, Mark, Hang, Respond, Text = Request.Body] {
     --Busy_;
+    InFlight_.erase(Id);
     Log_.write(
         {{"ev", "request_end"}, {"vm", Id_}, {"id", Id}, {"mark", Mark}});
     // A hanging VM has done the work, but its answer never leaves it.
@@ -263,6 +267,13 @@
   reply(Respond, 200);
 }
 
+void BackendVm::listRequests(const HttpResponder &Respond) const {
+  nlohmann::json Out = nlohmann::json::array();
+  for (const auto &[Id, Customer] : InFlight_)
+    Out.push_back({{"id", Id}, {"customer", Customer}});
+  reply(Respond, 200, {{"requests", Out}});
+}
+
 void BackendVm::throttle(const nlohmann::json &Body,
                          const HttpResponder &Respond) {
   for (const nlohmann::json &Input : Body.at("tasks"))
--- a/standins/backend/BackendVm.h
+++ b/standins/backend/BackendVm.h
@@ -57,6 +57,7 @@
   void start(const nlohmann::json &Body, const HttpResponder &Respond);
   std::string startOne(const nlohmann::json &Input);
   void stop(const nlohmann::json &Body, const HttpResponder &Respond);
+  void listRequests(const HttpResponder &Respond) const;
   void throttle(const nlohmann::json &Body, const HttpResponder &Respond);
   void control(const nlohmann::json &Body, const HttpResponder &Respond);
   /// Takes a copy: the key may be the one of the entry that it erases.
@@ -74,6 +75,8 @@
   std::int64_t Accelerators_;
   int Slots_;
   int Busy_ = 0;
+  /// Customers of the requests in flight, by request.
+  std::map<std::string, std::string> InFlight_;
   Faults Faults_;
   std::int64_t Fence_ = 0;
   std::string Holder_;
