Split the two largest files, and say once what stood twice

The scheduler's views and the owner's dealings with VMs have files of their own; reading a VM's answer and listing ends are one function each.

--- /dev/null
+++ b/packages/daemon/src/DomainOwnerVmEvents.cpp
@@ -0,0 +1,109 @@
+// What the VMs of the domain tell their owner.
+
+#include "cuminroad/daemon/DomainOwner.h"
+
+#include <fmt/format.h>
+
+#include "TaskText.h"
+
+namespace cuminroad {
+
+void DomainOwner::updateSlots(const std::string &Id) {
+  const KnownVm &Vm = Vms_.at(Id);
+  const bool Usable =
+      Vm.Session->held() && !Vm.Leaving && Vm.Listed.State == ListedState::Live;
+  Grants_.setVm(Id, Vm.Listed.Spec.Service, Usable ? Vm.Listed.Spec.Slots : 0);
+}
+
+void DomainOwner::claimed(const std::string &Id,
+                          const std::vector<InventoryTask> &Running) {
+  Context_.Events.record(EventId::VmClaimed, Id,
+                         fmt::format("{} tasks", Running.size()));
+  KnownVm &Vm = Vms_.at(Id);
+  updateSlots(Id);
+  if (!Loaded_) {
+    Vm.Inventory = Running;
+    return;
+  }
+  Scheduler_->vmClaimed(Id, Running);
+  run();
+}
+
+void DomainOwner::ended(const std::string &Id,
+                        const std::vector<EndedTask> &Tasks) {
+  KnownVm &Vm = Vms_.at(Id);
+  if (!Loaded_) {
+    // Each end is told again until it is acknowledged; the last list is all.
+    Vm.Ends = Tasks;
+    return;
+  }
+  for (const EndedTask &Task : Tasks)
+    applyEnd(Id, Task);
+  run();
+}
+
+void DomainOwner::applyEnd(const std::string &Id, const EndedTask &End) {
+  const auto Acknowledge = [this, Id, Task = End.Task] {
+    if (KnownVm *Vm = find(Id))
+      Vm->Session->acknowledge(Task);
+  };
+  // Only an end that is in the table may be forgotten by the VM.
+  if (End.Stopped || Jobs_->hasEnd(End.Task.Task))
+    Acknowledge();
+  else if (Jobs_->markEnded(End.Task.Task, End.Failed, Acknowledge))
+    Context_.Events.record(EventId::TaskEnded, taskText(End.Task), Id);
+  Scheduler_->taskEnded(End.Task, End.Failed, End.Stopped);
+}
+
+void DomainOwner::used(const std::string &, const TaskAttempt &Task,
+                       const Capacity &Used) {
+  Scheduler_->usageReported(Task, Used);
+  run();
+}
+
+void DomainOwner::started(const std::string &Vm, const TaskAttempt &Task) {
+  Context_.Events.record(EventId::TaskStarted, taskText(Task), Vm);
+  Scheduler_->taskStarted(Task);
+}
+
+void DomainOwner::refused(const std::string &Vm, const TaskAttempt &Task,
+                          const std::string &Why) {
+  Context_.Events.record(EventId::TaskStartFailed, taskText(Task),
+                         Vm + ": " + Why);
+  if (Why == "leaving")
+    leaving(Vm);
+  Scheduler_->startRefused(Task);
+  run();
+}
+
+void DomainOwner::leaving(const std::string &Id) {
+  KnownVm *Vm = find(Id);
+  if (!Vm || std::exchange(Vm->Leaving, true))
+    return;
+  Context_.Events.record(EventId::VmLeaving, Id);
+  updateSlots(Id);
+  if (Loaded_)
+    Scheduler_->vmLeaving(Id);
+  if (OnGrantsChanged)
+    OnGrantsChanged();
+  run();
+}
+
+void DomainOwner::lapsed(const std::string &Vm) {
+  Context_.Events.record(EventId::VmLeaseLapsed, Vm);
+  Vms_.at(Vm).Inventory.reset();
+  updateSlots(Vm);
+  if (Loaded_)
+    Scheduler_->vmEmptied(Vm, false);
+  run();
+}
+
+void DomainOwner::superseded(const std::string &Vm, std::int64_t Epoch,
+                             const std::string &Holder) {
+  Context_.Events.record(EventId::VmClaimRefused, Vm,
+                         fmt::format("epoch {} of {}", Epoch, Holder));
+  if (OnStale)
+    OnStale(Epoch, Holder);
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/daemon/src/TaskText.h
@@ -0,0 +1,17 @@
+#ifndef CUMINROAD_DAEMON_SRC_TASKTEXT_H
+#define CUMINROAD_DAEMON_SRC_TASKTEXT_H
+
+#include <string>
+
+#include "cuminroad/scheduling/TaskRef.h"
+
+namespace cuminroad {
+
+/// \returns the task's name for events: JOB/INDEX.
+inline std::string taskText(const TaskAttempt &Task) {
+  return Task.Task.Job + "/" + std::to_string(Task.Task.Index);
+}
+
+} // namespace cuminroad
+
+#endif
--- a/packages/daemon/src/VmSession.cpp
+++ b/packages/daemon/src/VmSession.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds GatherTime{5};
 /// Clocks of two machines run apart by no more than this share of a lease.
 constexpr int DriftPercent = 5;
+constexpr int StatusOk = 200;
 constexpr int StatusStale = 409;
 /// The shortest wait, as a part of the renewal time.
 constexpr double RenewalSpread = 0.7;
@@ -35,6 +36,15 @@
       Input.at("attempt").get<std::int64_t>()};
 }
 
+/// \returns the body of a VM's answer, or a failure where it is not a good one.
+Result<nlohmann::json> bodyOf(const HttpResult &Answer) {
+  if (!Answer)
+    return tl::unexpected(Answer.error());
+  if (Answer->Status != StatusOk)
+    return failure(ErrorCode::BackendRefused);
+  return parseJson(Answer->Body, false);
+}
+
 Capacity readSize(const nlohmann::json &Input) {
   return Capacity{Input.value("milli_cores", std::int64_t(0)),
                   Input.value("memory_mb", std::int64_t(0)),
@@ -89,9 +99,7 @@
 void VmSession::claimAnswered(const HttpResult &Answer) {
   if (Answer && Answer->Status == StatusStale)
     return checkRefusal(Answer);
-  const auto Body = Answer && Answer->Status == 200
-                        ? parseJson(Answer->Body, false)
-                        : Result<nlohmann::json>(failure(ErrorCode::Timeout));
+  const auto Body = bodyOf(Answer);
   if (!Body)
     return renewalFailed();
   Held_ = true;
@@ -160,9 +168,7 @@
     return;
   if (Answer && Answer->Status == StatusStale)
     return checkRefusal(Answer);
-  const auto Body = Answer && Answer->Status == 200
-                        ? parseJson(Answer->Body, false)
-                        : Result<nlohmann::json>(failure(ErrorCode::Timeout));
+  const auto Body = bodyOf(Answer);
   if (!Body)
     return renewalFailed();
   Failures_ = 0;
@@ -270,9 +276,7 @@
                                const HttpResult &Answer) {
   if (Fence != Fence_)
     return;
-  const auto Body = Answer && Answer->Status == 200
-                        ? parseJson(Answer->Body, false)
-                        : Result<nlohmann::json>(failure(ErrorCode::Timeout));
+  const auto Body = bodyOf(Answer);
   if (!Body) {
     // The VM takes each attempt once, so sending it again is safe. Where the
     // VM is lost or claimed anew, the new inventory settles it.
@@ -307,7 +311,7 @@
     }
     const std::int64_t Fence = Fence_;
     call("stop", Body, CallTimeout, [this, Fence, Sent](const HttpResult &Got) {
-      if (Fence != Fence_ || (Got && Got->Status == 200))
+      if (Fence != Fence_ || (Got && Got->Status == StatusOk))
         return;
       for (const StopTask &Each : Sent)
         if (Stopping_.contains(Each.Task))
@@ -330,10 +334,7 @@
     std::function<void(std::optional<std::vector<RequestInFlight>>)> Done) {
   call("in_flight", fenced(), CallTimeout,
        [Done = std::move(Done)](const HttpResult &Answer) {
-         const auto Body =
-             Answer && Answer->Status == 200
-                 ? parseJson(Answer->Body, false)
-                 : Result<nlohmann::json>(failure(ErrorCode::Timeout));
+         const auto Body = bodyOf(Answer);
          if (!Body)
            return Done(std::nullopt);
          std::vector<RequestInFlight> Out;
--- a/packages/scheduling/src/PackingScheduler.h
+++ b/packages/scheduling/src/PackingScheduler.h
@@ -18,7 +18,7 @@
 
 /// The scheduler of the daemon. Events are in PackingScheduler.cpp, the
 /// scheduling pass in SchedulingPass.cpp, the tables' upkeep in
-/// SchedulerTables.cpp.
+/// SchedulerTables.cpp, and what others see in SchedulerViews.cpp.
 class PackingScheduler final : public Scheduler {
 public:
   PackingScheduler(const Clock &Clock, const SchedulerOptions &Options,
--- a/packages/scheduling/tests/PolicyTest.cpp
+++ b/packages/scheduling/tests/PolicyTest.cpp
@@ -74,10 +74,10 @@
     run();
   }
 
-  void end(const TaskAttempt &Task, bool Failed = false) {
-    const TaskAttempt Copy = Task;
-    Running.erase(Copy);
-    Core->taskEnded(Copy, Failed, false);
+  /// Takes a copy: the name may be the one in the entry that is erased.
+  void end(TaskAttempt Task, bool Failed = false) {
+    Running.erase(Task);
+    Core->taskEnded(Task, Failed, false);
     run();
   }
 
--- a/standins/backend/BackendVm.cpp
+++ b/standins/backend/BackendVm.cpp
@@ -143,14 +143,7 @@
     Row["accelerators"] = Entry.Accelerators;
     Running.push_back(Row);
   }
-  nlohmann::json Ended = nlohmann::json::array();
-  for (auto &[Key, Entry] : Ended_) {
-    nlohmann::json Row = keyJson(Key);
-    Row["failed"] = Entry.Failed;
-    Row["stopped"] = Entry.Stopped;
-    Entry.Reported = true;
-    Ended.push_back(Row);
-  }
+  const nlohmann::json Ended = reportEnds();
   Log_.write({{"ev", "claim"}, {"vm", Id_}, {"fence", Fence_}});
   reply(Respond, 200,
         {{"running", Running}, {"ended", Ended}, {"leaving", Faults_.Leaving}});
@@ -185,7 +178,7 @@
   return Ended || Usage || (Faults_.Leaving && !LeavingReported_);
 }
 
-void BackendVm::answerRenewal() {
+nlohmann::json BackendVm::reportEnds() {
   nlohmann::json Ended = nlohmann::json::array();
   for (auto &[Key, Entry] : Ended_) {
     nlohmann::json Row = keyJson(Key);
@@ -194,6 +187,11 @@
     Entry.Reported = true;
     Ended.push_back(Row);
   }
+  return Ended;
+}
+
+void BackendVm::answerRenewal() {
+  const nlohmann::json Ended = reportEnds();
   nlohmann::json Usage = nlohmann::json::array();
   for (auto &[Key, Entry] : Tasks_) {
     if (Entry.UsedMemoryMb == 0 || Entry.UsageReported)
--- a/standins/backend/BackendVm.h
+++ b/standins/backend/BackendVm.h
@@ -62,6 +62,8 @@
   void control(const nlohmann::json &Body, const HttpResponder &Respond);
   /// Takes a copy: the key may be the one of the entry that it erases.
   void endTask(TaskKey Key, bool Failed, bool Stopped);
+  /// \returns all ends that are not acknowledged.
+  nlohmann::json reportEnds();
   void answerRenewal();
   bool hasNews() const;
   void note(const char *What, const TaskKey &Key, const Task &Entry);
