--- a/programs/cuminroad/main.cpp
+++ b/programs/cuminroad/main.cpp
@@ -53,8 +53,16 @@
   TCLAP::ValueArg<std::string> Output("", "output", "form of the output", false,
                                       "text", &Allowed, Line);
   Chosen.declare(Line);
-  Line.setExceptionHandling(true);
-  Line.parse(Words);
+  // TCLAP would end the process with a code of its own.
+  Line.setExceptionHandling(false);
+  try {
+    Line.parse(Words);
+  } catch (const TCLAP::ExitException &End) {
+    return End.getExitStatus();
+  } catch (const TCLAP::ArgException &Fault) {
+    fmt::print(stderr, "cuminroad: {} {}\n", Fault.error(), Fault.argId());
+    return ExitUsage;
+  }
   Remote Daemons(splitCommas(Server.getValue()), Token.getValue());
   return Chosen.run(Daemons, Output.getValue() == "json");
 }
--- a/tests/failure/path_test.py
+++ b/tests/failure/path_test.py
@@ -3,6 +3,7 @@
 import json
 import os
 import socket
+import subprocess
 import unittest
 
 import cluster
@@ -93,6 +94,21 @@
                 self.daemon, "refuge", body="{}", headers=headers)
             self.assertEqual(status, 400, (headers, outcome, text))
 
+    def test_exit_codes_of_the_command_line(self):
+        def run(*words):
+            return subprocess.run(
+                [os.path.join(BUILD, "programs", "cuminroad"), *words],
+                capture_output=True, timeout=60).returncode
+        here = "127.0.0.1:%d" % self.daemon.http_port
+        self.assertEqual(run("--help"), 0)
+        self.assertEqual(run("status", "--help"), 0)
+        self.assertEqual(run("dance"), 2)
+        self.assertEqual(run("status", "--bogus"), 2)
+        self.assertEqual(run("status", "--server", here, "--token", "x"), 1)
+        self.assertEqual(run("status", "--server", here, "--token",
+                             cluster.TOKEN), 0)
+        self.assertEqual(run("status", "--server", "127.0.0.1:1"), 4)
+
     def test_conflicting_version_shows_both(self):
         status, answer = self.daemon.operator(
             "PUT", "/v1/contracts/refuge",
