Say once what the change said twice

countOf stood in both halves of the grants, the split of a VM's fence in two files with two names, and striking several faults at once in the trials and in the soak; each is one function now. A gift's flag and a callback's argument that nothing read are gone, and a share is computed once where it was computed twice.

--- a/packages/daemon/include/cuminroad/daemon/GrantMessages.h
+++ b/packages/daemon/include/cuminroad/daemon/GrantMessages.h
@@ -16,6 +16,8 @@
 /// Counts by VM, customer or service. Entries of 0 may be left out.
 using Counts = std::map<std::string, int>;
 
+/// \returns the count of \p Name, 0 where there is none.
+int countOf(const Counts &Values, const std::string &Name);
 /// \returns the entries of \p To that differ from \p From; 0 for those that it
 /// has no more.
 Counts difference(const Counts &From, const Counts &To);
--- a/packages/daemon/include/cuminroad/daemon/ShareKeeper.h
+++ b/packages/daemon/include/cuminroad/daemon/ShareKeeper.h
@@ -71,7 +71,6 @@
   struct Gift {
     std::string To;
     ShareAmount Amount;
-    bool Written = false;
   };
 
   void poll();
@@ -86,7 +85,7 @@
              const ShareAmount &Demand);
   void deliver(const std::string &Customer, const ContractTerms &Terms);
   void write(const std::string &Customer, ShareRow Row, std::int64_t Version,
-             std::function<void(bool)> Done);
+             std::function<void()> Done);
   std::string rowKey(const std::string &Customer) const;
 
   Table &Rows_;
--- a/packages/daemon/include/cuminroad/daemon/VmSession.h
+++ b/packages/daemon/include/cuminroad/daemon/VmSession.h
@@ -56,6 +56,13 @@
   std::string Customer;
 };
 
+/// Claims of one epoch that can be told apart.
+inline constexpr int FenceClaimBits = 20;
+/// \returns the epoch that a VM's fence was made from.
+constexpr std::int64_t epochOfFence(std::int64_t Fence) {
+  return Fence >> FenceClaimBits;
+}
+
 /// Who claims, and where.
 struct VmClaim {
   std::string Vm;
--- a/packages/daemon/src/Admission.cpp
+++ b/packages/daemon/src/Admission.cpp
@@ -11,11 +11,6 @@
 /// Requests that may wait in one front door.
 constexpr std::size_t MaxWaiting = 20000;
 
-int countOf(const Counts &Values, const std::string &Name) {
-  const auto Found = Values.find(Name);
-  return Found == Values.end() ? 0 : Found->second;
-}
-
 void addCount(Counts &Values, const std::string &Name, int Count) {
   if (Count > 0)
     Values[Name] += Count;
@@ -58,7 +53,7 @@
     Vm.Cap = Cap;
   }
   for (const auto &[Name, Cap] : BasisCustomers_)
-    Customers_[Name].Cap = std::max(Customers_[Name].Cap, Cap);
+    Customers_.try_emplace(Name);
   for (auto &[Name, Customer] : Customers_) {
     const int Cap = countOf(BasisCustomers_, Name);
     GaveBack_ = GaveBack_ || Cap < Customer.Cap;
--- a/packages/daemon/src/GrantBook.cpp
+++ b/packages/daemon/src/GrantBook.cpp
@@ -11,11 +11,6 @@
 /// Stands for the requests of daemons that are not heard of.
 constexpr const char *UnheardName = "unheard";
 
-int countOf(const Counts &Values, const std::string &Name) {
-  const auto Found = Values.find(Name);
-  return Found == Values.end() ? 0 : Found->second;
-}
-
 std::string holderName(const GrantRequest &Request) {
   return Request.From + "/" + Request.Incarnation;
 }
--- a/packages/daemon/src/GrantMessages.cpp
+++ b/packages/daemon/src/GrantMessages.cpp
@@ -95,6 +95,11 @@
 
 } // namespace
 
+int countOf(const Counts &Values, const std::string &Name) {
+  const auto Found = Values.find(Name);
+  return Found == Values.end() ? 0 : Found->second;
+}
+
 Counts difference(const Counts &From, const Counts &To) {
   Counts Out;
   for (const auto &[Name, Count] : To) {
--- a/packages/daemon/src/ShareKeeper.cpp
+++ b/packages/daemon/src/ShareKeeper.cpp
@@ -166,7 +166,7 @@
       smaller(Asked->second.Amount, Lack) == Lack)
     return false;
   Known.Row.want(Scope_.Domain, Lack);
-  write(Customer, Known.Row, Known.Version, [](bool) {});
+  write(Customer, Known.Row, Known.Version, [] {});
   return true;
 }
 
@@ -179,22 +179,23 @@
   if (Row.firstInLine() == Scope_.Domain) {
     // It has what it needs by now.
     Row.Wants.erase(Scope_.Domain);
-    return write(Customer, Row, Found->second.Version, [](bool) {});
+    return write(Customer, Row, Found->second.Version, [] {});
   }
   if (Row.Wants.empty())
     return;
-  ShareAmount Spare = limitOf(share(Customer, Terms));
+  const ShareAmount Share = limitOf(share(Customer, Terms));
+  ShareAmount Spare = Share;
   Spare -= Demand;
   const ShareAmount Kept =
       keptPart(Terms, Customer, Scope_.Domain, Scope_.Domains);
-  ShareAmount AboveKept = limitOf(share(Customer, Terms));
+  ShareAmount AboveKept = Share;
   AboveKept -= Kept;
   const std::string To = Row.firstInLine();
   const ShareAmount Amount =
       clampToZero(smaller(smaller(Spare, AboveKept), Row.Wants[To].Amount));
   if (!Amount.any())
     return;
-  Gifts_[Customer] = Gift{To, Amount, false};
+  Gifts_[Customer] = Gift{To, Amount};
   // From here on the domain's own limit is lower.
   if (OnChanged)
     OnChanged();
@@ -224,7 +225,7 @@
     return;
   }
   Row.move(Scope_.Domain, Given.To, Given.Amount);
-  write(Customer, Row, Known.Version, [this, Customer](bool) {
+  write(Customer, Row, Known.Version, [this, Customer] {
     Gifts_.erase(Customer);
     if (OnChanged)
       OnChanged();
@@ -232,7 +233,7 @@
 }
 
 void ShareKeeper::write(const std::string &Customer, ShareRow Row,
-                        std::int64_t Version, std::function<void(bool)> Done) {
+                        std::int64_t Version, std::function<void()> Done) {
   Writing_ = true;
   Cursor_ = Customer;
   Transaction Change;
@@ -247,12 +248,11 @@
                  if (Self->Closed_)
                    return;
                  Self->Writing_ = false;
-                 const bool Written = Outcome && Outcome->committed();
-                 if (Written)
+                 if (Outcome && Outcome->committed())
                    Self->Kept_[Customer] = Kept{Row, Outcome->Revision};
                  else
                    Self->Head_ = -1;
-                 Done(Written);
+                 Done();
                });
 }
 
--- a/packages/daemon/src/TablelessTakeover.cpp
+++ b/packages/daemon/src/TablelessTakeover.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds AskTimeout{1000};
 /// Beyond the time for which a VM may hold a renewal back.
 constexpr milliseconds WitnessMargin{2000};
-constexpr int EpochShift = 20;
 
 } // namespace
 
@@ -67,7 +66,7 @@
       const milliseconds Age(Body->value("renewed_ms_ago", std::int64_t(0)));
       ++(Age > patience() ? Round->Stale : Round->Fresh);
       Round->Epoch = std::max(
-          Round->Epoch, Body->value("fence", std::int64_t(0)) >> EpochShift);
+          Round->Epoch, epochOfFence(Body->value("fence", std::int64_t(0))));
     }
   }
   if (--Round->Open == 0)
--- a/packages/daemon/src/VmSession.cpp
+++ b/packages/daemon/src/VmSession.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Claims of one epoch that can be told apart.
-constexpr int ClaimBits = 20;
 constexpr milliseconds CallTimeout{2000};
 constexpr milliseconds RetryDelayMin{100};
 constexpr milliseconds RetryDelayMax{2000};
@@ -84,7 +82,7 @@
 void VmSession::claim() {
   if (Closed_)
     return;
-  Fence_ = (Claim_.Epoch << ClaimBits) + ++ClaimCount_;
+  Fence_ = (Claim_.Epoch << FenceClaimBits) + ++ClaimCount_;
   nlohmann::json Body = fenced();
   Body["holder"] = Claim_.Holder;
   Body["lease_ms"] = Config_.Times.TaskLease.count();
@@ -123,7 +121,7 @@
 void VmSession::checkRefusal(const HttpResult &Answer) {
   const auto Body = parseJson(Answer->Body, false);
   const std::int64_t Fence = Body ? Body->value("fence", std::int64_t(0)) : 0;
-  const std::int64_t Epoch = Fence >> ClaimBits;
+  const std::int64_t Epoch = epochOfFence(Fence);
   const std::string Holder = Body ? Body->value("holder", "") : "";
   if (Epoch >= Claim_.Epoch && Holder != Claim_.Holder) {
     Held_ = false;
@@ -131,8 +129,8 @@
     return;
   }
   // A claim of this session's own overtook the call, or the VM is new.
-  ClaimCount_ = std::max<int>(ClaimCount_,
-                              static_cast<int>(Fence & ((1 << ClaimBits) - 1)));
+  ClaimCount_ = std::max<int>(
+      ClaimCount_, static_cast<int>(Fence & ((1 << FenceClaimBits) - 1)));
   Held_ = false;
   Home_.after(RetryDelayMin, [Self = shared_from_this()] { Self->claim(); });
 }
--- a/tests/failure/fault_test.py
+++ b/tests/failure/fault_test.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import threading
 import unittest
 
 import faults
@@ -15,17 +14,6 @@
 GROUP = os.environ.get("CUMINROAD_FAULTS", "")
 
 
-def together(*both):
-    def strike(subject):
-        threads = [threading.Thread(target=each, args=(subject,))
-                   for each in both]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-    return strike
-
-
 class FaultTest(unittest.TestCase):
     """Each test is one trial under load."""
 
@@ -49,7 +37,7 @@
                       (faults.freeze_owner, faults.vm_unreachable)]:
     pair = first.__name__ + "_and_" + second.__name__
     if not GROUP or pair in GROUP.split(","):
-        add_test(pair, together(first, second))
+        add_test(pair, faults.together(first, second))
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/failure/soak.py
+++ b/tests/failure/soak.py
@@ -8,7 +8,6 @@
 import os
 import random
 import sys
-import threading
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "support"))
@@ -20,17 +19,7 @@
     rng = random.Random(seed)
     chosen = [rng.choice(faults.ALL) for _ in range(rng.randint(1, 2))]
     if len(chosen) == 2 and rng.random() < 0.5:
-        both = chosen
-
-        def together(subject):
-            threads = [threading.Thread(target=each, args=(subject,))
-                       for each in both]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
-        together.__name__ = "+".join(each.__name__ for each in both)
-        chosen = [together]
+        chosen = [faults.together(*chosen)]
     names = ", ".join(each.__name__ for each in chosen)
     subject = trial.Trial(seed)
     try:
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -1,11 +1,25 @@
 """The faults that trials are made of. Each takes the trial it strikes."""
 
 import signal
+import threading
 import time
 
 LONGER_THAN_LEASES_S = 7
 
 
+def together(*several):
+    """Returns one fault that strikes with all of these at once."""
+    def strike(trial):
+        threads = [threading.Thread(target=each, args=(trial,))
+                   for each in several]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    strike.__name__ = "+".join(each.__name__ for each in several)
+    return strike
+
+
 def vms_of_domain(trial, domain="d1"):
     return {name for name, vm in trial.running.vms.items()
             if vm["domain"] == domain}
