Don't believe the index of a task that a VM reports

Cause, found on reading the change again: the end of an earlier attempt was looked up by the reported index without the check that the present attempt's look-up has, and an end for an index that the job does not have would have gone into its row, for the next owner to stumble on. A test with such ends crashed with a memory access violation; it passes now. The row is not touched by them.

--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -48,8 +48,8 @@
   /// \returns false where the end is known and its write under way; then
   /// \p Done is dropped.
   bool markEnded(const TaskRef &Task, bool Failed, Committed Done);
-  /// Whether the task's end is in the table, or its job is not one of the
-  /// unfinished ones.
+  /// Whether nothing is left to write of the task's end: it is in the table, or
+  /// no unfinished job has such a task.
   bool hasEnd(const TaskRef &Task) const;
   void recordStart(const TaskRef &Task, Committed Done);
   void markCancelled(const std::string &Job, Committed Done);
--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -110,6 +110,8 @@
   if (Found == Jobs_.end())
     return true;
   const Kept &Job = Found->second;
+  if (Task.Index < 0 || Task.Index >= Job.Row.Spec.Tasks)
+    return true;
   return Job.Row.Ended.contains(Task.Index) &&
          !Job.NewEnds.contains(Task.Index);
 }
--- a/packages/scheduling/src/PackingScheduler.cpp
+++ b/packages/scheduling/src/PackingScheduler.cpp
@@ -364,6 +364,8 @@
     return false;
   JobState &Job = Jobs_[Found->second];
   const TaskPlace Place{Found->second, Task.Task.Index};
+  if (Place.Index < 0 || Place.Index >= Job.Spec.Tasks)
+    return false;
   if (std::erase(Job.Waiting, Place.Index) > 0) {
     endTask(Place, Failed);
     if (Job.Waiting.empty())
--- a/packages/scheduling/tests/PolicyTest.cpp
+++ b/packages/scheduling/tests/PolicyTest.cpp
@@ -287,6 +287,18 @@
   BOOST_CHECK(At.Ended.at("job") == JobOutcome::Done);
 }
 
+BOOST_AUTO_TEST_CASE(endOfATaskThatTheJobDoesNotHaveIsIgnored) {
+  Site At;
+  At.addVm("vm0", "rack", Small);
+  At.submit("job", "plain", JobKind::Batch, 1, {1000, 1000, 0},
+            milliseconds(1000));
+  // What a VM reports is input; the index must not be believed.
+  for (const int Index : {-1, 1, 1 << 28})
+    At.Core->taskEnded(TaskAttempt{{"job", Index}, 0}, false, false);
+  At.run();
+  BOOST_CHECK_EQUAL(At.Core->job("job")->Running, 1);
+}
+
 BOOST_AUTO_TEST_CASE(waveOfCancellationsEndsAllJobs) {
   Site At;
   At.addVm("vm0", "rack", Small);
