--- a/packages/base/include/cuminroad/base/EventLog.h
+++ b/packages/base/include/cuminroad/base/EventLog.h
@@ -24,7 +24,7 @@
   std::string Detail;
 };
 
-/// Writes events to standard error, a JSON object a line, and keeps the last
+/// Writes events to standard output, a JSON object a line, and keeps the last
 /// ones in memory for the time line. Safe to use from any thread.
 class EventLog {
 public:
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -24,7 +24,8 @@
   const std::string Text =
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   const std::lock_guard Lock(Mutex_);
-  fmt::print(stderr, "{}\n", Text);
+  fmt::print(stdout, "{}\n", Text);
+  std::fflush(stdout);
   Events_.push_back(
       Event{Stamp, Id, std::string(Subject), std::string(Detail)});
   if (Events_.size() > Capacity_)
--- a/packages/daemon/include/cuminroad/daemon/ConfigKeeper.h
+++ b/packages/daemon/include/cuminroad/daemon/ConfigKeeper.h
@@ -14,7 +14,7 @@
 #include "cuminroad/daemon/Identity.h"
 #include "cuminroad/daemon/MemberBook.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/Table.h"
+#include "cuminroad/store/Table.h"
 
 namespace cuminroad {
 
--- a/packages/daemon/include/cuminroad/daemon/DomainOwner.h
+++ b/packages/daemon/include/cuminroad/daemon/DomainOwner.h
@@ -18,8 +18,8 @@
 #include "cuminroad/daemon/VmSession.h"
 #include "cuminroad/net/HttpClient.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/VmList.h"
 #include "cuminroad/scheduling/Scheduler.h"
+#include "cuminroad/store/VmList.h"
 
 namespace cuminroad {
 
--- a/packages/daemon/include/cuminroad/daemon/Ownership.h
+++ b/packages/daemon/include/cuminroad/daemon/Ownership.h
@@ -8,7 +8,7 @@
 #include "cuminroad/contract/Settings.h"
 #include "cuminroad/daemon/Identity.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/Table.h"
+#include "cuminroad/store/Table.h"
 
 namespace cuminroad {
 
--- a/packages/daemon/include/cuminroad/daemon/ShareKeeper.h
+++ b/packages/daemon/include/cuminroad/daemon/ShareKeeper.h
@@ -10,7 +10,7 @@
 
 #include "cuminroad/daemon/ShareRow.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/Table.h"
+#include "cuminroad/store/Table.h"
 
 namespace cuminroad {
 
--- a/packages/daemon/src/DaemonParts.h
+++ b/packages/daemon/src/DaemonParts.h
@@ -17,9 +17,9 @@
 #include "cuminroad/daemon/Ownership.h"
 #include "cuminroad/net/HttpClient.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/HttpTable.h"
-#include "cuminroad/platform/ResolvingTable.h"
-#include "cuminroad/platform/VmList.h"
+#include "cuminroad/store/HttpTable.h"
+#include "cuminroad/store/ResolvingTable.h"
+#include "cuminroad/store/VmList.h"
 
 namespace cuminroad {
 
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -56,8 +56,7 @@
            Parts.Domain ? 1.0 : 0.0);
   setGauge("cuminroad_owner_epoch", "The newest epoch known.",
            Number(Parts.Owners.owner().Epoch));
-  setGauge("cuminroad_platform_reachable",
-           "1 while the platform's table answers.",
+  setGauge("cuminroad_store_reachable", "1 while the platform's table answers.",
            Parts.Rows.reachable() ? 1.0 : 0.0);
   setGauge("cuminroad_config_version", "Version of the configuration applied.",
            Number(Parts.Keeper.appliedVersion()));
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
@@ -0,0 +1,74 @@
+#ifndef CUMINROAD_FLEET_ADVICEDESK_H
+#define CUMINROAD_FLEET_ADVICEDESK_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/fleet/PeerCalls.h"
+#include "cuminroad/fleet/PlacementAdvisor.h"
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/pool/PoolCommand.h"
+
+namespace cuminroad {
+
+/// Spreads questions to the placement advisor over the daemons: it takes one
+/// call at a time from each calling machine, so that a pool's owner alone would
+/// be too slow. Questions wait here, the earliest first, until a daemon is
+/// free. Runs on the control thread.
+class AdviceDesk : public std::enable_shared_from_this<AdviceDesk> {
+public:
+  struct Answer {
+    StepName Step;
+    std::vector<std::string> Asked;
+    std::vector<AdviceTicket> Good;
+    /// When the answer arrived.
+    TimePoint At{};
+  };
+  using Done = std::function<void(const StepName &, Result<Answer>)>;
+
+  AdviceDesk(PlacementAdvisor &Own, PeerCalls &Peers, Loop &Home,
+             const Clock &Time, std::string SelfName, Done Done);
+
+  void close() { Closed_ = true; }
+  /// Daemons that may be asked, with their addresses.
+  void setPeers(const std::map<std::string, std::string> &Addresses);
+  void ask(const AskAdvice &Question);
+  std::size_t waiting() const { return Queue_.size(); }
+
+private:
+  struct Caller {
+    std::string Address;
+    int Open = 0;
+    TimePoint NotBefore{};
+    bool Listed = true;
+  };
+  struct Question {
+    AskAdvice Ask;
+    int Tries = 0;
+  };
+
+  void pump();
+  Caller *freeCaller(std::string &Name);
+  void send(const std::string &Name, Question Next);
+  void answered(const std::string &Name, Question Sent,
+                Result<std::vector<AdviceTicket>> Good);
+
+  PlacementAdvisor &Own_;
+  PeerCalls &Peers_;
+  Loop &Home_;
+  const Clock &Time_;
+  std::string SelfName_;
+  Done Done_;
+  std::map<std::string, Caller> Callers_;
+  std::vector<Question> Queue_;
+  std::size_t NextCaller_ = 0;
+  bool Closed_ = false;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/DaemonIdentity.h
@@ -0,0 +1,19 @@
+#ifndef CUMINROAD_FLEET_DAEMONIDENTITY_H
+#define CUMINROAD_FLEET_DAEMONIDENTITY_H
+
+#include <string>
+
+namespace cuminroad {
+
+/// One life of a daemon's process.
+struct DaemonIdentity {
+  std::string Name;
+  std::string Incarnation;
+  std::string Domain;
+  /// "address:port" for other daemons.
+  std::string Peer;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/FleetContext.h
@@ -0,0 +1,37 @@
+#ifndef CUMINROAD_FLEET_FLEETCONTEXT_H
+#define CUMINROAD_FLEET_FLEETCONTEXT_H
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/base/EventLog.h"
+#include "cuminroad/fleet/DaemonIdentity.h"
+#include "cuminroad/fleet/FleetSettings.h"
+#include "cuminroad/fleet/PeerCalls.h"
+#include "cuminroad/fleet/PlacementAdvisor.h"
+#include "cuminroad/fleet/QueueBook.h"
+#include "cuminroad/fleet/VmCalls.h"
+#include "cuminroad/fleet/VmDirectory.h"
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/pool/WallClock.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// What the parts of a fleet daemon work with; all of it outlives them.
+struct FleetContext {
+  const FleetSettings &Settings;
+  const DaemonIdentity &Self;
+  const Clock &Time;
+  const WallClock &Wall;
+  EventLog &Events;
+  Loop &Home;
+  RowStore &Store;
+  VmCalls &Vms;
+  PlacementAdvisor &Advisor;
+  PeerCalls &Peers;
+  const QueueBook &Queues;
+  VmDirectory &Directory;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/FleetDaemon.h
@@ -0,0 +1,57 @@
+#ifndef CUMINROAD_FLEET_FLEETDAEMON_H
+#define CUMINROAD_FLEET_FLEETDAEMON_H
+
+#include <functional>
+#include <memory>
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/base/EventLog.h"
+#include "cuminroad/fleet/FleetSettings.h"
+#include "cuminroad/fleet/JobDoor.h"
+#include "cuminroad/fleet/PlacementAdvisor.h"
+#include "cuminroad/fleet/PlatformFormats.h"
+#include "cuminroad/fleet/QueueBook.h"
+#include "cuminroad/fleet/VmCalls.h"
+#include "cuminroad/net/HttpClient.h"
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/pool/WallClock.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// What a fleet daemon is built on; all of it outlives the daemon.
+struct FleetParts {
+  FleetSettings Settings;
+  const Clock &Time;
+  const WallClock &Wall;
+  EventLog &Events;
+  RunnableLoop &Home;
+  HttpClient &Client;
+  RowStore &Store;
+  VmCalls &Vms;
+  PlacementAdvisor &Advisor;
+  const PlatformFormats &Formats;
+};
+
+/// Makes the handler of callers' requests.
+using FrontHandlerMaker =
+    std::function<HttpHandler(const QueueBook &Queues, JobDoor &Door)>;
+
+/// A daemon of the fleet: a front door for callers, and the owner of those
+/// pools that it holds the lease of.
+class FleetDaemon {
+public:
+  virtual ~FleetDaemon() = default;
+  /// Opens the ports and begins; the loop's run() does the rest.
+  virtual void start() = 0;
+  /// Begins a graceful shutdown; the loop is stopped at its end. Call on the
+  /// loop's thread.
+  virtual void stop() = 0;
+};
+
+std::unique_ptr<FleetDaemon> makeFleetDaemon(FleetParts Parts,
+                                             FrontHandlerMaker MakeFront);
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -0,0 +1,46 @@
+#ifndef CUMINROAD_FLEET_FLEETSETTINGS_H
+#define CUMINROAD_FLEET_FLEETSETTINGS_H
+
+#include <string>
+
+#include "cuminroad/base/Clock.h"
+
+namespace cuminroad {
+
+/// A port on an address of this VM.
+struct ListenAddress {
+  std::string Address;
+  int Port = 0;
+
+  std::string text() const { return Address + ":" + std::to_string(Port); }
+};
+
+/// What a daemon of the fleet must know of its place; the platform's adapter
+/// fills it in.
+struct FleetSettings {
+  std::string Name;
+  /// The failure domain of this VM.
+  std::string Domain;
+  /// For callers.
+  ListenAddress Front;
+  /// For the balancer, which asks whether to send callers here.
+  ListenAddress Ready;
+  /// For the other daemons.
+  ListenAddress Peer;
+  /// For metrics.
+  ListenAddress Metrics;
+  /// How often a VM shows that it lives.
+  milliseconds Heartbeat{1500};
+  /// Longest lease that a VM grants on what it runs.
+  milliseconds MaxTaskLease{6000};
+  /// How much longer work takes away from its data.
+  double RemoteFactor = 1.0;
+  /// How long the state of a finished job can be asked for.
+  seconds KeepFinished{120};
+  /// From SIGTERM until the process is killed.
+  milliseconds StopGrace{6000};
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/JobDoor.h
@@ -0,0 +1,94 @@
+#ifndef CUMINROAD_FLEET_JOBDOOR_H
+#define CUMINROAD_FLEET_JOBDOOR_H
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cuminroad/fleet/FleetContext.h"
+#include "cuminroad/fleet/JobRows.h"
+#include "cuminroad/fleet/PeerService.h"
+#include "cuminroad/fleet/PoolLease.h"
+
+namespace cuminroad {
+
+/// What a caller is told of a submission.
+enum class SubmitOutcome {
+  /// The job is in the store and will run.
+  Accepted,
+  /// The job was not accepted and will never run.
+  NotAccepted,
+  /// Nobody knows yet; the same submission may be sent again.
+  Unknown,
+};
+
+/// The answer to a submission or a cancellation.
+struct SubmitReply {
+  SubmitOutcome Outcome = SubmitOutcome::Unknown;
+  /// When it makes sense to come back.
+  milliseconds RetryAfter{0};
+};
+
+/// The answer to a question about a job or a queue.
+template <typename T> struct DoorAnswer {
+  /// Nothing where the answer is not known at present.
+  std::optional<T> Value;
+};
+
+/// Whom to ask about a pool.
+class OwnerFinder {
+public:
+  virtual ~OwnerFinder() = default;
+  /// \returns the owner as last read, or null.
+  virtual const OwnerRow *ownerOf(std::string_view Service) const = 0;
+};
+
+/// Where callers' jobs come in and are asked about, at any daemon. A job is
+/// accepted by writing its row, under a check that there is none; the pool's
+/// owner hears of it by the store, so that a daemon that is cut off from the
+/// owner still accepts jobs. Runs on the control thread.
+class JobDoor {
+public:
+  using SubmitDone = std::function<void(SubmitReply)>;
+  /// Nothing inside a known answer: no such job was ever accepted.
+  using StageDone = std::function<void(DoorAnswer<std::optional<JobStage>>)>;
+  using CountDone = std::function<void(DoorAnswer<int>)>;
+
+  JobDoor(const FleetContext &Context, const OwnedPools &Owned,
+          const OwnerFinder &Owners)
+      : Context_(Context), Owned_(Owned), Owners_(Owners) {}
+
+  /// \param Patience how long the caller waits for an answer.
+  void submit(const QueueTerms &Queue, JobPlan Plan, milliseconds Patience,
+              SubmitDone Done);
+  void cancel(std::string_view Job, milliseconds Patience,
+              std::function<void(DoorAnswer<bool>)> Done);
+  void stage(const QueueTerms &Queue, std::string_view Job,
+             milliseconds Patience, StageDone Done);
+  void pending(const QueueTerms &Queue, milliseconds Patience, CountDone Done);
+
+private:
+  struct Submission;
+  struct Cancellation;
+
+  void write(std::shared_ptr<Submission> Open);
+  void written(std::shared_ptr<Submission> Open, Result<RowCommit> Outcome);
+  void findForCancel(std::shared_ptr<Cancellation> Open);
+  void writeCancel(std::shared_ptr<Cancellation> Open,
+                   std::int64_t RequestVersion);
+  void retryCancel(std::shared_ptr<Cancellation> Open);
+  void readStage(std::string Job, TimePoint Until, StageDone Done);
+  void readProgress(std::string Service, std::string Job, TimePoint Until,
+                    StageDone Done);
+  milliseconds left(TimePoint Until) const;
+
+  FleetContext Context_;
+  const OwnedPools &Owned_;
+  const OwnerFinder &Owners_;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/PlacementAdvisor.h
@@ -0,0 +1,28 @@
+#ifndef CUMINROAD_FLEET_PLACEMENTADVISOR_H
+#define CUMINROAD_FLEET_PLACEMENTADVISOR_H
+
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/base/Error.h"
+#include "cuminroad/pool/PoolCommand.h"
+
+namespace cuminroad {
+
+/// The service that knows which VMs a queue's policy allows. It takes one call
+/// at a time from each calling machine. Results come on the loop's thread.
+class PlacementAdvisor {
+public:
+  using Done = std::function<void(Result<std::vector<AdviceTicket>>)>;
+
+  virtual ~PlacementAdvisor() = default;
+  virtual void advise(const StepName &Step, std::span<const std::string> Vms,
+                      milliseconds Timeout, Done Done) = 0;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/PoolLease.h
@@ -0,0 +1,79 @@
+#ifndef CUMINROAD_FLEET_POOLLEASE_H
+#define CUMINROAD_FLEET_POOLLEASE_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cuminroad/base/EventLog.h"
+#include "cuminroad/fleet/DaemonIdentity.h"
+#include "cuminroad/fleet/OwnerRow.h"
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// A term of ownership of a pool.
+struct PoolTerm {
+  std::string Service;
+  std::int64_t Epoch = 0;
+  /// Version of the owner row as this daemon wrote it.
+  std::int64_t RowVersion = 0;
+  /// When the write was sent.
+  TimePoint WrittenAt{};
+  /// Whether an earlier owner may have left runs on VMs.
+  bool Inherited = false;
+};
+
+/// Decides which daemon owns a pool, by a row of the store that each of the
+/// owner's transactions replaces. A standby takes over a row that has not
+/// changed for the length of the lease, by its own clock; time in which it
+/// could not read does not count. Standbys wait for different times, so that
+/// one is usually first, and those that own a pool already wait longer.
+class PoolLease : public std::enable_shared_from_this<PoolLease> {
+public:
+  PoolLease(RowStore &Store, Loop &Home, const Clock &Time, EventLog &Events,
+            const DaemonIdentity &Self, std::string Service);
+
+  void start();
+  /// Never takes the pool over again.
+  void stop() { Stopped_ = true; }
+  /// The owner stepped down; watch the row again.
+  void lost();
+  bool mine() const { return Mine_; }
+  /// The owner as last read.
+  const OwnerRow &owner() const { return Owner_; }
+  const std::string &service() const { return Service_; }
+
+  std::function<void(PoolTerm)> OnTaken;
+  /// How many pools this daemon owns already.
+  std::function<int()> PoolsOwned;
+
+private:
+  void poll();
+  void pollLater(milliseconds Delay);
+  void examine(const RowPage &Page);
+  void take(std::int64_t Version, bool Inherited);
+  void taken(std::int64_t Version, TimePoint SentAt);
+  milliseconds standbyDelay() const;
+
+  RowStore &Store_;
+  Loop &Home_;
+  const Clock &Time_;
+  EventLog &Events_;
+  const DaemonIdentity &Self_;
+  std::string Service_;
+  milliseconds Rank_;
+  OwnerRow Owner_;
+  std::int64_t SeenVersion_ = -1;
+  TimePoint SeenAt_{};
+  TimePoint TakeSentAt_{};
+  bool TakeInherited_ = false;
+  bool Mine_ = false;
+  bool Polling_ = false;
+  bool Stopped_ = false;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/QueueBook.h
@@ -0,0 +1,34 @@
+#ifndef CUMINROAD_FLEET_QUEUEBOOK_H
+#define CUMINROAD_FLEET_QUEUEBOOK_H
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "cuminroad/fleet/QueueConfig.h"
+
+namespace cuminroad {
+
+/// The contracts in force in this process. Versions only rise.
+class QueueBook {
+public:
+  /// \returns whether \p Config is newer than what was in force.
+  bool apply(QueueConfig Config);
+  bool known() const { return Config_.Version > 0; }
+  const QueueConfig &config() const { return Config_; }
+  /// \returns the route with the longest prefix of \p Path on \p Host, or null.
+  /// The pointer lives until the next apply().
+  const QueueRoute *match(std::string_view Host, std::string_view Path) const;
+  /// \returns the terms of a queue, or null.
+  const QueueTerms *terms(std::string_view Queue) const;
+  /// Called after each change.
+  void onChange(std::function<void()> Listener);
+
+private:
+  QueueConfig Config_;
+  std::vector<std::function<void()>> Listeners_;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/VmDirectory.h
@@ -0,0 +1,46 @@
+#ifndef CUMINROAD_FLEET_VMDIRECTORY_H
+#define CUMINROAD_FLEET_VMDIRECTORY_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cuminroad/base/EventLog.h"
+#include "cuminroad/fleet/PlatformFormats.h"
+#include "cuminroad/fleet/VmEntry.h"
+#include "cuminroad/store/TableFollower.h"
+
+namespace cuminroad {
+
+/// The VMs that have registered themselves, as the store last showed them.
+/// Entries that can't be read are left out.
+class VmDirectory final : public RowSink {
+public:
+  VmDirectory(const PlatformFormats &Formats, EventLog &Events)
+      : Formats_(Formats), Events_(Events) {}
+
+  void tableRead(std::vector<StoredRow> Rows) override;
+  void rowsChanged(std::vector<StoredRow> Rows) override;
+
+  const std::map<std::string, VmEntry> &entries() const { return Entries_; }
+  bool known() const { return Known_; }
+  /// Adds a listener; \returns a number for removeListener().
+  int addListener(std::function<void()> Listener);
+  void removeListener(int Number) { Listeners_.erase(Number); }
+
+private:
+  void take(const StoredRow &Row);
+  void tell();
+
+  const PlatformFormats &Formats_;
+  EventLog &Events_;
+  std::map<std::string, VmEntry> Entries_;
+  std::map<int, std::function<void()>> Listeners_;
+  int NextListener_ = 0;
+  bool Known_ = false;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/src/JobDoor.cpp
@@ -0,0 +1,244 @@
+#include "cuminroad/fleet/JobDoor.h"
+
+#include <algorithm>
+
+#include "cuminroad/pool/JobProgress.h"
+
+namespace cuminroad {
+
+namespace {
+
+/// Kept back from a caller's patience for the answer's way.
+constexpr milliseconds AnswerMargin{150};
+/// One try of a transaction; several fit into a caller's patience.
+constexpr milliseconds WriteTimeout{900};
+constexpr milliseconds ReadTimeout{700};
+constexpr milliseconds OwnerTimeout{350};
+constexpr milliseconds RetryDelay{60};
+/// A store that has not answered for this long is taken to be away.
+constexpr milliseconds StoreAway{1200};
+/// Told to callers who are refused since the store is away: outages last
+/// seconds.
+constexpr milliseconds StoreRetryAfter{2000};
+
+} // namespace
+
+struct JobDoor::Submission {
+  JobRequest Request;
+  TimePoint Until;
+  SubmitDone Done;
+  /// An earlier try may have taken effect, or may do so yet.
+  bool Uncertain = false;
+};
+
+struct JobDoor::Cancellation {
+  std::string Job;
+  TimePoint Until;
+  std::function<void(DoorAnswer<bool>)> Done;
+};
+
+milliseconds JobDoor::left(TimePoint Until) const {
+  return std::chrono::duration_cast<milliseconds>(Until - Context_.Time.now());
+}
+
+void JobDoor::submit(const QueueTerms &Queue, JobPlan Plan,
+                     milliseconds Patience, SubmitDone Done) {
+  auto Open = std::make_shared<Submission>();
+  Open->Request = JobRequest{Queue.Name, Queue.Service,
+                             Context_.Store.storeTime(), std::move(Plan)};
+  Open->Until = Context_.Time.now() + Patience - AnswerMargin;
+  Open->Done = std::move(Done);
+  write(std::move(Open));
+}
+
+void JobDoor::write(std::shared_ptr<Submission> Open) {
+  const RowName Row = requestRow(Open->Request.Plan.Id);
+  RowTransaction Change;
+  Change.Checks.push_back(RowCheck{Row, 0});
+  Change.Puts.push_back(RowPut{Row, encodeRequest(Open->Request)});
+  const milliseconds Timeout =
+      std::clamp(left(Open->Until), RetryDelay, WriteTimeout);
+  Context_.Store.commit(std::move(Change), Timeout,
+                        [this, Open](Result<RowCommit> Outcome) {
+                          written(Open, std::move(Outcome));
+                        });
+}
+
+void JobDoor::written(std::shared_ptr<Submission> Open,
+                      Result<RowCommit> Outcome) {
+  const std::string &Job = Open->Request.Plan.Id;
+  if (Outcome) {
+    // A conflict means that the job is there already: it remains one job.
+    Context_.Events.record(Outcome->committed() ? EventId::JobAccepted
+                                                : EventId::JobReadBack,
+                           Job, Open->Request.Queue);
+    return Open->Done(SubmitReply{SubmitOutcome::Accepted});
+  }
+  Open->Uncertain =
+      Open->Uncertain || Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
+  const bool Away =
+      Context_.Time.now() - Context_.Store.lastContact() > StoreAway;
+  const bool Hopeless = left(Open->Until) <= RetryDelay;
+  if (!Hopeless && (Open->Uncertain || !Away)) {
+    Context_.Home.after(RetryDelay, [this, Open] { write(Open); });
+    return;
+  }
+  if (Open->Uncertain) {
+    Context_.Events.record(EventId::JobOutcomeUnknown, Job,
+                           Outcome.error().text());
+    return Open->Done(SubmitReply{SubmitOutcome::Unknown});
+  }
+  Context_.Events.record(EventId::JobRefused, Job, Outcome.error().text());
+  Open->Done(SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
+}
+
+void JobDoor::cancel(std::string_view Job, milliseconds Patience,
+                     std::function<void(DoorAnswer<bool>)> Done) {
+  auto Open = std::make_shared<Cancellation>();
+  Open->Job = Job;
+  Open->Until = Context_.Time.now() + Patience - AnswerMargin;
+  Open->Done = std::move(Done);
+  findForCancel(std::move(Open));
+}
+
+void JobDoor::retryCancel(std::shared_ptr<Cancellation> Open) {
+  if (left(Open->Until) <= RetryDelay)
+    return Open->Done(DoorAnswer<bool>{});
+  Context_.Home.after(RetryDelay, [this, Open] { findForCancel(Open); });
+}
+
+void JobDoor::findForCancel(std::shared_ptr<Cancellation> Open) {
+  const RowName Row = requestRow(Open->Job);
+  const RowName End = cancelRow(Open->Job);
+  Context_.Store.read(
+      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(End.Key), 2},
+      std::clamp(left(Open->Until), RetryDelay, ReadTimeout),
+      [this, Open, Job = Row.Key, Cancel = End.Key](Result<RowPage> Page) {
+        if (!Page)
+          return retryCancel(Open);
+        std::int64_t Version = 0;
+        bool Cancelled = false;
+        for (const StoredRow &Each : Page->Rows) {
+          Cancelled = Cancelled || Each.Name.Key == Cancel;
+          if (Each.Name.Key == Job)
+            Version = Each.Version;
+        }
+        if (Version == 0 || Cancelled)
+          return Open->Done(DoorAnswer<bool>{Version != 0});
+        writeCancel(Open, Version);
+      });
+}
+
+void JobDoor::writeCancel(std::shared_ptr<Cancellation> Open,
+                          std::int64_t RequestVersion) {
+  RowTransaction Change;
+  Change.Checks.push_back(RowCheck{requestRow(Open->Job), RequestVersion});
+  Change.Puts.push_back(RowPut{cancelRow(Open->Job), "1"});
+  Context_.Store.commit(std::move(Change),
+                        std::clamp(left(Open->Until), RetryDelay, WriteTimeout),
+                        [this, Open](const Result<RowCommit> &Outcome) {
+                          if (!Outcome || !Outcome->committed())
+                            return retryCancel(Open);
+                          Context_.Events.record(EventId::JobCancelled,
+                                                 Open->Job);
+                          Open->Done(DoorAnswer<bool>{true});
+                        });
+}
+
+void JobDoor::stage(const QueueTerms &Queue, std::string_view Id,
+                    milliseconds Patience, StageDone Done) {
+  const std::string Job(Id);
+  const TimePoint Until = Context_.Time.now() + Patience - AnswerMargin;
+  if (Owned_.owns(Queue.Service)) {
+    const auto Stage = Owned_.stage(Queue.Service, Job);
+    if (Stage)
+      return Done({std::optional<std::optional<JobStage>>(Stage)});
+    return readStage(Job, Until, std::move(Done));
+  }
+  const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
+  if (Owner == nullptr || Owner->Peer.empty())
+    return readStage(Job, Until, std::move(Done));
+  Context_.Peers.stage(
+      Owner->Peer, Queue.Service, Job, OwnerTimeout,
+      [this, Job, Until,
+       Done = std::move(Done)](Result<std::optional<JobStage>> Stage) {
+        if (Stage && *Stage)
+          return Done({std::optional<std::optional<JobStage>>(*Stage)});
+        // The owner may not have heard of it yet; the store decides.
+        readStage(Job, Until, Done);
+      });
+}
+
+void JobDoor::readStage(std::string Job, TimePoint Until, StageDone Done) {
+  const RowName Row = requestRow(Job);
+  const RowName End = cancelRow(Job);
+  Context_.Store.read(
+      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(End.Key), 2},
+      std::clamp(left(Until), RetryDelay, ReadTimeout),
+      [this, Job, Until, Done = std::move(Done)](Result<RowPage> Page) {
+        if (!Page) {
+          if (left(Until) <= RetryDelay)
+            return Done({});
+          Context_.Home.after(RetryDelay, [this, Job, Until, Done] {
+            readStage(Job, Until, Done);
+          });
+          return;
+        }
+        if (Page->Rows.empty() || Page->Rows.front().Name.Key != Job)
+          return Done({std::optional<std::optional<JobStage>>(std::nullopt)});
+        const auto Request = decodeRequest(Job, Page->Rows.front().Value);
+        if (!Request) {
+          Context_.Events.record(EventId::RowUnreadable, Job,
+                                 Request.error().text());
+          return Done({});
+        }
+        readProgress(Request->Service, Job, Until, Done);
+      });
+}
+
+void JobDoor::readProgress(std::string Service, std::string Job,
+                           TimePoint Until, StageDone Done) {
+  const RowName Row = progressRow(Service, Job);
+  Context_.Store.read(
+      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(Row.Key), 1},
+      std::clamp(left(Until), RetryDelay, ReadTimeout),
+      [this, Service, Job, Until,
+       Done = std::move(Done)](Result<RowPage> Page) {
+        if (!Page) {
+          if (left(Until) <= RetryDelay)
+            return Done({});
+          Context_.Home.after(RetryDelay, [this, Service, Job, Until, Done] {
+            readProgress(Service, Job, Until, Done);
+          });
+          return;
+        }
+        std::optional<JobStage> Stage = JobStage::Queued;
+        if (!Page->Rows.empty()) {
+          const auto Progress = decodeProgress(Page->Rows.front().Value);
+          if (!Progress) {
+            Context_.Events.record(EventId::RowUnreadable, Job,
+                                   Progress.error().text());
+            return Done({});
+          }
+          Stage = Progress->Stage;
+        }
+        Done({std::optional<std::optional<JobStage>>(Stage)});
+      });
+}
+
+void JobDoor::pending(const QueueTerms &Queue, milliseconds Patience,
+                      CountDone Done) {
+  if (Owned_.owns(Queue.Service))
+    return Done({Owned_.pending(Queue.Service, Queue.Name)});
+  const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
+  if (Owner == nullptr || Owner->Peer.empty())
+    return Done({});
+  Context_.Peers.pending(
+      Owner->Peer, Queue.Service, Queue.Name,
+      std::min(Patience - AnswerMargin, ReadTimeout),
+      [Done = std::move(Done)](const Result<int> &Count) {
+        Done({Count ? std::optional<int>(*Count) : std::nullopt});
+      });
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/JobRows.cpp
@@ -0,0 +1,86 @@
+#include "cuminroad/fleet/JobRows.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cuminroad {
+
+namespace {
+
+/// Follows the job's id in the key of its cancellation. It sorts behind the id
+/// and before the next one.
+constexpr std::string_view CancelSuffix = "!";
+constexpr std::string_view PartitionDigits = "0123456789abcdef";
+
+/// Ids are hexadecimal: their first digit spreads them evenly.
+std::string requestPartition(std::string_view Job) {
+  return fmt::format("jobs-{}", Job.substr(0, 1));
+}
+
+} // namespace
+
+RowName requestRow(std::string_view Job) {
+  return RowName{std::string(RequestTable), requestPartition(Job),
+                 std::string(Job)};
+}
+
+RowName cancelRow(std::string_view Job) {
+  return RowName{std::string(RequestTable), requestPartition(Job),
+                 fmt::format("{}{}", Job, CancelSuffix)};
+}
+
+std::string poolPartition(std::string_view Service) {
+  return fmt::format("pool-{}", Service);
+}
+
+RowName progressRow(std::string_view Service, std::string_view Job) {
+  return RowName{std::string(ProgressTable), poolPartition(Service),
+                 std::string(Job)};
+}
+
+RowName ownerRow(std::string_view Service) {
+  return RowName{std::string(OwnerTable), poolPartition(Service), "owner"};
+}
+
+std::vector<std::string> requestPartitions() {
+  std::vector<std::string> Out;
+  for (std::size_t Index = 0; Index < PartitionDigits.size(); ++Index)
+    Out.push_back(requestPartition(PartitionDigits.substr(Index, 1)));
+  return Out;
+}
+
+std::string_view cancelledJob(std::string_view Key) {
+  if (!Key.ends_with(CancelSuffix))
+    return {};
+  return Key.substr(0, Key.size() - CancelSuffix.size());
+}
+
+std::string encodeRequest(const JobRequest &Request) {
+  const nlohmann::json Out{{"queue", Request.Queue},
+                           {"service", Request.Service},
+                           {"at", Request.AcceptedAt.count()},
+                           {"plan", toJson(Request.Plan)}};
+  std::string Bytes;
+  nlohmann::json::to_msgpack(Out, Bytes);
+  return Bytes;
+}
+
+Result<JobRequest> decodeRequest(std::string_view Job, std::string_view Bytes) {
+  try {
+    const nlohmann::json Input = nlohmann::json::from_msgpack(Bytes);
+    JobRequest Out;
+    Out.Queue = Input.at("queue").get<std::string>();
+    Out.Service = Input.at("service").get<std::string>();
+    Out.AcceptedAt = milliseconds(Input.at("at").get<std::int64_t>());
+    auto Plan = jobPlanFromJson(Input.at("plan"));
+    if (!Plan)
+      return tl::unexpected(Plan.error());
+    Out.Plan = std::move(*Plan);
+    Out.Plan.Id = Job;
+    return Out;
+  } catch (const nlohmann::json::exception &Fault) {
+    return failure(ErrorCode::MalformedInput, Fault.what());
+  }
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/PeerCalls.cpp
@@ -0,0 +1,94 @@
+#include "cuminroad/fleet/PeerCalls.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "PeerMessages.h"
+
+namespace cuminroad {
+
+namespace {
+
+constexpr milliseconds ConnectTimeout{300};
+
+HttpCall makeCall(const std::string &Address, std::string_view Path,
+                  milliseconds Timeout) {
+  HttpCall Call;
+  Call.Url = fmt::format("http://{}{}", Address, Path);
+  Call.ConnectTimeout = ConnectTimeout;
+  Call.Timeout = Timeout;
+  return Call;
+}
+
+/// A peer's answer with status 200, or why there is none.
+Result<std::string> bodyOf(HttpResult Answer) {
+  if (!Answer)
+    return tl::unexpected(Answer.error());
+  if (Answer->Status == StatusNotOwner)
+    return failure(ErrorCode::NoOwner);
+  if (Answer->Status != 200)
+    return failure(ErrorCode::AnswerUnreadable,
+                   fmt::format("status {}", Answer->Status));
+  return std::move(Answer->Body);
+}
+
+Result<int> numberOf(HttpResult Answer) {
+  const auto Body = bodyOf(std::move(Answer));
+  if (!Body)
+    return tl::unexpected(Body.error());
+  int Out = 0;
+  const auto [End, Fault] =
+      std::from_chars(Body->data(), Body->data() + Body->size(), Out);
+  if (Fault != std::errc{} || End != Body->data() + Body->size())
+    return failure(ErrorCode::AnswerUnreadable, *Body);
+  return Out;
+}
+
+} // namespace
+
+void PeerCalls::stage(const std::string &Address, const std::string &Service,
+                      const std::string &Job, milliseconds Timeout,
+                      StageDone Done) {
+  HttpCall Call = makeCall(
+      Address, fmt::format("{}?service={}&job={}", StagePath, Service, Job),
+      Timeout);
+  Client_.send(std::move(Call), [Done = std::move(Done)](HttpResult Answer) {
+    const Result<int> Number = numberOf(std::move(Answer));
+    if (!Number)
+      return Done(tl::unexpected(Number.error()));
+    if (*Number < 0)
+      return Done(std::optional<JobStage>());
+    Done(std::optional<JobStage>(static_cast<JobStage>(*Number)));
+  });
+}
+
+void PeerCalls::pending(const std::string &Address, const std::string &Service,
+                        const std::string &Queue, milliseconds Timeout,
+                        CountDone Done) {
+  HttpCall Call = makeCall(
+      Address,
+      fmt::format("{}?service={}&queue={}", PendingPath, Service, Queue),
+      Timeout);
+  Client_.send(std::move(Call), [Done = std::move(Done)](HttpResult Answer) {
+    Done(numberOf(std::move(Answer)));
+  });
+}
+
+void PeerCalls::advise(const std::string &Address, const StepName &Step,
+                       std::span<const std::string> Vms, milliseconds Timeout,
+                       PlacementAdvisor::Done Done) {
+  HttpCall Call = makeCall(Address, AdvisePath, Timeout);
+  Call.Method = "POST";
+  Call.Headers = {{"Content-Type", "application/msgpack"}};
+  Call.Body = encode(AdviseRequest{
+      Step, std::vector<std::string>(Vms.begin(), Vms.end()), Timeout});
+  Client_.send(std::move(Call), [Done = std::move(Done)](HttpResult Answer) {
+    const auto Body = bodyOf(std::move(Answer));
+    if (!Body)
+      return Done(tl::unexpected(Body.error()));
+    Done(decodeTickets(*Body));
+  });
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/PeerMessages.h
@@ -0,0 +1,35 @@
+#ifndef CUMINROAD_FLEET_SRC_PEERMESSAGES_H
+#define CUMINROAD_FLEET_SRC_PEERMESSAGES_H
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminroad/base/Error.h"
+#include "cuminroad/fleet/PlacementAdvisor.h"
+
+// Bodies and paths of the calls between daemons. Bodies are MessagePack.
+
+namespace cuminroad {
+
+inline constexpr std::string_view StagePath = "/peer/stage";
+inline constexpr std::string_view PendingPath = "/peer/pending";
+inline constexpr std::string_view AdvisePath = "/peer/advise";
+/// The daemon does not own the pool, or has not read its jobs yet.
+inline constexpr int StatusNotOwner = 409;
+
+struct AdviseRequest {
+  StepName Step;
+  std::vector<std::string> Vms;
+  milliseconds Timeout{0};
+};
+
+std::string encode(const AdviseRequest &Message);
+Result<AdviseRequest> decodeAdviseRequest(std::string_view Bytes);
+std::string encode(std::span<const AdviceTicket> Tickets);
+Result<std::vector<AdviceTicket>> decodeTickets(std::string_view Bytes);
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -0,0 +1,506 @@
+#include "cuminroad/fleet/PoolOwner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "cuminroad/fleet/LeaseTimes.h"
+
+namespace cuminroad {
+
+namespace {
+
+/// Least time between two passes of the scheduler: events that come together
+/// are handled together.
+constexpr milliseconds PassInterval{15};
+/// A pass at least this often, for what becomes due without an event.
+constexpr milliseconds IdlePass{200};
+/// Pause between reads of new jobs, so that several come in one.
+constexpr milliseconds GatherRequests{15};
+/// How long the store holds a call without a change; short, since a connection
+/// that has gone silent shows only when this has passed.
+constexpr milliseconds FollowWait{2000};
+constexpr milliseconds ReadTimeout{1500};
+constexpr milliseconds ReadRetry{100};
+constexpr milliseconds CleaningInterval{10000};
+/// Finished jobs stay readable this much longer than promised.
+constexpr milliseconds KeepMargin{60000};
+
+PoolOptions poolOptions(const FleetSettings &Settings) {
+  PoolOptions Out;
+  Out.RemoteFactor = Settings.RemoteFactor;
+  return Out;
+}
+
+std::string runText(const TaskRun &Run) {
+  return fmt::format("{}.{}.{}.{}#{}", Run.Task.Step.Job,
+                     Run.Task.Step.Occurrence, Run.Task.Step.Step,
+                     Run.Task.Index, Run.Number);
+}
+
+std::string_view endName(RunEnd How) {
+  constexpr std::string_view Names[] = {"done",   "failed", "stopped",
+                                        "lapsed", "broken", "alone"};
+  return Names[static_cast<std::size_t>(How)];
+}
+
+} // namespace
+
+PoolOwner::PoolOwner(const FleetContext &Context, PoolTerm Term)
+    : Context_(Context), Term_(std::move(Term)) {}
+
+std::string PoolOwner::headValue(std::int64_t Serial) const {
+  return encodeOwner(OwnerRow{Context_.Self.Name, Context_.Self.Incarnation,
+                              Context_.Self.Peer, Term_.Epoch, Serial});
+}
+
+void PoolOwner::start() {
+  if (Term_.Inherited)
+    InheritedUntil_ = Context_.Time.now() + InheritedWait;
+  Writer_ = std::make_shared<ChainedWriter>(
+      Context_.Store, Context_.Home, Context_.Time, ownerRow(Term_.Service),
+      [this](std::int64_t Serial) { return headValue(Serial); });
+  Writer_->OnReplaced = [this] { replaced(); };
+  Writer_->begin(Term_.RowVersion, Term_.WrittenAt);
+  Advice_ = std::make_shared<AdviceDesk>(
+      Context_.Advisor, Context_.Peers, Context_.Home, Context_.Time,
+      Context_.Self.Name,
+      [this](const StepName &Step, Result<AdviceDesk::Answer> Answer) {
+        if (!Answer) {
+          Context_.Events.record(EventId::AdviceFailed, Step.Job,
+                                 Answer.error().text());
+          return Scheduler_->adviceFailed(Step);
+        }
+        const QueueTerms *Terms = Scheduler_->terms(Step.Job);
+        const milliseconds ValidFor = Terms != nullptr && Terms->Advice
+                                          ? Terms->Advice->ValidFor
+                                          : milliseconds(0);
+        Scheduler_->adviceCame(Step, Answer->Asked, Answer->Good,
+                               Answer->At + ValidFor);
+        wake();
+      });
+  Requests_ = std::make_shared<TableFollower>(
+      Context_.Store, Context_.Home,
+      FollowOptions{std::string(RequestTable), requestPartitions(), FollowWait,
+                    GatherRequests},
+      *this);
+  Requests_->start();
+  readProgress("");
+  renewRegularly();
+}
+
+void PoolOwner::close() {
+  if (Closed_)
+    return;
+  Closed_ = true;
+  if (DirectoryListener_ != 0)
+    Context_.Directory.removeListener(DirectoryListener_);
+  Writer_->close();
+  Requests_->close();
+  Advice_->close();
+  for (const auto &[Id, Link] : Links_)
+    Link->close();
+}
+
+void PoolOwner::release(std::function<void()> Done) {
+  if (Closed_)
+    return Done();
+  for (const auto &[Id, Link] : Links_)
+    Link->close();
+  // What is recorded so far goes first; then the row becomes vacant.
+  Writer_->whenCommitted([Self = shared_from_this(), Done = std::move(Done)] {
+    RowTransaction Change;
+    const RowName Row = ownerRow(Self->Term_.Service);
+    Change.Checks.push_back(RowCheck{Row, Self->Writer_->headVersion()});
+    Change.Puts.push_back(
+        RowPut{Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0})});
+    Self->close();
+    Self->Context_.Store.commit(std::move(Change), ReadTimeout,
+                                [Done](const Result<RowCommit> &) { Done(); });
+  });
+}
+
+void PoolOwner::replaced() {
+  if (Closed_)
+    return;
+  Context_.Events.record(EventId::OwnershipLost, Term_.Service,
+                         fmt::format("epoch {}", Term_.Epoch));
+  close();
+  if (OnReplaced)
+    OnReplaced();
+}
+
+void PoolOwner::setPeers(const std::map<std::string, std::string> &Addresses) {
+  Advice_->setPeers(Addresses);
+}
+
+void PoolOwner::readProgress(std::string From) {
+  const RowName First = progressRow(Term_.Service, From);
+  Context_.Store.read(RowRange{First.Table, First.Partition, First.Key, ""},
+                      ReadTimeout,
+                      [Self = shared_from_this(), From](Result<RowPage> Page) {
+                        if (Self->Closed_)
+                          return;
+                        if (Page)
+                          return Self->progressRead(std::move(Page));
+                        Self->Context_.Home.after(ReadRetry, [Self, From] {
+                          Self->readProgress(From);
+                        });
+                      });
+}
+
+void PoolOwner::progressRead(Result<RowPage> Page) {
+  for (const StoredRow &Row : Page->Rows) {
+    auto Progress = decodeProgress(Row.Value);
+    if (Progress)
+      ReadProgress_[Row.Name.Key] = std::move(*Progress);
+    else
+      Context_.Events.record(EventId::RowUnreadable, Row.Name.Key,
+                             Progress.error().text());
+  }
+  if (Page->HasMore && !Page->Rows.empty())
+    return readProgress(keyAfter(Page->Rows.back().Name.Key));
+  ProgressRead_ = true;
+  loadWhenRead();
+}
+
+void PoolOwner::tableRead(std::vector<StoredRow> Rows) {
+  for (const StoredRow &Row : Rows)
+    addRow(Row);
+  RequestsRead_ = true;
+  loadWhenRead();
+  wake();
+}
+
+void PoolOwner::rowsChanged(std::vector<StoredRow> Rows) {
+  for (const StoredRow &Row : Rows)
+    addRow(Row);
+  wake();
+}
+
+void PoolOwner::addRow(const StoredRow &Row) {
+  if (Row.Removed)
+    return;
+  const std::string_view Cancelled = cancelledJob(Row.Name.Key);
+  if (!Cancelled.empty())
+    return applyCancel(std::string(Cancelled));
+  auto Request = decodeRequest(Row.Name.Key, Row.Value);
+  if (!Request) {
+    Context_.Events.record(EventId::RowUnreadable, Row.Name.Key,
+                           Request.error().text());
+    return;
+  }
+  if (Request->Service == Term_.Service)
+    applyRequest(std::move(*Request));
+}
+
+void PoolOwner::applyRequest(JobRequest Request) {
+  const std::string Job = Request.Plan.Id;
+  if (!Scheduler_) {
+    ReadRequests_[Job] = std::move(Request);
+    return;
+  }
+  if (Scheduler_->stage(Job) || Final_.contains(Job))
+    return;
+  QueueTerms Terms;
+  if (const QueueTerms *Known = Context_.Queues.terms(Request.Queue))
+    Terms = *Known;
+  Terms.Name = Request.Queue;
+  const milliseconds Age = std::max(
+      Context_.Store.storeTime() - Request.AcceptedAt, milliseconds(0));
+  const TimePoint Accepted = Context_.Time.now() - Age;
+  const auto Progress = ReadProgress_.find(Job);
+  if (Progress == ReadProgress_.end()) {
+    Scheduler_->addJob(std::move(Request.Plan), std::move(Terms), Accepted);
+    return;
+  }
+  if (isFinal(Progress->second.Stage))
+    Final_[Job] = FinalStage{Progress->second.Stage, Context_.Time.now()};
+  Scheduler_->restoreJob(std::move(Request.Plan), std::move(Terms), Accepted,
+                         Progress->second);
+}
+
+void PoolOwner::applyCancel(const std::string &Job) {
+  if (!Scheduler_)
+    ReadCancels_.insert(Job);
+  else
+    Scheduler_->cancelJob(Job);
+}
+
+void PoolOwner::loadWhenRead() {
+  if (!RequestsRead_ || !ProgressRead_ || Scheduler_)
+    return;
+  Scheduler_ = makePoolScheduler(Context_.Time, Context_.Wall,
+                                 poolOptions(Context_.Settings));
+  for (auto &[Job, Request] : ReadRequests_)
+    applyRequest(std::move(Request));
+  for (const std::string &Job : ReadCancels_)
+    Scheduler_->cancelJob(Job);
+  Context_.Events.record(EventId::JobLoaded, Term_.Service,
+                         fmt::format("epoch {} jobs {} with progress {}",
+                                     Term_.Epoch, ReadRequests_.size(),
+                                     ReadProgress_.size()));
+  ReadRequests_.clear();
+  ReadCancels_.clear();
+  ReadProgress_.clear();
+  DirectoryListener_ = Context_.Directory.addListener([this] { syncVms(); });
+  syncVms();
+  wake();
+}
+
+void PoolOwner::queuesChanged() {
+  if (!Scheduler_)
+    return;
+  for (const QueueRoute &Route : Context_.Queues.config().Routes)
+    Scheduler_->setTerms(Route.Terms);
+  wake();
+}
+
+void PoolOwner::syncVms() {
+  if (Closed_ || !Context_.Directory.known())
+    return;
+  for (const auto &[Id, Entry] : Context_.Directory.entries()) {
+    if (Entry.Service != Term_.Service)
+      continue;
+    Scheduler_->vmListed(Entry.Vm);
+    std::shared_ptr<VmLink> &Link = Links_[Id];
+    if (Link) {
+      Link->update(Entry);
+      continue;
+    }
+    Link = std::make_shared<VmLink>(
+        Entry,
+        VmLink::Options{Term_.Epoch, Context_.Settings.MaxTaskLease,
+                        InheritedUntil_},
+        Context_.Vms, Context_.Home, Context_.Time, *this);
+    Link->start();
+  }
+  wake();
+}
+
+void PoolOwner::checkUnlistedVms() {
+  const TimePoint Now = Context_.Time.now();
+  const auto &Listed = Context_.Directory.entries();
+  for (auto Entry = Links_.begin(); Entry != Links_.end();) {
+    const auto Found = Listed.find(Entry->first);
+    const bool Here =
+        Found != Listed.end() && Found->second.Service == Term_.Service;
+    // A VM whose entry has expired may be alive: it goes when its leases have.
+    if (Here || !Entry->second->lapsedTold()) {
+      ++Entry;
+      continue;
+    }
+    Entry->second->close();
+    Scheduler_->vmRemoved(Entry->first);
+    Context_.Events.record(EventId::VmGone, Entry->first, Term_.Service);
+    Entry = Links_.erase(Entry);
+  }
+  // VMs of an earlier owner's records that never were listed since.
+  if (Now < InheritedUntil_)
+    return;
+  for (const std::string &Vm : Scheduler_->occupiedVms())
+    if (!Links_.contains(Vm))
+      Scheduler_->vmRemoved(Vm);
+}
+
+VmLink *PoolOwner::link(std::string_view Vm) const {
+  const auto Found = Links_.find(Vm);
+  return Found == Links_.end() ? nullptr : Found->second.get();
+}
+
+void PoolOwner::wake() {
+  if (PassPlanned_ || Closed_ || !Scheduler_)
+    return;
+  PassPlanned_ = true;
+  const auto Since =
+      std::chrono::duration_cast<milliseconds>(Context_.Time.now() - LastPass_);
+  Context_.Home.after(std::max(PassInterval - Since, milliseconds(0)),
+                      [Self = shared_from_this()] {
+                        Self->PassPlanned_ = false;
+                        if (!Self->Closed_)
+                          Self->pass();
+                      });
+}
+
+void PoolOwner::pass() {
+  LastPass_ = Context_.Time.now();
+  checkUnlistedVms();
+  // Without a fresh lease another owner may be at work already.
+  if (LastPass_ - Writer_->renewedAt() < OwnerStartLimit)
+    Scheduler_->schedule();
+  for (const PoolCommand &Command : Scheduler_->takeCommands())
+    std::visit([this](const auto &Do) { execute(Do); }, Command);
+  tellLosses();
+  recordChanges();
+}
+
+void PoolOwner::execute(const StartRun &Do) { Starts_.push_back(Do); }
+
+void PoolOwner::execute(const StopRun &Do) {
+  Context_.Events.record(EventId::RunStopped, runText(Do.Run), Do.Vm);
+  if (VmLink *Link = link(Do.Vm))
+    Link->stopRun(Do.Run);
+}
+
+void PoolOwner::execute(const PaceRun &Do) {
+  Context_.Events.record(EventId::RunPaced, runText(Do.Run),
+                         fmt::format("{} percent {}", Do.Vm, Do.Percent));
+  if (VmLink *Link = link(Do.Vm))
+    Link->paceRun(Do.Run, Do.Percent);
+}
+
+void PoolOwner::execute(const AskAdvice &Do) { Advice_->ask(Do); }
+
+void PoolOwner::tellLosses() {
+  for (const RunLoss &Loss : Scheduler_->takeLosses())
+    Context_.Events.record(EventId::RunLost, runText(Loss.Run),
+                           fmt::format("{} {}", Loss.Vm, Loss.Reason));
+}
+
+void PoolOwner::recordChanges() {
+  const std::vector<std::string> Changed = Scheduler_->takeChangedJobs();
+  std::vector<std::pair<std::string, JobStage>> Finals;
+  for (const std::string &Job : Changed) {
+    const JobProgress Progress = Scheduler_->progress(Job);
+    Writer_->put(progressRow(Term_.Service, Job), encodeProgress(Progress));
+    if (isFinal(Progress.Stage) && !Final_.contains(Job))
+      Finals.emplace_back(Job, Progress.Stage);
+  }
+  if (Starts_.empty() && Finals.empty())
+    return;
+  Writer_->whenCommitted([Self = shared_from_this(),
+                          Starts = std::exchange(Starts_, {}),
+                          Finals = std::move(Finals)] {
+    if (Self->Closed_)
+      return;
+    for (const auto &[Job, Stage] : Finals) {
+      Self->Final_[Job] = FinalStage{Stage, Self->Context_.Time.now()};
+      Self->Context_.Events.record(EventId::JobStage, Job, jobStageName(Stage));
+    }
+    for (const StartRun &Start : Starts) {
+      const JobPlan *Plan = Self->Scheduler_->plan(Start.Run.Task.Step.Job);
+      VmLink *Link = Self->link(Start.Vm);
+      if (Plan == nullptr || Link == nullptr)
+        continue;
+      Link->startRun(Start, Plan->Spec);
+    }
+  });
+}
+
+void PoolOwner::renewRegularly() {
+  if (Closed_)
+    return;
+  const TimePoint Now = Context_.Time.now();
+  if (Now - Writer_->renewedAt() >= OwnerRenewal)
+    Writer_->renew();
+  if (Scheduler_) {
+    wake();
+    if (Now - LastCleaning_ >= CleaningInterval)
+      forgetOldJobs();
+  }
+  Context_.Home.after(IdlePass,
+                      [Self = shared_from_this()] { Self->renewRegularly(); });
+}
+
+void PoolOwner::forgetOldJobs() {
+  const TimePoint Now = Context_.Time.now();
+  LastCleaning_ = Now;
+  for (auto Entry = Final_.begin(); Entry != Final_.end();) {
+    if (Now - Entry->second.At < Context_.Settings.KeepFinished + KeepMargin) {
+      ++Entry;
+      continue;
+    }
+    const std::string &Job = Entry->first;
+    Scheduler_->forgetJob(Job);
+    Writer_->remove(progressRow(Term_.Service, Job));
+    RowTransaction Change;
+    Change.Removals = {requestRow(Job), cancelRow(Job)};
+    Context_.Store.commit(std::move(Change), ReadTimeout,
+                          [](const Result<RowCommit> &) {
+                            // A row that stays is removed by a later owner.
+                          });
+    Entry = Final_.erase(Entry);
+  }
+}
+
+std::optional<JobStage> PoolOwner::stage(std::string_view Job) const {
+  const auto Final = Final_.find(Job);
+  if (Final != Final_.end())
+    return Final->second.Stage;
+  const auto Stage = Scheduler_->stage(Job);
+  // A final stage is not told before it is recorded.
+  if (Stage && isFinal(*Stage))
+    return JobStage::Running;
+  return Stage;
+}
+
+int PoolOwner::pending(std::string_view Queue) const {
+  return Scheduler_->pending(Queue);
+}
+
+TimePoint PoolOwner::leaseLimit() const {
+  return Writer_->renewedAt() + HoldLimit;
+}
+
+void PoolOwner::reported(VmLink &Link, const HoldAnswer &Answer,
+                         TimePoint AskedAt) {
+  std::int64_t Last = 0;
+  for (const TaskEnd &End : Answer.Ends) {
+    Last = std::max(Last, End.Number);
+    Context_.Events.record(EventId::RunEnded, runText(End.Run),
+                           fmt::format("{} {}", Link.vm(), endName(End.How)));
+    Scheduler_->taskEnded(Link.vm(), End);
+  }
+  Scheduler_->vmReported(Link.vm(), Answer.Born, Answer.Running, AskedAt);
+  if (Last > 0) {
+    recordChanges();
+    Writer_->whenCommitted(
+        [Self = shared_from_this(), Vm = Link.vm(), Born = Answer.Born, Last] {
+          VmLink *Target = Self->link(Vm);
+          if (!Self->Closed_ && Target != nullptr)
+            Target->acknowledge(Born, Last);
+        });
+  }
+  wake();
+}
+
+void PoolOwner::silent(VmLink &Link, std::string_view Why) {
+  Context_.Events.record(EventId::VmUnreachable, Link.vm(), Why);
+  Scheduler_->vmSilent(Link.vm());
+}
+
+void PoolOwner::lapsed(VmLink &Link) {
+  Context_.Events.record(EventId::VmLeaseLapsed, Link.vm(), Term_.Service);
+  Scheduler_->vmEmptied(Link.vm());
+  wake();
+}
+
+void PoolOwner::fenced(VmLink &Link) {
+  Context_.Events.record(EventId::VmClaimRefused, Link.vm(),
+                         fmt::format("epoch {}", Term_.Epoch));
+  // Later, since the link that calls is ended by it.
+  Context_.Home.post([Self = shared_from_this()] { Self->replaced(); });
+}
+
+void PoolOwner::startAnswered(VmLink &Link, const TaskRun &Run,
+                              StartOutcome Outcome, std::string_view Why) {
+  if (Outcome == StartOutcome::Accepted)
+    Context_.Events.record(EventId::RunStarted, runText(Run), Link.vm());
+  else
+    Context_.Events.record(EventId::RunRefused, runText(Run),
+                           fmt::format("{} {}", Link.vm(), Why));
+  Scheduler_->startAnswered(Link.vm(), Run, Outcome);
+  if (Outcome != StartOutcome::Accepted)
+    wake();
+}
+
+void PoolOwner::stopAnswered(VmLink &Link, const TaskRun &Run) {
+  Scheduler_->stopAnswered(Link.vm(), Run);
+}
+
+bool PoolOwner::wanted(const VmLink &Link, const TaskRun &Run) const {
+  return Scheduler_->wants(Link.vm(), Run);
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/QueueBook.cpp
@@ -0,0 +1,36 @@
+#include "cuminroad/fleet/QueueBook.h"
+
+namespace cuminroad {
+
+bool QueueBook::apply(QueueConfig Config) {
+  if (Config.Version <= Config_.Version)
+    return false;
+  Config_ = std::move(Config);
+  for (const std::function<void()> &Listener : Listeners_)
+    Listener();
+  return true;
+}
+
+const QueueRoute *QueueBook::match(std::string_view Host,
+                                   std::string_view Path) const {
+  const std::string_view Name = Host.substr(0, Host.find(':'));
+  const QueueRoute *Best = nullptr;
+  for (const QueueRoute &Route : Config_.Routes)
+    if (Route.Host == Name && Path.starts_with(Route.PathPrefix) &&
+        (Best == nullptr || Route.PathPrefix.size() > Best->PathPrefix.size()))
+      Best = &Route;
+  return Best;
+}
+
+const QueueTerms *QueueBook::terms(std::string_view Queue) const {
+  for (const QueueRoute &Route : Config_.Routes)
+    if (Route.Terms.Name == Queue)
+      return &Route.Terms;
+  return nullptr;
+}
+
+void QueueBook::onChange(std::function<void()> Listener) {
+  Listeners_.push_back(std::move(Listener));
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/VmDirectory.cpp
@@ -0,0 +1,45 @@
+#include "cuminroad/fleet/VmDirectory.h"
+
+namespace cuminroad {
+
+void VmDirectory::tableRead(std::vector<StoredRow> Rows) {
+  Entries_.clear();
+  for (const StoredRow &Row : Rows)
+    take(Row);
+  Known_ = true;
+  tell();
+}
+
+void VmDirectory::rowsChanged(std::vector<StoredRow> Rows) {
+  for (const StoredRow &Row : Rows)
+    take(Row);
+  tell();
+}
+
+void VmDirectory::take(const StoredRow &Row) {
+  if (Row.Removed) {
+    Entries_.erase(Row.Name.Key);
+    return;
+  }
+  auto Entry = Formats_.decodeVm(Row.Name.Key, Row.Value);
+  if (Entry) {
+    Entries_[Row.Name.Key] = std::move(*Entry);
+    return;
+  }
+  Events_.record(EventId::RowUnreadable, Row.Name.Key, Entry.error().text());
+  Entries_.erase(Row.Name.Key);
+}
+
+int VmDirectory::addListener(std::function<void()> Listener) {
+  Listeners_[++NextListener_] = std::move(Listener);
+  return NextListener_;
+}
+
+void VmDirectory::tell() {
+  // A listener may remove itself.
+  const auto Copy = Listeners_;
+  for (const auto &[Number, Listener] : Copy)
+    Listener();
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/net/include/cuminroad/net/LoopHttp.h
@@ -0,0 +1,27 @@
+#ifndef CUMINROAD_NET_LOOPHTTP_H
+#define CUMINROAD_NET_LOOPHTTP_H
+
+#include <memory>
+
+#include "cuminroad/net/HttpClient.h"
+#include "cuminroad/net/HttpServer.h"
+#include "cuminroad/net/Loop.h"
+
+namespace cuminroad {
+
+/// A client without a thread of its own: callbacks come on the loop's thread,
+/// and send() must be called there. \p Home must come from makeAsioLoop() and
+/// outlive the client.
+std::unique_ptr<HttpClient> makeLoopHttpClient(RunnableLoop &Home);
+
+/// A server without a thread of its own: handlers run on the loop's thread,
+/// and drain() does not wait for answers. \p Home must come from
+/// makeAsioLoop() and outlive the server. Throws std::exception where the port
+/// can't be opened.
+std::unique_ptr<HttpServer>
+startLoopHttpServer(RunnableLoop &Home, const HttpServerOptions &Options,
+                    HttpHandler Handler);
+
+} // namespace cuminroad
+
+#endif
--- a/packages/net/src/RestinioHttpServer.cpp
+++ b/packages/net/src/RestinioHttpServer.cpp
@@ -1,6 +1,7 @@
 // The only source file that includes RESTinio, whose headers are slow to
 // compile.
 #include "cuminroad/net/HttpServer.h"
+#include "cuminroad/net/LoopHttp.h"
 
 #include <atomic>
 #include <chrono>
@@ -8,6 +9,8 @@
 
 #include <restinio/all.hpp>
 
+#include "AsioLoop.h"
+
 namespace cuminroad {
 
 namespace {
@@ -40,41 +43,16 @@
   return Out;
 }
 
-class RestinioHttpServer final : public HttpServer {
+/// What both servers share: settings, and how a request is answered.
+class RestinioServer : public HttpServer {
 public:
-  RestinioHttpServer(const HttpServerOptions &Options, HttpHandler Handler)
-      : Handler_(std::move(Handler)), MaxBodyBytes_(Options.MaxBodyBytes),
-        Server_(restinio::own_io_context(), makeSettings(Options)) {
-    std::promise<std::exception_ptr> Opened;
-    Server_.open_async(
-        [&Opened] { Opened.set_value(nullptr); },
-        [&Opened](std::exception_ptr Fault) { Opened.set_value(Fault); });
-    Thread_ = std::thread([this] { Server_.io_context().run(); });
-    if (const std::exception_ptr Fault = Opened.get_future().get()) {
-      Server_.io_context().stop();
-      Thread_.join();
-      std::rethrow_exception(Fault);
-    }
-  }
-
-  ~RestinioHttpServer() override {
-    Server_.io_context().stop();
-    Thread_.join();
-  }
+  RestinioServer(const HttpServerOptions &Options, HttpHandler Handler)
+      : Handler_(std::move(Handler)), MaxBodyBytes_(Options.MaxBodyBytes) {}
 
   void announceClose() override { Closing_ = true; }
-
-  void drain() override {
-    Closing_ = true;
-    Server_.close_async([] {}, [](std::exception_ptr) {});
-    while (inFlight() > 0)
-      std::this_thread::sleep_for(DrainPoll);
-    std::this_thread::sleep_for(FlushTime);
-  }
-
   std::size_t inFlight() const override { return InFlight_; }
 
-private:
+protected:
   using Traits = restinio::traits_t<restinio::asio_timer_manager_t,
                                     restinio::null_logger_t>;
 
@@ -138,10 +116,61 @@
   std::size_t MaxBodyBytes_;
   std::atomic<bool> Closing_{false};
   std::atomic<std::size_t> InFlight_{0};
+};
+
+class RestinioHttpServer final : public RestinioServer {
+public:
+  RestinioHttpServer(const HttpServerOptions &Options, HttpHandler Handler)
+      : RestinioServer(Options, std::move(Handler)),
+        Server_(restinio::own_io_context(), makeSettings(Options)) {
+    std::promise<std::exception_ptr> Opened;
+    Server_.open_async(
+        [&Opened] { Opened.set_value(nullptr); },
+        [&Opened](std::exception_ptr Fault) { Opened.set_value(Fault); });
+    Thread_ = std::thread([this] { Server_.io_context().run(); });
+    if (const std::exception_ptr Fault = Opened.get_future().get()) {
+      Server_.io_context().stop();
+      Thread_.join();
+      std::rethrow_exception(Fault);
+    }
+  }
+
+  ~RestinioHttpServer() override {
+    Server_.io_context().stop();
+    Thread_.join();
+  }
+
+  void drain() override {
+    Closing_ = true;
+    Server_.close_async([] {}, [](std::exception_ptr) {});
+    while (inFlight() > 0)
+      std::this_thread::sleep_for(DrainPoll);
+    std::this_thread::sleep_for(FlushTime);
+  }
+
+private:
   restinio::http_server_t<Traits> Server_;
   std::thread Thread_;
 };
 
+class LoopHttpServer final : public RestinioServer {
+public:
+  LoopHttpServer(asio::io_context &Context, const HttpServerOptions &Options,
+                 HttpHandler Handler)
+      : RestinioServer(Options, std::move(Handler)),
+        Server_(restinio::external_io_context(Context), makeSettings(Options)) {
+    Server_.open_sync();
+  }
+
+  void drain() override {
+    Closing_ = true;
+    Server_.close_async([] {}, [](std::exception_ptr) {});
+  }
+
+private:
+  restinio::http_server_t<Traits> Server_;
+};
+
 } // namespace
 
 std::unique_ptr<HttpServer> startHttpServer(const HttpServerOptions &Options,
@@ -149,4 +178,11 @@
   return std::make_unique<RestinioHttpServer>(Options, std::move(Handler));
 }
 
+std::unique_ptr<HttpServer>
+startLoopHttpServer(RunnableLoop &Home, const HttpServerOptions &Options,
+                    HttpHandler Handler) {
+  return std::make_unique<LoopHttpServer>(
+      static_cast<AsioLoop &>(Home).context(), Options, std::move(Handler));
+}
+
 } // namespace cuminroad
--- /dev/null
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -0,0 +1,51 @@
+#ifndef CUMINROAD_POOL_POOLCOMMAND_H
+#define CUMINROAD_POOL_POOLCOMMAND_H
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminroad/pool/TaskName.h"
+
+namespace cuminroad {
+
+/// Start a run. It must be in the store before it is sent.
+struct StartRun {
+  std::string Vm;
+  TaskRun Run;
+  std::string Checkpoint;
+  std::string Ticket;
+};
+
+/// Stop a run; the VM saves a checkpoint where the task has them.
+struct StopRun {
+  std::string Vm;
+  TaskRun Run;
+};
+
+/// Let a task work at a share of its speed.
+struct PaceRun {
+  std::string Vm;
+  TaskRun Run;
+  int Percent = 100;
+};
+
+/// Ask which of some VMs may run a step.
+struct AskAdvice {
+  StepName Step;
+  std::vector<std::string> Vms;
+  /// How long the advisor is expected to take.
+  double ExpectedMs = 0;
+};
+
+using PoolCommand = std::variant<StartRun, StopRun, PaceRun, AskAdvice>;
+
+/// A ticket for one VM.
+struct AdviceTicket {
+  std::string Vm;
+  std::string Ticket;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -0,0 +1,47 @@
+#ifndef CUMINROAD_POOL_POOLOPTIONS_H
+#define CUMINROAD_POOL_POOLOPTIONS_H
+
+#include "cuminroad/base/Clock.h"
+
+namespace cuminroad {
+
+/// Bounds of the pool scheduler's policies.
+struct PoolOptions {
+  /// How much longer work takes away from its data, or a gang across racks;
+  /// the platform states it.
+  double RemoteFactor = 1.0;
+  /// Blocked steps that get VMs reserved at a time. Each holds room back from
+  /// steps behind it, so that a few of them suffice.
+  int ReservedSteps = 6;
+  /// A ticket is used only if it holds this much longer: the start has to be
+  /// written, sent and received.
+  milliseconds TicketMargin{250};
+  /// A step's tickets are renewed when they hold no longer than this.
+  milliseconds TicketRenewal{700};
+  /// Waiting steps whose tickets are kept fresh.
+  int FreshSteps = 16;
+  /// VMs asked about again when a step's tickets are renewed.
+  int RenewedVms = 6;
+  /// An advice call without an answer is given up after this.
+  milliseconds AdviceTimeout{4000};
+  /// A step's advice is asked for when the steps before it are expected to end
+  /// within the advisor's time and this.
+  milliseconds AdviceLead{300};
+  /// Failed starts and runs in a row after which a VM gets nothing new.
+  int FailuresToQuarantine = 3;
+  milliseconds QuarantineMin{3000};
+  milliseconds QuarantineMax{30000};
+  /// A task whose progress stands still this long is stopped and run elsewhere.
+  milliseconds StuckAfter{3000};
+  /// Delay before a task whose start was refused is placed again.
+  milliseconds RefusalDelay{150};
+  /// A job is of little value to its caller this many objectives late.
+  double LateFactor = 3.0;
+  /// Fillers are paced down when a serving task beside them is over its target
+  /// in this many reports in a row.
+  int ReportsOverTarget = 1;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -0,0 +1,104 @@
+#ifndef CUMINROAD_POOL_POOLSCHEDULER_H
+#define CUMINROAD_POOL_POOLSCHEDULER_H
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/pool/JobPlan.h"
+#include "cuminroad/pool/JobProgress.h"
+#include "cuminroad/pool/PoolCommand.h"
+#include "cuminroad/pool/PoolOptions.h"
+#include "cuminroad/pool/PoolVm.h"
+#include "cuminroad/pool/QueueTerms.h"
+#include "cuminroad/pool/WallClock.h"
+
+namespace cuminroad {
+
+/// Why a run that was placed did not go on; for logs.
+struct RunLoss {
+  TaskRun Run;
+  std::string Vm;
+  std::string_view Reason;
+};
+
+/// Decides which task of which job runs on which VM of one pool. Events go in,
+/// commands come out; it does no I/O and starts no thread.
+///
+/// Invariants: what was placed on a VM and has not certainly ended never
+/// exceeds the VM's capacity; a task is on one VM at most; no step starts
+/// before the steps that it follows are done.
+class PoolScheduler {
+public:
+  virtual ~PoolScheduler() = default;
+
+  /// Adds a VM or changes its description. A new life empties it.
+  virtual void vmListed(const PoolVm &Vm) = 0;
+  /// The VM's lease is held, and \p Running is all that runs there. Also tells
+  /// of each later report.
+  virtual void vmReported(std::string_view Vm, std::int64_t Born,
+                          std::span<const RunningTask> Running,
+                          TimePoint AskedAt) = 0;
+  /// The VM does not answer: it gets no work, but what runs there may go on.
+  virtual void vmSilent(std::string_view Vm) = 0;
+  /// Nothing of before runs on the VM any more, for certain.
+  virtual void vmEmptied(std::string_view Vm) = 0;
+  /// Forgets a VM; it must have been emptied.
+  virtual void vmRemoved(std::string_view Vm) = 0;
+
+  /// Adds a job that is in the store.
+  virtual void addJob(JobPlan Plan, QueueTerms Terms, TimePoint Accepted) = 0;
+  /// Adds a job of an earlier owner, with what the store knows of it.
+  virtual void restoreJob(JobPlan Plan, QueueTerms Terms, TimePoint Accepted,
+                          const JobProgress &Progress) = 0;
+  virtual void setTerms(const QueueTerms &Terms) = 0;
+  virtual void cancelJob(std::string_view Job) = 0;
+  virtual void forgetJob(std::string_view Job) = 0;
+
+  virtual void taskEnded(std::string_view Vm, const TaskEnd &End) = 0;
+  virtual void startAnswered(std::string_view Vm, const TaskRun &Run,
+                             StartOutcome Outcome) = 0;
+  /// The VM took the order to stop a run.
+  virtual void stopAnswered(std::string_view Vm, const TaskRun &Run) = 0;
+  /// What the advisor said; \p Asked without a ticket are not to be used.
+  virtual void adviceCame(const StepName &Step,
+                          std::span<const std::string> Asked,
+                          std::span<const AdviceTicket> Good,
+                          TimePoint ValidUntil) = 0;
+  virtual void adviceFailed(const StepName &Step) = 0;
+
+  /// Places what can be placed and handles what became due.
+  virtual void schedule() = 0;
+  /// \returns the commands since the last call, in order.
+  virtual std::vector<PoolCommand> takeCommands() = 0;
+  /// \returns the jobs whose progress changed since the last call.
+  virtual std::vector<std::string> takeChangedJobs() = 0;
+  virtual std::vector<RunLoss> takeLosses() = 0;
+
+  virtual std::optional<JobStage> stage(std::string_view Job) const = 0;
+  virtual JobProgress progress(std::string_view Job) const = 0;
+  /// Whether \p Run is the present run of its task on \p Vm and not being
+  /// stopped.
+  virtual bool wants(std::string_view Vm, const TaskRun &Run) const = 0;
+  /// \returns the jobs of a queue for which no task has started.
+  virtual int pending(std::string_view Queue) const = 0;
+  /// \returns the VMs on which tasks may run, with the lives recorded.
+  virtual std::vector<std::string> occupiedVms() const = 0;
+  /// \returns the plan of an unfinished job, or null.
+  virtual const JobPlan *plan(std::string_view Job) const = 0;
+  /// \returns the terms of an unfinished job's queue, or null.
+  virtual const QueueTerms *terms(std::string_view Job) const = 0;
+};
+
+/// \p Time and \p Wall must outlive the scheduler.
+std::unique_ptr<PoolScheduler> makePoolScheduler(const Clock &Time,
+                                                 const WallClock &Wall,
+                                                 const PoolOptions &Options);
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/pool/include/cuminroad/pool/SystemWallClock.h
@@ -0,0 +1,19 @@
+#ifndef CUMINROAD_POOL_SYSTEMWALLCLOCK_H
+#define CUMINROAD_POOL_SYSTEMWALLCLOCK_H
+
+#include "cuminroad/pool/WallClock.h"
+
+namespace cuminroad {
+
+/// The machine's time of day.
+class SystemWallClock final : public WallClock {
+public:
+  milliseconds sinceEpoch() const override {
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+  }
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -0,0 +1,136 @@
+#include "AdvicePlanner.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+namespace {
+
+/// Most VMs that one call may name.
+constexpr std::size_t MaxAskedVms = 100;
+
+milliseconds toMillis(double Ms) {
+  return milliseconds(static_cast<std::int64_t>(Ms));
+}
+
+} // namespace
+
+void AdvicePlanner::run() {
+  for (const auto &[Id, Job] : Tables_.Jobs) {
+    if (isFinal(Job->Stage) || !Job->Terms.Advice)
+      continue;
+    for (const auto &[Number, Occurrence] : Job->Occurrences)
+      for (StepRecord &Step : Occurrence->Steps)
+        if (Step.Waiting > 0)
+          consider(Step);
+  }
+  std::sort(Waiting_.begin(), Waiting_.end(),
+            [](const Waiting &Left, const Waiting &Right) {
+              return std::tie(Left.Priority, Left.Due) <
+                     std::tie(Right.Priority, Right.Due);
+            });
+  int Left = Options_.FreshSteps;
+  for (const Waiting &Entry : Waiting_)
+    if (Left-- > 0)
+      renewTickets(*Entry.Step);
+}
+
+void AdvicePlanner::consider(StepRecord &Step) {
+  if (Step.Asking) {
+    if (Now_ - Step.AskedAt < Options_.AdviceTimeout)
+      return;
+    Step.Asking = false;
+  }
+  const bool Ready = isReady(Step);
+  if (!Ready && !soonReady(Step))
+    return;
+  askAboutNewVms(Step);
+  if (Ready && !Step.Asking) {
+    const JobRecord &Job = *Step.Occurrence->Job;
+    Waiting_.push_back(
+        Waiting{Job.Terms.Priority, Step.Occurrence->Due, &Step});
+  }
+}
+
+bool AdvicePlanner::soonReady(const StepRecord &Step) const {
+  const std::vector<StepRecord> &Steps = Step.Occurrence->Steps;
+  const milliseconds Lead =
+      toMillis(expectedMs(Step, Tables_.Vms.size())) + Options_.AdviceLead;
+  for (const int Before : Step.Plan->After) {
+    const StepRecord &Earlier = Steps[static_cast<std::size_t>(Before)];
+    if (Earlier.Waiting > 0)
+      return false;
+    for (const TaskRecord &Task : Earlier.Tasks)
+      if (Task.onVm() && Task.PlacedAt + Earlier.Plan->Estimate > Now_ + Lead)
+        return false;
+  }
+  return true;
+}
+
+double AdvicePlanner::expectedMs(const StepRecord &Step,
+                                 std::size_t Vms) const {
+  const AdviceTerms &Terms = *Step.Occurrence->Job->Terms.Advice;
+  return static_cast<double>(Terms.Decision.count()) +
+         Terms.EachMs * static_cast<double>(Vms);
+}
+
+bool AdvicePlanner::usable(const StepRecord &Step, const VmRecord &Vm) const {
+  const StepPlan &Plan = *Step.Plan;
+  return Vm.Listed && Vm.Claimed && !Vm.Vm.Leaving &&
+         Plan.reserved().fitsIn(Vm.Vm.Total) &&
+         (Plan.RequiredLabel.empty() || Vm.Vm.hasLabel(Plan.RequiredLabel));
+}
+
+void AdvicePlanner::askAboutNewVms(StepRecord &Step) {
+  std::vector<std::string> New;
+  for (const auto &[Id, Vm] : Tables_.Vms) {
+    if (!usable(Step, *Vm) || New.size() >= MaxAskedVms)
+      continue;
+    const auto Asked = Step.AskedVms.find(Id);
+    if (Asked == Step.AskedVms.end() || Asked->second != Vm->Vm.Born)
+      New.push_back(Id);
+  }
+  if (!New.empty())
+    ask(Step, std::move(New));
+}
+
+void AdvicePlanner::renewTickets(StepRecord &Step) {
+  // The VMs most likely to take the next task: those with most room.
+  std::vector<std::pair<std::int64_t, VmRecord *>> Best;
+  const Capacity Need = Step.Plan->reserved();
+  for (const auto &[Vm, Ticket] : Step.Good) {
+    if (!usable(Step, *Vm) || Ticket.Born != Vm->Vm.Born)
+      continue;
+    const Capacity Free = Vm->free();
+    const std::int64_t Lack =
+        std::max<std::int64_t>(0, Need.MilliCores - Free.MilliCores) +
+        std::max<std::int64_t>(0, Need.Accelerators - Free.Accelerators) * 8000;
+    Best.emplace_back(Lack, Vm);
+  }
+  std::sort(Best.begin(), Best.end());
+  const std::size_t Wanted =
+      std::max(static_cast<std::size_t>(Options_.RenewedVms),
+               Step.Plan->Gang ? Step.Tasks.size() : 0);
+  Best.resize(std::min(Best.size(), Wanted));
+  const milliseconds Margin =
+      Options_.TicketMargin + toMillis(expectedMs(Step, Best.size()) * 1.3);
+  const bool Stale =
+      std::any_of(Best.begin(), Best.end(), [&](const auto &Entry) {
+        return Step.Good[Entry.second].ValidUntil < Now_ + Margin;
+      });
+  if (!Stale)
+    return;
+  std::vector<std::string> Vms;
+  for (const auto &[Lack, Vm] : Best)
+    Vms.push_back(Vm->Vm.Id);
+  ask(Step, std::move(Vms));
+}
+
+void AdvicePlanner::ask(StepRecord &Step, std::vector<std::string> Vms) {
+  Step.Asking = true;
+  Step.AskedAt = Now_;
+  const double Expected = expectedMs(Step, Vms.size());
+  Tables_.Commands.push_back(AskAdvice{nameOf(Step), std::move(Vms), Expected});
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/AdvicePlanner.h
@@ -0,0 +1,42 @@
+#ifndef CUMINROAD_POOL_SRC_ADVICEPLANNER_H
+#define CUMINROAD_POOL_SRC_ADVICEPLANNER_H
+
+#include "PoolTables.h"
+#include "cuminroad/pool/PoolOptions.h"
+
+namespace cuminroad {
+
+/// Decides what to ask the placement advisor. Which VMs are good for a step
+/// never changes, but tickets age: so a step's VMs are asked about once, all
+/// together and early, and the tickets of steps near the front of the queue
+/// are renewed for the few VMs that may take their next tasks.
+class AdvicePlanner {
+public:
+  AdvicePlanner(PoolTables &Tables, const PoolOptions &Options, TimePoint Now)
+      : Tables_(Tables), Options_(Options), Now_(Now) {}
+
+  void run();
+
+private:
+  struct Waiting {
+    int Priority;
+    TimePoint Due;
+    StepRecord *Step;
+  };
+  void consider(StepRecord &Step);
+  void askAboutNewVms(StepRecord &Step);
+  void renewTickets(StepRecord &Step);
+  bool soonReady(const StepRecord &Step) const;
+  void ask(StepRecord &Step, std::vector<std::string> Vms);
+  double expectedMs(const StepRecord &Step, std::size_t Vms) const;
+  bool usable(const StepRecord &Step, const VmRecord &Vm) const;
+
+  PoolTables &Tables_;
+  const PoolOptions &Options_;
+  TimePoint Now_;
+  std::vector<Waiting> Waiting_;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -0,0 +1,199 @@
+// Jobs: how they come, and how they end.
+#include "PoolSchedulerImpl.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+JobRecord &PoolSchedulerImpl::insert(JobPlan Plan, QueueTerms Terms,
+                                     TimePoint Accepted) {
+  auto New = std::make_unique<JobRecord>();
+  New->Chain = longestChain(Plan, Terms);
+  New->Plan = std::move(Plan);
+  New->Terms = std::move(Terms);
+  New->Accepted = Accepted;
+  JobRecord &Out = *New;
+  Tables_.Jobs[Out.Plan.Id] = std::move(New);
+  return Out;
+}
+
+void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Terms,
+                               TimePoint Accepted) {
+  if (stage(Plan.Id))
+    return;
+  JobRecord &Job = insert(std::move(Plan), std::move(Terms), Accepted);
+  if (Job.Plan.Occurrences == 0) {
+    Tables_.makeOccurrence(Job, 0, Accepted);
+    Job.Created = 1;
+  }
+}
+
+void PoolSchedulerImpl::restoreJob(JobPlan Plan, QueueTerms Terms,
+                                   TimePoint Accepted,
+                                   const JobProgress &Progress) {
+  if (isFinal(Progress.Stage)) {
+    Tables_.Finished[Plan.Id] = Progress.Stage;
+    return;
+  }
+  const std::string Id = Plan.Id;
+  addJob(std::move(Plan), std::move(Terms), Accepted);
+  JobRecord *Job = Tables_.job(Id);
+  if (Job == nullptr)
+    return;
+  Job->Stage = Progress.Stage;
+  Job->Started = Progress.Stage != JobStage::Queued;
+  for (const OccurrenceProgress &Entry : Progress.Occurrences)
+    restoreOccurrence(*Job, Entry);
+}
+
+void PoolSchedulerImpl::restoreOccurrence(JobRecord &Job,
+                                          const OccurrenceProgress &Progress) {
+  Job.Created = std::max(Job.Created, Progress.Number + 1);
+  if (Progress.Done) {
+    Job.DoneOccurrences.insert(Progress.Number);
+    Job.Occurrences.erase(Progress.Number);
+    return;
+  }
+  if (!Job.Occurrences.contains(Progress.Number))
+    Tables_.makeOccurrence(Job, Progress.Number, Job.Accepted);
+  OccurrenceRecord &Occurrence = *Job.Occurrences[Progress.Number];
+  for (const StepProgress &Each : Progress.Steps) {
+    if (Each.Step < 0 || Each.Step >= static_cast<int>(Occurrence.Steps.size()))
+      continue;
+    StepRecord &Step = Occurrence.Steps[static_cast<std::size_t>(Each.Step)];
+    Step.GangFailures = Each.GangFailures;
+    if (Each.Done)
+      for (TaskRecord &Task : Step.Tasks)
+        Tables_.setPhase(Task, TaskPhase::Done);
+    for (const TaskProgress &Task : Each.Tasks)
+      restoreTask(Step, Task);
+  }
+}
+
+void PoolSchedulerImpl::restoreTask(StepRecord &Step,
+                                    const TaskProgress &Progress) {
+  if (Progress.Index < 0 ||
+      Progress.Index >= static_cast<int>(Step.Tasks.size()))
+    return;
+  TaskRecord &Task = Step.Tasks[static_cast<std::size_t>(Progress.Index)];
+  if (Progress.Done)
+    return Tables_.setPhase(Task, TaskPhase::Done);
+  Task.Failures = Progress.Failures;
+  Task.Run = Progress.Run;
+  Task.Checkpoint = Progress.Checkpoint;
+  if (Progress.Vm.empty())
+    return;
+  VmRecord &Vm = Tables_.makeVm(Progress.Vm);
+  if (Vm.Vm.Born == 0)
+    Vm.Vm.Born = Progress.VmBorn;
+  // A later life of the VM has nothing of this run.
+  if (Vm.Vm.Born != Progress.VmBorn)
+    return;
+  Task.PlacedAt = Time_.now();
+  Task.MovedAt = Task.PlacedAt;
+  Task.ConfirmedAt = TimePoint::min();
+  Tables_.adopt(Task, Vm, TaskPhase::Running);
+}
+
+void PoolSchedulerImpl::setTerms(const QueueTerms &Terms) {
+  for (const auto &[Id, Job] : Tables_.Jobs)
+    if (Job->Terms.Name == Terms.Name)
+      Job->Terms = Terms;
+}
+
+void PoolSchedulerImpl::cancelJob(std::string_view Id) {
+  JobRecord *Job = Tables_.job(Id);
+  if (Job != nullptr && !isFinal(Job->Stage))
+    finishJob(*Job, JobStage::Cancelled);
+}
+
+void PoolSchedulerImpl::forgetJob(std::string_view Id) {
+  const auto Found = Tables_.Finished.find(Id);
+  if (Found != Tables_.Finished.end())
+    Tables_.Finished.erase(Found);
+}
+
+void PoolSchedulerImpl::finishOccurrence(OccurrenceRecord &Occurrence) {
+  JobRecord &Job = *Occurrence.Job;
+  Occurrence.Done = true;
+  Job.DoneOccurrences.insert(Occurrence.Number);
+  const int All = std::max(Job.Plan.Occurrences, 1);
+  if (static_cast<int>(Job.DoneOccurrences.size()) == All)
+    return finishJob(Job, JobStage::Completed);
+  // Nothing of it is on a VM, since all its tasks are done.
+  Job.Occurrences.erase(Occurrence.Number);
+}
+
+void PoolSchedulerImpl::finishJob(JobRecord &Job, JobStage Stage) {
+  Job.Stage = Stage;
+  Tables_.changed(Job);
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (StepRecord &Step : Occurrence->Steps)
+      for (TaskRecord &Task : Step.Tasks)
+        if (Task.onVm())
+          stopTask(Task);
+}
+
+void PoolSchedulerImpl::settleJob(JobRecord &Job) {
+  if (!isFinal(Job.Stage))
+    return;
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (const StepRecord &Step : Occurrence->Steps)
+      if (Step.OnVms > 0)
+        return;
+  Tables_.Finished[Job.Plan.Id] = Job.Stage;
+  Tables_.Jobs.erase(Job.Plan.Id);
+}
+
+void PoolSchedulerImpl::createDueOccurrences() {
+  const milliseconds Wall = Wall_.sinceEpoch();
+  for (const auto &[Id, Job] : Tables_.Jobs) {
+    if (Job->Plan.Occurrences == 0 || isFinal(Job->Stage))
+      continue;
+    while (Job->Created < Job->Plan.Occurrences &&
+           Job->Plan.FirstDue + Job->Plan.Interval * Job->Created <= Wall) {
+      Tables_.makeOccurrence(*Job, Job->Created, Time_.now());
+      ++Job->Created;
+      Tables_.changed(*Job);
+    }
+  }
+}
+
+std::optional<JobStage> PoolSchedulerImpl::stage(std::string_view Id) const {
+  if (const JobRecord *Job = Tables_.job(Id))
+    return Job->Stage;
+  const auto Found = Tables_.Finished.find(Id);
+  if (Found == Tables_.Finished.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+JobProgress PoolSchedulerImpl::progress(std::string_view Id) const {
+  if (const JobRecord *Job = Tables_.job(Id))
+    return progressOf(*Job);
+  JobProgress Out;
+  const auto Found = Tables_.Finished.find(Id);
+  if (Found != Tables_.Finished.end())
+    Out.Stage = Found->second;
+  return Out;
+}
+
+int PoolSchedulerImpl::pending(std::string_view Queue) const {
+  return static_cast<int>(std::count_if(
+      Tables_.Jobs.begin(), Tables_.Jobs.end(), [Queue](const auto &Entry) {
+        const JobRecord &Job = *Entry.second;
+        return Job.Terms.Name == Queue && !Job.Started && !isFinal(Job.Stage);
+      }));
+}
+
+const JobPlan *PoolSchedulerImpl::plan(std::string_view Id) const {
+  const JobRecord *Job = Tables_.job(Id);
+  return Job == nullptr ? nullptr : &Job->Plan;
+}
+
+const QueueTerms *PoolSchedulerImpl::terms(std::string_view Id) const {
+  const JobRecord *Job = Tables_.job(Id);
+  return Job == nullptr ? nullptr : &Job->Terms;
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -0,0 +1,235 @@
+// Runs of tasks: how starts are answered, how runs end, and advice.
+#include "PoolSchedulerImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "AdvicePlanner.h"
+#include "SchedulingPass.h"
+
+namespace cuminroad {
+
+namespace {
+
+/// Weight of the newest run in a VM's smoothed slowness.
+constexpr double NewestWeight = 0.15;
+/// Estimates are off by up to a factor of this order; a single run says no
+/// more.
+constexpr double SlownessMin = 0.4;
+constexpr double SlownessMax = 4.0;
+/// Progress of a serving task that is at work.
+constexpr int FullPercent = 100;
+
+} // namespace
+
+TaskRecord *PoolSchedulerImpl::current(const VmRecord *Vm,
+                                       const TaskRun &Run) const {
+  TaskRecord *Task = Tables_.task(Run.Task);
+  if (Task == nullptr || Vm == nullptr || Task->Vm != Vm ||
+      Task->Run != Run.Number)
+    return nullptr;
+  return Task;
+}
+
+bool PoolSchedulerImpl::wants(std::string_view Vm, const TaskRun &Run) const {
+  const TaskRecord *Task = current(Tables_.vm(Vm), Run);
+  return Task != nullptr && Task->Phase != TaskPhase::Stopping;
+}
+
+void PoolSchedulerImpl::stopTask(TaskRecord &Task) {
+  if (Task.Phase == TaskPhase::Stopping)
+    return;
+  Tables_.setPhase(Task, TaskPhase::Stopping);
+  Tables_.Commands.push_back(
+      StopRun{Task.Vm->Vm.Id, TaskRun{nameOf(Task), Task.Run}});
+}
+
+void PoolSchedulerImpl::taskEnded(std::string_view Id, const TaskEnd &End) {
+  VmRecord *Vm = Tables_.vm(Id);
+  if (Vm == nullptr)
+    return;
+  const auto Stranger = Vm->Strangers.find(End.Run);
+  if (Stranger != Vm->Strangers.end()) {
+    Vm->Used -= Stranger->second;
+    Vm->Strangers.erase(Stranger);
+  }
+  if (TaskRecord *Task = current(Vm, End.Run))
+    ended(*Task, End, *Vm);
+}
+
+void PoolSchedulerImpl::ended(TaskRecord &Task, const TaskEnd &End,
+                              VmRecord &Vm) {
+  noteCheckpoint(Task, End.Checkpoint);
+  JobRecord &Job = *Task.Step->Occurrence->Job;
+  if (isFinal(Job.Stage)) {
+    Tables_.release(Task);
+    return settleJob(Job);
+  }
+  switch (End.How) {
+  case RunEnd::Done:
+    return endedDone(Task, Vm);
+  case RunEnd::Failed:
+    return endedFailed(Task, Vm);
+  case RunEnd::Stopped:
+  case RunEnd::Broken:
+    return Tables_.release(Task);
+  case RunEnd::Lapsed:
+  case RunEnd::Alone:
+    return lose(Task, End.How == RunEnd::Lapsed ? "lapsed" : "gang_incomplete");
+  }
+}
+
+void PoolSchedulerImpl::noteRunTime(const TaskRecord &Task,
+                                    VmRecord &Vm) const {
+  const StepPlan &Plan = *Task.Step->Plan;
+  if (Plan.Fills || Plan.Gang || Plan.Estimate.count() <= 0 ||
+      !Task.Checkpoint.empty() || !Task.ConfirmedAt ||
+      *Task.ConfirmedAt == TimePoint::min())
+    return;
+  const double Took = static_cast<double>(
+      std::chrono::duration_cast<milliseconds>(Time_.now() - Task.PlacedAt)
+          .count());
+  const double Ratio =
+      std::clamp(Took / static_cast<double>(Plan.Estimate.count()), SlownessMin,
+                 SlownessMax);
+  Vm.Slowness += (Ratio - Vm.Slowness) * NewestWeight;
+}
+
+void PoolSchedulerImpl::endedDone(TaskRecord &Task, VmRecord &Vm) {
+  StepRecord &Step = *Task.Step;
+  Vm.FailuresInARow = 0;
+  Vm.Quarantine = milliseconds(0);
+  if (Step.Plan->LongRunning)
+    return Tables_.release(Task);
+  noteRunTime(Task, Vm);
+  Tables_.finish(Task);
+  // The members of a gang end together; one end stands for all.
+  if (Step.Plan->Gang)
+    for (TaskRecord &Member : Step.Tasks)
+      if (Member.Phase != TaskPhase::Done)
+        Tables_.finish(Member);
+  OccurrenceRecord &Occurrence = *Step.Occurrence;
+  const bool Complete =
+      std::all_of(Occurrence.Steps.begin(), Occurrence.Steps.end(),
+                  [](const StepRecord &Each) { return Each.complete(); });
+  if (!Complete)
+    return;
+  JobRecord &Job = *Occurrence.Job;
+  finishOccurrence(Occurrence);
+  settleJob(Job);
+}
+
+void PoolSchedulerImpl::endedFailed(TaskRecord &Task, VmRecord &Vm) {
+  StepRecord &Step = *Task.Step;
+  JobRecord &Job = *Step.Occurrence->Job;
+  countFailure(Vm);
+  Tables_.release(Task);
+  if (Step.Plan->LongRunning)
+    return;
+  const int Failures = Step.Plan->Gang ? ++Step.GangFailures : ++Task.Failures;
+  if (Failures >= Job.Terms.Attempts) {
+    finishJob(Job, JobStage::Failed);
+    settleJob(Job);
+  }
+}
+
+void PoolSchedulerImpl::startAnswered(std::string_view Id, const TaskRun &Run,
+                                      StartOutcome Outcome) {
+  VmRecord *Vm = Tables_.vm(Id);
+  TaskRecord *Task = current(Vm, Run);
+  if (Task == nullptr)
+    return;
+  if (Outcome == StartOutcome::Accepted) {
+    if (Task->Phase == TaskPhase::Placed)
+      Tables_.setPhase(*Task, TaskPhase::Running);
+    Task->ConfirmedAt = Time_.now();
+    return;
+  }
+  if (Task->Phase != TaskPhase::Placed && Task->Phase != TaskPhase::Stopping)
+    return;
+  if (Outcome == StartOutcome::Refused) {
+    countFailure(*Vm);
+    Task->NotBefore = Time_.now() + Options_.RefusalDelay;
+  }
+  if (Outcome == StartOutcome::TicketExpired) {
+    Task->Step->Good.erase(Vm);
+    Task->Step->AskedVms.erase(Vm->Vm.Id);
+  }
+  lose(*Task, "start_refused");
+}
+
+void PoolSchedulerImpl::stopAnswered(std::string_view Id, const TaskRun &Run) {
+  TaskRecord *Task = current(Tables_.vm(Id), Run);
+  // The VM now refuses the run, if it was not there.
+  if (Task != nullptr && !Task->ConfirmedAt)
+    Task->ConfirmedAt = Time_.now();
+}
+
+void PoolSchedulerImpl::adviceCame(const StepName &Name,
+                                   std::span<const std::string> Asked,
+                                   std::span<const AdviceTicket> Good,
+                                   TimePoint ValidUntil) {
+  StepRecord *Step = Tables_.step(Name);
+  if (Step == nullptr)
+    return;
+  Step->Asking = false;
+  for (const std::string &Id : Asked)
+    if (const VmRecord *Vm = Tables_.vm(Id))
+      Step->AskedVms[Id] = Vm->Vm.Born;
+  for (const AdviceTicket &Entry : Good)
+    if (VmRecord *Vm = Tables_.vm(Entry.Vm))
+      Step->Good[Vm] = TicketRecord{Entry.Ticket, ValidUntil, Vm->Vm.Born};
+}
+
+void PoolSchedulerImpl::adviceFailed(const StepName &Name) {
+  if (StepRecord *Step = Tables_.step(Name))
+    Step->Asking = false;
+}
+
+void PoolSchedulerImpl::stopStuckTasks() {
+  const TimePoint Now = Time_.now();
+  for (const auto &[Id, Vm] : Tables_.Vms) {
+    if (!Vm->Claimed)
+      continue;
+    const std::vector<TaskRecord *> Tasks(Vm->Tasks.begin(), Vm->Tasks.end());
+    for (TaskRecord *Task : Tasks) {
+      const StepPlan &Plan = *Task->Step->Plan;
+      const bool AtWork = Plan.LongRunning && Task->Percent >= FullPercent;
+      if (Task->Phase != TaskPhase::Running || Plan.Fills || Plan.Gang ||
+          AtWork || Now - Task->MovedAt < Options_.StuckAfter)
+        continue;
+      countFailure(*Vm);
+      stopTask(*Task);
+    }
+  }
+}
+
+void PoolSchedulerImpl::schedule() {
+  createDueOccurrences();
+  stopStuckTasks();
+  const TimePoint Now = Time_.now();
+  SchedulingPass(Tables_, Options_, Now).run();
+  AdvicePlanner(Tables_, Options_, Now).run();
+}
+
+std::vector<PoolCommand> PoolSchedulerImpl::takeCommands() {
+  return std::exchange(Tables_.Commands, {});
+}
+
+std::vector<std::string> PoolSchedulerImpl::takeChangedJobs() {
+  std::vector<std::string> Out(Tables_.Changed.begin(), Tables_.Changed.end());
+  Tables_.Changed.clear();
+  return Out;
+}
+
+std::vector<RunLoss> PoolSchedulerImpl::takeLosses() {
+  return std::exchange(Tables_.Losses, {});
+}
+
+std::unique_ptr<PoolScheduler> makePoolScheduler(const Clock &Time,
+                                                 const WallClock &Wall,
+                                                 const PoolOptions &Options) {
+  return std::make_unique<PoolSchedulerImpl>(Time, Wall, Options);
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -0,0 +1,222 @@
+// VMs: what they report, and what is done about it.
+#include "PoolSchedulerImpl.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+namespace {
+
+/// A serving task counts as near its target from this share of it; the tail
+/// moves within seconds.
+constexpr double NearTarget = 0.85;
+/// Fillers work again when the tail is below this share of the target.
+constexpr double WellBelowTarget = 0.6;
+/// How long fillers are held back at first; doubles each time up to the last.
+constexpr milliseconds PaceTimeMin{2000};
+constexpr milliseconds PaceTimeMax{16000};
+constexpr int FullPace = 100;
+constexpr int HeldBack = 0;
+/// A task this close to its end is left to end on a VM that leaves.
+constexpr milliseconds WorthMoving{1500};
+
+} // namespace
+
+void PoolSchedulerImpl::vmListed(const PoolVm &Listed) {
+  VmRecord &Vm = Tables_.makeVm(Listed.Id);
+  if (Vm.Vm.Born != 0 && Vm.Vm.Born != Listed.Born)
+    emptyVm(Vm, "vm_restarted");
+  const bool WasLeaving = Vm.Vm.Leaving;
+  Vm.Vm = Listed;
+  Vm.Listed = true;
+  if (Listed.Leaving && !WasLeaving)
+    stopTasksOfLeavingVm(Vm);
+}
+
+void PoolSchedulerImpl::stopTasksOfLeavingVm(VmRecord &Vm) {
+  const TimePoint Now = Time_.now();
+  const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
+  for (TaskRecord *Task : Tasks) {
+    const StepPlan &Plan = *Task->Step->Plan;
+    const bool Movable = Plan.LongRunning || (Plan.Checkpointing && !Plan.Gang);
+    if (Task->Phase == TaskPhase::Running && Movable &&
+        (Plan.LongRunning ||
+         Task->PlacedAt + Plan.Estimate > Now + WorthMoving))
+      stopTask(*Task);
+  }
+}
+
+void PoolSchedulerImpl::vmReported(std::string_view Id, std::int64_t Born,
+                                   std::span<const RunningTask> Running,
+                                   TimePoint AskedAt) {
+  VmRecord *Vm = Tables_.vm(Id);
+  if (Vm == nullptr)
+    return;
+  if (Vm->Vm.Born != Born) {
+    emptyVm(*Vm, "vm_restarted");
+    Vm->Vm.Born = Born;
+  }
+  Vm->Claimed = true;
+  for (auto &[Run, Size] : Vm->Strangers)
+    Vm->Used -= Size;
+  Vm->Strangers.clear();
+  for (const RunningTask &Report : Running)
+    reportRunning(*Vm, Report);
+  dropMissing(*Vm, Running, AskedAt);
+  paceFillers(*Vm);
+}
+
+void PoolSchedulerImpl::reportRunning(VmRecord &Vm, const RunningTask &Report) {
+  TaskRecord *Task = current(&Vm, Report.Run);
+  if (Task == nullptr) {
+    // Nobody waits for this run, for instance since its job was cancelled
+    // under an earlier owner. It takes room until it is gone.
+    const StepRecord *Step = Tables_.step(Report.Run.Task.Step);
+    const Capacity Size =
+        Step != nullptr ? Step->Plan->reserved() : Vm.Vm.Total;
+    if (Vm.Strangers.emplace(Report.Run, Size).second)
+      Vm.Used += Size;
+    Tables_.Commands.push_back(StopRun{Vm.Vm.Id, Report.Run});
+    return;
+  }
+  const TimePoint Now = Time_.now();
+  if (Task->Phase == TaskPhase::Placed)
+    Tables_.setPhase(*Task, TaskPhase::Running);
+  if (!Task->ConfirmedAt)
+    Task->ConfirmedAt = Now;
+  if (Report.Percent != Task->Percent) {
+    Task->Percent = Report.Percent;
+    Task->MovedAt = Now;
+  }
+  Task->Measure = Report.Measure;
+  noteCheckpoint(*Task, Report.Checkpoint);
+}
+
+void PoolSchedulerImpl::noteCheckpoint(TaskRecord &Task,
+                                       const std::string &Checkpoint) {
+  if (Checkpoint.empty() || Checkpoint == Task.Checkpoint)
+    return;
+  Task.Checkpoint = Checkpoint;
+  // All members of a gang must start from the same one.
+  if (Task.Step->Plan->Gang)
+    for (TaskRecord &Member : Task.Step->Tasks)
+      Member.Checkpoint = Checkpoint;
+}
+
+void PoolSchedulerImpl::dropMissing(VmRecord &Vm,
+                                    std::span<const RunningTask> Running,
+                                    TimePoint AskedAt) {
+  std::set<const TaskRecord *> Seen;
+  for (const RunningTask &Report : Running)
+    Seen.insert(current(&Vm, Report.Run));
+  const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
+  for (TaskRecord *Task : Tasks) {
+    // A start that was not answered yet may still be on its way.
+    const bool Settled = Task->ConfirmedAt && *Task->ConfirmedAt < AskedAt;
+    if (Settled && !Seen.contains(Task))
+      lose(*Task, "not_on_vm");
+  }
+}
+
+void PoolSchedulerImpl::paceFillers(VmRecord &Vm) {
+  bool Near = false;
+  bool Below = true;
+  for (const TaskRecord *Task : Vm.Tasks) {
+    if (!Task->Step->Plan->serves())
+      continue;
+    const double Target =
+        static_cast<double>(Task->Step->Plan->LatencyTarget.count());
+    Near = Near || Task->Measure > Target * NearTarget;
+    Below = Below && Task->Measure < Target * WellBelowTarget;
+  }
+  const TimePoint Now = Time_.now();
+  if (Near) {
+    if (Vm.PacedUntil <= Now)
+      Vm.PaceTime = std::clamp(Vm.PaceTime * 2, PaceTimeMin, PaceTimeMax);
+    Vm.PacedUntil = Now + Vm.PaceTime;
+  }
+  const bool HoldBack = Now < Vm.PacedUntil || !Below;
+  for (TaskRecord *Task : Vm.Tasks) {
+    if (!Task->Step->Plan->Fills || Task->Phase != TaskPhase::Running)
+      continue;
+    if (Now < Vm.PacedUntil)
+      setPace(*Task, HeldBack);
+    else if (!HoldBack)
+      setPace(*Task, FullPace);
+  }
+}
+
+void PoolSchedulerImpl::setPace(TaskRecord &Task, int Percent) {
+  if (Task.Pace == Percent)
+    return;
+  Task.Pace = Percent;
+  Tables_.Commands.push_back(
+      PaceRun{Task.Vm->Vm.Id, TaskRun{nameOf(Task), Task.Run}, Percent});
+}
+
+void PoolSchedulerImpl::vmSilent(std::string_view Id) {
+  if (VmRecord *Vm = Tables_.vm(Id))
+    Vm->Claimed = false;
+}
+
+void PoolSchedulerImpl::vmEmptied(std::string_view Id) {
+  if (VmRecord *Vm = Tables_.vm(Id))
+    emptyVm(*Vm, "lease_lapsed");
+}
+
+void PoolSchedulerImpl::vmRemoved(std::string_view Id) {
+  const auto Found = Tables_.Vms.find(Id);
+  if (Found == Tables_.Vms.end())
+    return;
+  VmRecord &Vm = *Found->second;
+  emptyVm(Vm, "vm_gone");
+  for (const auto &[Name, Job] : Tables_.Jobs)
+    for (const auto &[Number, Occurrence] : Job->Occurrences)
+      for (StepRecord &Step : Occurrence->Steps)
+        Step.Good.erase(&Vm);
+  Tables_.Vms.erase(Found);
+}
+
+void PoolSchedulerImpl::emptyVm(VmRecord &Vm, std::string_view Reason) {
+  Vm.Claimed = false;
+  for (auto &[Run, Size] : Vm.Strangers)
+    Vm.Used -= Size;
+  Vm.Strangers.clear();
+  const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
+  for (TaskRecord *Task : Tasks)
+    lose(*Task, Reason);
+}
+
+void PoolSchedulerImpl::lose(TaskRecord &Task, std::string_view Reason) {
+  Tables_.Losses.push_back(
+      RunLoss{TaskRun{nameOf(Task), Task.Run}, Task.Vm->Vm.Id, Reason});
+  JobRecord &Job = *Task.Step->Occurrence->Job;
+  StepRecord &Step = *Task.Step;
+  Tables_.release(Task);
+  // The other members can't work on without it.
+  if (Step.Plan->Gang && !isFinal(Job.Stage))
+    for (TaskRecord &Member : Step.Tasks)
+      if (Member.onVm())
+        stopTask(Member);
+  settleJob(Job);
+}
+
+void PoolSchedulerImpl::countFailure(VmRecord &Vm) {
+  if (++Vm.FailuresInARow < Options_.FailuresToQuarantine)
+    return;
+  Vm.Quarantine = std::clamp(Vm.Quarantine * 2, Options_.QuarantineMin,
+                             Options_.QuarantineMax);
+  Vm.QuarantinedUntil = Time_.now() + Vm.Quarantine;
+  // One failure more after it sends the VM back at once.
+  Vm.FailuresInARow = Options_.FailuresToQuarantine - 1;
+}
+
+std::vector<std::string> PoolSchedulerImpl::occupiedVms() const {
+  std::vector<std::string> Out;
+  for (const auto &[Id, Vm] : Tables_.Vms)
+    if (!Vm->Tasks.empty() || !Vm->Strangers.empty())
+      Out.push_back(Id);
+  return Out;
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/PoolTables.cpp
@@ -0,0 +1,209 @@
+#include "PoolTables.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+namespace {
+
+/// VMs that one call for advice names in the statement of the objective.
+constexpr double AdvisedVms = 30;
+
+template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
+  const auto Found = In.find(Id);
+  return Found == In.end() ? nullptr : Found->second.get();
+}
+
+} // namespace
+
+JobRecord *PoolTables::job(std::string_view Id) const {
+  return lookUp(Jobs, Id);
+}
+
+VmRecord *PoolTables::vm(std::string_view Id) const { return lookUp(Vms, Id); }
+
+VmRecord &PoolTables::makeVm(std::string_view Id) {
+  std::unique_ptr<VmRecord> &Slot = Vms[std::string(Id)];
+  if (!Slot) {
+    Slot = std::make_unique<VmRecord>();
+    Slot->Vm.Id = Id;
+  }
+  return *Slot;
+}
+
+StepRecord *PoolTables::step(const StepName &Name) const {
+  const JobRecord *Job = job(Name.Job);
+  if (Job == nullptr)
+    return nullptr;
+  const auto Found = Job->Occurrences.find(Name.Occurrence);
+  if (Found == Job->Occurrences.end())
+    return nullptr;
+  std::vector<StepRecord> &Steps = Found->second->Steps;
+  if (Name.Step < 0 || Name.Step >= static_cast<int>(Steps.size()))
+    return nullptr;
+  return &Steps[static_cast<std::size_t>(Name.Step)];
+}
+
+TaskRecord *PoolTables::task(const TaskName &Name) const {
+  StepRecord *Step = step(Name.Step);
+  if (Step == nullptr || Name.Index < 0 ||
+      Name.Index >= static_cast<int>(Step->Tasks.size()))
+    return nullptr;
+  return &Step->Tasks[static_cast<std::size_t>(Name.Index)];
+}
+
+OccurrenceRecord &PoolTables::makeOccurrence(JobRecord &Job, int Number,
+                                             TimePoint Due) {
+  auto New = std::make_unique<OccurrenceRecord>();
+  New->Job = &Job;
+  New->Number = Number;
+  New->Due = Due;
+  New->Steps.resize(Job.Plan.Steps.size());
+  for (std::size_t Index = 0; Index < New->Steps.size(); ++Index) {
+    StepRecord &Step = New->Steps[Index];
+    Step.Occurrence = New.get();
+    Step.Plan = &Job.Plan.Steps[Index];
+    Step.Number = static_cast<int>(Index);
+    Step.Tasks.resize(static_cast<std::size_t>(Step.Plan->Tasks));
+    Step.Waiting = Step.Plan->Tasks;
+    for (std::size_t Task = 0; Task < Step.Tasks.size(); ++Task) {
+      Step.Tasks[Task].Step = &Step;
+      Step.Tasks[Task].Index = static_cast<int>(Task);
+    }
+  }
+  OccurrenceRecord &Out = *New;
+  Job.Occurrences[Number] = std::move(New);
+  return Out;
+}
+
+void PoolTables::setPhase(TaskRecord &Task, TaskPhase Phase) {
+  StepRecord &Step = *Task.Step;
+  Step.Waiting -= Task.Phase == TaskPhase::Waiting;
+  Step.Done -= Task.Phase == TaskPhase::Done;
+  Task.Phase = Phase;
+  Step.Waiting += Phase == TaskPhase::Waiting;
+  Step.Done += Phase == TaskPhase::Done;
+}
+
+void PoolTables::place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run,
+                       TimePoint Now) {
+  Task.Run = Run;
+  Task.PlacedAt = Now;
+  Task.MovedAt = Now;
+  Task.ConfirmedAt.reset();
+  Task.Percent = -1;
+  Task.Pace = 100;
+  adopt(Task, Vm, TaskPhase::Placed);
+  changed(*Task.Step->Occurrence->Job);
+}
+
+void PoolTables::adopt(TaskRecord &Task, VmRecord &Vm, TaskPhase Phase) {
+  setPhase(Task, Phase);
+  Task.Vm = &Vm;
+  Vm.Tasks.insert(&Task);
+  Vm.Used += Task.Step->Plan->reserved();
+  ++Task.Step->OnVms;
+}
+
+static void giveRoomBack(TaskRecord &Task) {
+  if (Task.Vm == nullptr)
+    return;
+  Task.Vm->Used -= Task.Step->Plan->reserved();
+  Task.Vm->Tasks.erase(&Task);
+  Task.Vm = nullptr;
+  --Task.Step->OnVms;
+}
+
+void PoolTables::release(TaskRecord &Task) {
+  giveRoomBack(Task);
+  if (Task.Phase != TaskPhase::Done)
+    setPhase(Task, TaskPhase::Waiting);
+  changed(*Task.Step->Occurrence->Job);
+}
+
+void PoolTables::finish(TaskRecord &Task) {
+  giveRoomBack(Task);
+  setPhase(Task, TaskPhase::Done);
+  changed(*Task.Step->Occurrence->Job);
+}
+
+StepName nameOf(const StepRecord &Step) {
+  return StepName{Step.Occurrence->Job->Plan.Id, Step.Occurrence->Number,
+                  Step.Number};
+}
+
+TaskName nameOf(const TaskRecord &Task) {
+  return TaskName{nameOf(*Task.Step), Task.Index};
+}
+
+bool isReady(const StepRecord &Step) {
+  const std::vector<StepRecord> &Steps = Step.Occurrence->Steps;
+  return std::all_of(
+      Step.Plan->After.begin(), Step.Plan->After.end(), [&Steps](int Before) {
+        return Steps[static_cast<std::size_t>(Before)].complete();
+      });
+}
+
+milliseconds longestChain(const JobPlan &Plan, const QueueTerms &Terms) {
+  std::vector<milliseconds> Ends(Plan.Steps.size());
+  milliseconds Longest{0};
+  milliseconds Advice{0};
+  if (Terms.Advice)
+    Advice = Terms.Advice->Decision + milliseconds(static_cast<std::int64_t>(
+                                          Terms.Advice->EachMs * AdvisedVms));
+  for (std::size_t Index = 0; Index < Plan.Steps.size(); ++Index) {
+    milliseconds Start{0};
+    for (const int Before : Plan.Steps[Index].After)
+      Start = std::max(Start, Ends[static_cast<std::size_t>(Before)]);
+    Ends[Index] = Start + Plan.Steps[Index].Estimate + Advice;
+    Longest = std::max(Longest, Ends[Index]);
+  }
+  return Longest;
+}
+
+static TaskProgress progressOf(const TaskRecord &Task) {
+  TaskProgress Out;
+  Out.Index = Task.Index;
+  Out.Done = Task.Phase == TaskPhase::Done;
+  Out.Failures = Task.Failures;
+  Out.Run = Task.Run;
+  Out.Checkpoint = Task.Checkpoint;
+  if (Task.Vm != nullptr) {
+    Out.Vm = Task.Vm->Vm.Id;
+    Out.VmBorn = Task.Vm->Vm.Born;
+  }
+  return Out;
+}
+
+static StepProgress progressOf(const StepRecord &Step) {
+  StepProgress Out;
+  Out.Step = Step.Number;
+  Out.Done = Step.complete();
+  Out.GangFailures = Step.GangFailures;
+  if (!Out.Done)
+    for (const TaskRecord &Task : Step.Tasks)
+      if (Task.Phase == TaskPhase::Done || Task.Run > 0)
+        Out.Tasks.push_back(progressOf(Task));
+  return Out;
+}
+
+JobProgress progressOf(const JobRecord &Job) {
+  JobProgress Out;
+  Out.Stage = Job.Stage;
+  if (isFinal(Job.Stage))
+    return Out;
+  for (const int Number : Job.DoneOccurrences)
+    Out.Occurrences.push_back(OccurrenceProgress{Number, true, {}});
+  for (const auto &[Number, Entry] : Job.Occurrences) {
+    OccurrenceProgress Occurrence{Number, false, {}};
+    for (const StepRecord &Step : Entry->Steps) {
+      StepProgress Each = progressOf(Step);
+      if (Each.Done || Each.GangFailures > 0 || !Each.Tasks.empty())
+        Occurrence.Steps.push_back(std::move(Each));
+    }
+    Out.Occurrences.push_back(std::move(Occurrence));
+  }
+  return Out;
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -0,0 +1,320 @@
+#include "SchedulingPass.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cuminroad {
+
+namespace {
+
+// Weights of a placement's score. Room left over is the base, from 0 to 1; the
+// others are set against it.
+/// Accelerators are the scarce part of VMs that have them.
+constexpr double AcceleratorWeight = 2.0;
+/// Work that takes longer costs more than a looser fit.
+constexpr double SlownessWeight = 0.7;
+constexpr double RemoteWeight = 3.0;
+/// Fillers disturb serving tasks: a VM with the other kind comes last.
+constexpr double ConflictWeight = 10.0;
+/// Tasks of a long-running step are spread, so that one VM's end hits few.
+constexpr double SpreadWeight = 0.5;
+/// Expected ends are late rather than early: the next one counts as this far
+/// away at least.
+constexpr milliseconds LeastRemaining{50};
+/// Estimates are often too low; reserved VMs are not used by work that may
+/// overrun.
+constexpr double BackfillMargin = 1.3;
+
+std::int64_t fits(std::int64_t Free, std::int64_t Need) {
+  if (Need <= 0)
+    return std::numeric_limits<int>::max();
+  return std::max<std::int64_t>(Free, 0) / Need;
+}
+
+int countFits(const Capacity &Free, const Capacity &Need) {
+  return static_cast<int>(
+      std::min({fits(Free.MilliCores, Need.MilliCores),
+                fits(Free.MemoryMb, Need.MemoryMb),
+                fits(Free.Accelerators, Need.Accelerators)}));
+}
+
+int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
+  if (Step.OnVms == 0)
+    return 0;
+  return static_cast<int>(std::count_if(
+      Vm.Tasks.begin(), Vm.Tasks.end(),
+      [&Step](const TaskRecord *Task) { return Task->Step == &Step; }));
+}
+
+/// Whether the VM runs tasks that the step's would disturb or be disturbed by.
+bool conflicts(const StepRecord &Step, const VmRecord &Vm) {
+  if (!Step.Plan->Fills && !Step.Plan->serves())
+    return false;
+  return std::any_of(Vm.Tasks.begin(), Vm.Tasks.end(),
+                     [&Step](const TaskRecord *Task) {
+                       const StepPlan &Other = *Task->Step->Plan;
+                       return Step.Plan->Fills ? Other.serves() : Other.Fills;
+                     });
+}
+
+} // namespace
+
+void SchedulingPass::run() {
+  for (auto &[Id, Vm] : Tables_.Vms)
+    Vm->ReservedUntil.reset();
+  gather();
+  for (const Candidate &Entry : Order_)
+    placeStep(*Entry.Step);
+}
+
+void SchedulingPass::gather() {
+  for (const auto &[Id, Job] : Tables_.Jobs) {
+    if (isFinal(Job->Stage))
+      continue;
+    const milliseconds Objective = Job->objective();
+    for (const auto &[Number, Occurrence] : Job->Occurrences) {
+      const TimePoint Deadline = Occurrence->Due + Objective;
+      const bool Late =
+          !Job->Plan.lasts() &&
+          Now_ > Occurrence->Due + milliseconds(static_cast<std::int64_t>(
+                                       Options_.LateFactor *
+                                       static_cast<double>(Objective.count())));
+      for (StepRecord &Step : Occurrence->Steps) {
+        Step.Blocked = false;
+        if (Step.Waiting > 0 && isReady(Step))
+          Order_.push_back(
+              Candidate{&Step, Late, Job->Terms.Priority, Deadline});
+      }
+    }
+  }
+  std::stable_sort(Order_.begin(), Order_.end(),
+                   [](const Candidate &Left, const Candidate &Right) {
+                     return std::tie(Left.Late, Left.Priority, Left.Deadline) <
+                            std::tie(Right.Late, Right.Priority,
+                                     Right.Deadline);
+                   });
+}
+
+void SchedulingPass::placeStep(StepRecord &Step) {
+  if (Step.Plan->Gang)
+    placeGang(Step);
+  else
+    placeTasks(Step);
+  if (Step.Blocked && Reservations_ < Options_.ReservedSteps)
+    reserve(Step);
+}
+
+void SchedulingPass::placeTasks(StepRecord &Step) {
+  for (TaskRecord &Task : Step.Tasks) {
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now_)
+      continue;
+    VmRecord *Vm = choose(Step);
+    if (Vm == nullptr) {
+      Step.Blocked = true;
+      return;
+    }
+    start(Task, *Vm, Task.Run + 1);
+  }
+}
+
+void SchedulingPass::placeGang(StepRecord &Step) {
+  std::int64_t LastRun = 0;
+  for (const TaskRecord &Task : Step.Tasks) {
+    // Members of an earlier run may still be there.
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now_)
+      return;
+    LastRun = std::max(LastRun, Task.Run);
+  }
+  std::vector<VmRecord *> Chosen;
+  bool Placed = false;
+  if (Step.Plan->SameRack) {
+    std::set<std::string_view> Racks;
+    for (const auto &[Id, Vm] : Tables_.Vms)
+      for (const std::string &Label : Vm->Vm.Labels)
+        Racks.insert(Label);
+    for (const std::string_view Rack : Racks)
+      if (!Placed)
+        Placed = spreadGang(Step, Rack, Chosen);
+  }
+  if (!Placed && !spreadGang(Step, "", Chosen)) {
+    Step.Blocked = true;
+    return;
+  }
+  for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index)
+    start(Step.Tasks[Index], *Chosen[Index], LastRun + 1);
+}
+
+bool SchedulingPass::spreadGang(StepRecord &Step, std::string_view Rack,
+                                std::vector<VmRecord *> &Chosen) {
+  std::vector<std::pair<double, VmRecord *>> Usable;
+  for (const auto &[Id, Vm] : Tables_.Vms)
+    if (eligible(Step, *Vm) && ticketHolds(Step, *Vm) &&
+        reservationAllows(Step, *Vm) && (Rack.empty() || Vm->Vm.hasLabel(Rack)))
+      Usable.emplace_back(score(Step, *Vm), Vm.get());
+  std::sort(Usable.begin(), Usable.end());
+  Chosen.clear();
+  const std::size_t Wanted = Step.Tasks.size();
+  for (const auto &[Score, Vm] : Usable) {
+    int Room = cuminroad::countFits(Vm->free(), Step.Plan->reserved());
+    if (Step.Plan->MaxPerVm > 0)
+      Room = std::min(Room, Step.Plan->MaxPerVm);
+    while (Room-- > 0 && Chosen.size() < Wanted)
+      Chosen.push_back(Vm);
+  }
+  return Chosen.size() == Wanted;
+}
+
+bool SchedulingPass::eligible(const StepRecord &Step,
+                              const VmRecord &Vm) const {
+  const StepPlan &Plan = *Step.Plan;
+  return Vm.Claimed && Vm.Listed && !Vm.Vm.Leaving &&
+         Vm.QuarantinedUntil <= Now_ && Plan.reserved().fitsIn(Vm.Vm.Total) &&
+         (Plan.RequiredLabel.empty() || Vm.Vm.hasLabel(Plan.RequiredLabel));
+}
+
+bool SchedulingPass::ticketHolds(const StepRecord &Step, VmRecord &Vm) const {
+  if (!Step.Occurrence->Job->Terms.Advice)
+    return true;
+  const auto Found = Step.Good.find(&Vm);
+  return Found != Step.Good.end() && Found->second.Born == Vm.Vm.Born &&
+         Found->second.ValidUntil > Now_ + Options_.TicketMargin;
+}
+
+bool SchedulingPass::reservationAllows(const StepRecord &Step,
+                                       const VmRecord &Vm) const {
+  if (!Vm.ReservedUntil)
+    return true;
+  if (Step.Plan->reserved().fitsIn(Vm.Spare))
+    return true;
+  if (Step.Plan->LongRunning)
+    return false;
+  const auto Length = std::chrono::duration_cast<milliseconds>(
+      Step.Plan->Estimate * BackfillMargin * Vm.Slowness);
+  return Now_ + Length <= *Vm.ReservedUntil;
+}
+
+VmRecord *SchedulingPass::choose(const StepRecord &Step) const {
+  VmRecord *Best = nullptr;
+  double BestScore = 0;
+  const Capacity Need = Step.Plan->reserved();
+  for (const auto &[Id, Vm] : Tables_.Vms) {
+    if (!Need.fitsIn(Vm->free()) || !eligible(Step, *Vm) ||
+        !ticketHolds(Step, *Vm) || !reservationAllows(Step, *Vm))
+      continue;
+    if (Step.Plan->MaxPerVm > 0 && tasksOnVm(Step, *Vm) >= Step.Plan->MaxPerVm)
+      continue;
+    const double Score = score(Step, *Vm);
+    if (Best == nullptr || Score < BestScore) {
+      Best = Vm.get();
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+double SchedulingPass::score(const StepRecord &Step, const VmRecord &Vm) const {
+  const StepPlan &Plan = *Step.Plan;
+  const Capacity Left = Vm.free() - Plan.reserved();
+  const auto Share = [](std::int64_t Part, std::int64_t Whole) {
+    return Whole > 0 ? static_cast<double>(Part) / static_cast<double>(Whole)
+                     : 0.0;
+  };
+  double Out =
+      Share(Left.MilliCores, Vm.Vm.Total.MilliCores) +
+      AcceleratorWeight * Share(Left.Accelerators, Vm.Vm.Total.Accelerators) +
+      SlownessWeight * (Vm.Slowness - 1.0);
+  if (!Plan.DataRack.empty() && !Vm.Vm.hasLabel(Plan.DataRack))
+    Out += RemoteWeight * (Options_.RemoteFactor - 1.0);
+  if (conflicts(Step, Vm))
+    Out += ConflictWeight;
+  if (Plan.LongRunning)
+    Out += SpreadWeight * tasksOnVm(Step, Vm);
+  return Out;
+}
+
+void SchedulingPass::start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run) {
+  StepRecord &Step = *Task.Step;
+  if (Vm.ReservedUntil)
+    Vm.Spare -= Step.Plan->reserved();
+  Tables_.place(Task, Vm, Run, Now_);
+  const auto Ticket = Step.Good.find(&Vm);
+  Task.Ticket = Ticket == Step.Good.end() ? "" : Ticket->second.Ticket;
+  JobRecord &Job = *Step.Occurrence->Job;
+  if (Job.Stage == JobStage::Queued)
+    Job.Stage = JobStage::Running;
+  Job.Started = true;
+  Tables_.Commands.push_back(StartRun{Vm.Vm.Id, TaskRun{nameOf(Task), Run},
+                                      Task.Checkpoint, Task.Ticket});
+}
+
+TimePoint SchedulingPass::expectedEnd(const TaskRecord &Task) const {
+  const StepPlan &Plan = *Task.Step->Plan;
+  if (Plan.LongRunning)
+    return TimePoint::max();
+  const TimePoint End =
+      Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
+                          Plan.Estimate * Task.Vm->Slowness);
+  return std::max(End, Now_ + LeastRemaining);
+}
+
+Capacity SchedulingPass::freeAt(const VmRecord &Vm, TimePoint When) const {
+  Capacity Out = Vm.free();
+  for (const TaskRecord *Task : Vm.Tasks)
+    if (expectedEnd(*Task) <= When)
+      Out += Task->Step->Plan->reserved();
+  return Out;
+}
+
+int SchedulingPass::countFits(const StepRecord &Step, const VmRecord &Vm,
+                              TimePoint When) const {
+  int Out = cuminroad::countFits(freeAt(Vm, When), Step.Plan->reserved());
+  if (Step.Plan->MaxPerVm > 0)
+    Out = std::min(Out, Step.Plan->MaxPerVm);
+  return Out;
+}
+
+void SchedulingPass::reserve(StepRecord &Step) {
+  const bool Advised = Step.Occurrence->Job->Terms.Advice.has_value();
+  std::vector<VmRecord *> Usable;
+  std::vector<TimePoint> Times{Now_};
+  for (const auto &[Id, Vm] : Tables_.Vms) {
+    if (!eligible(Step, *Vm) || Vm->ReservedUntil ||
+        (Advised && !Step.Good.contains(Vm.get())))
+      continue;
+    Usable.push_back(Vm.get());
+    for (const TaskRecord *Task : Vm->Tasks)
+      if (const TimePoint End = expectedEnd(*Task); End != TimePoint::max())
+        Times.push_back(End);
+  }
+  const int Wanted = Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
+  const auto Enough = [&](TimePoint When) {
+    int Sum = 0;
+    for (const VmRecord *Vm : Usable)
+      Sum += std::min(countFits(Step, *Vm, When), Wanted);
+    return Sum >= Wanted;
+  };
+  std::sort(Times.begin(), Times.end());
+  const auto At =
+      std::partition_point(Times.begin(), Times.end(),
+                           [&Enough](TimePoint When) { return !Enough(When); });
+  if (At == Times.end())
+    return;
+  ++Reservations_;
+  std::sort(Usable.begin(), Usable.end(),
+            [&](const VmRecord *Left, const VmRecord *Right) {
+              return countFits(Step, *Left, *At) > countFits(Step, *Right, *At);
+            });
+  int Open = Wanted;
+  for (VmRecord *Vm : Usable) {
+    const int Here = std::min(countFits(Step, *Vm, *At), Open);
+    if (Here <= 0)
+      return;
+    Vm->ReservedUntil = *At;
+    Vm->Spare = freeAt(*Vm, *At) - Step.Plan->reserved() * Here;
+    // What fits beside the step must also fit now.
+    Vm->Spare = smaller(Vm->Spare, Vm->free());
+    Open -= Here;
+  }
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/SchedulingPass.h
@@ -0,0 +1,57 @@
+#ifndef CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
+#define CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
+
+#include <vector>
+
+#include "PoolTables.h"
+#include "cuminroad/pool/PoolOptions.h"
+
+namespace cuminroad {
+
+/// One look at all steps that wait: places what fits, in order of urgency, and
+/// reserves VMs for the first ones that do not.
+class SchedulingPass {
+public:
+  SchedulingPass(PoolTables &Tables, const PoolOptions &Options, TimePoint Now)
+      : Tables_(Tables), Options_(Options), Now_(Now) {}
+
+  void run();
+
+private:
+  struct Candidate {
+    StepRecord *Step;
+    bool Late;
+    int Priority;
+    TimePoint Deadline;
+  };
+
+  void gather();
+  void placeStep(StepRecord &Step);
+  void placeTasks(StepRecord &Step);
+  void placeGang(StepRecord &Step);
+  bool spreadGang(StepRecord &Step, std::string_view Rack,
+                  std::vector<VmRecord *> &Chosen);
+  VmRecord *choose(const StepRecord &Step) const;
+  /// Whether the VM may run tasks of the step at all, room aside.
+  bool eligible(const StepRecord &Step, const VmRecord &Vm) const;
+  bool ticketHolds(const StepRecord &Step, VmRecord &Vm) const;
+  /// Whether work of this length may use a reserved VM.
+  bool reservationAllows(const StepRecord &Step, const VmRecord &Vm) const;
+  double score(const StepRecord &Step, const VmRecord &Vm) const;
+  void start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
+  void reserve(StepRecord &Step);
+  TimePoint expectedEnd(const TaskRecord &Task) const;
+  Capacity freeAt(const VmRecord &Vm, TimePoint When) const;
+  int countFits(const StepRecord &Step, const VmRecord &Vm,
+                TimePoint When) const;
+
+  PoolTables &Tables_;
+  const PoolOptions &Options_;
+  TimePoint Now_;
+  std::vector<Candidate> Order_;
+  int Reservations_ = 0;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/store/include/cuminroad/store/ChainedWriter.h
@@ -0,0 +1,87 @@
+#ifndef CUMINROAD_STORE_CHAINEDWRITER_H
+#define CUMINROAD_STORE_CHAINEDWRITER_H
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// Writes the rows of one partition as its only writer, one transaction at a
+/// time. Each transaction replaces a head row and checks the version that the
+/// one before gave it. So a writer that was replaced can write nothing more,
+/// and a transaction whose answer was lost can't take effect after a later one.
+/// The head row doubles as the writer's lease: every transaction renews it.
+class ChainedWriter : public std::enable_shared_from_this<ChainedWriter> {
+public:
+  using Committed = std::function<void()>;
+
+  /// \param HeadValue the head row's content for a given serial number.
+  ChainedWriter(RowStore &Store, Loop &Home, const Clock &Time, RowName Head,
+                std::function<std::string(std::int64_t Serial)> HeadValue);
+
+  /// Continues from a head row that this process has just written.
+  void begin(std::int64_t HeadVersion, TimePoint WrittenAt);
+  void close() { Closed_ = true; }
+  /// Replaces the row; several puts of one key before a transaction leaves
+  /// become the last one.
+  void put(RowName Name, std::string Value);
+  void remove(RowName Name);
+  /// Calls \p Done when all that was put so far is in the store.
+  void whenCommitted(Committed Done);
+  /// Renews the head row even if nothing else is to be written.
+  void renew();
+  /// When the last transaction that took effect was sent.
+  TimePoint renewedAt() const { return RenewedAt_; }
+  std::int64_t headVersion() const { return HeadVersion_; }
+  bool idle() const { return !Writing_ && Puts_.empty() && Waiting_.empty(); }
+  /// Called once when the head row shows another writer.
+  std::function<void()> OnReplaced;
+
+private:
+  struct Pending {
+    RowName Name;
+    std::string Value;
+    bool Remove = false;
+  };
+
+  void plan(milliseconds Delay);
+  void write();
+  void settle(TimePoint SentAt, Result<RowCommit> Outcome);
+  void settleCommitted(TimePoint RenewedAt, std::int64_t Version);
+  void settleConflict(const RowCommit &Outcome);
+  void gatherRows();
+  void add(Pending Change);
+
+  RowStore &Store_;
+  Loop &Home_;
+  const Clock &Time_;
+  RowName Head_;
+  std::function<std::string(std::int64_t)> HeadValue_;
+  std::int64_t HeadVersion_ = 0;
+  std::int64_t Serial_ = 0;
+  /// Serial number of the first try of the present rows.
+  std::int64_t FirstTry_ = 0;
+  std::vector<Pending> Puts_;
+  std::vector<Committed> Waiting_;
+  /// What the transaction under way holds. A try that may have taken effect is
+  /// repeated with the same rows.
+  std::vector<Pending> Sent_;
+  std::vector<Committed> SentWaiting_;
+  bool Repeating_ = false;
+  bool RenewWanted_ = false;
+  bool Planned_ = false;
+  bool Writing_ = false;
+  bool Closed_ = false;
+  TimePoint RenewedAt_{};
+  TimePoint LastWrite_{};
+  milliseconds RetryDelay_;
+};
+
+} // namespace cuminroad
+
+#endif
--- a/packages/platform/include/cuminroad/platform/HttpTable.h
+++ b/packages/store/include/cuminroad/store/HttpTable.h
@@ -1,11 +1,11 @@
-#ifndef CUMINROAD_PLATFORM_HTTPTABLE_H
-#define CUMINROAD_PLATFORM_HTTPTABLE_H
+#ifndef CUMINROAD_STORE_HTTPTABLE_H
+#define CUMINROAD_STORE_HTTPTABLE_H
 
 #include <string>
 
 #include "cuminroad/net/HttpClient.h"
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/Table.h"
+#include "cuminroad/store/Table.h"
 
 namespace cuminroad {
 
--- a/packages/platform/include/cuminroad/platform/ResolvingTable.h
+++ b/packages/store/include/cuminroad/store/ResolvingTable.h
@@ -1,12 +1,12 @@
-#ifndef CUMINROAD_PLATFORM_RESOLVINGTABLE_H
-#define CUMINROAD_PLATFORM_RESOLVINGTABLE_H
+#ifndef CUMINROAD_STORE_RESOLVINGTABLE_H
+#define CUMINROAD_STORE_RESOLVINGTABLE_H
 
 #include <functional>
 #include <memory>
 #include <random>
 
 #include "cuminroad/net/Loop.h"
-#include "cuminroad/platform/Table.h"
+#include "cuminroad/store/Table.h"
 
 namespace cuminroad {
 
--- a/packages/platform/include/cuminroad/platform/Table.h
+++ b/packages/store/include/cuminroad/store/Table.h
@@ -1,5 +1,5 @@
-#ifndef CUMINROAD_PLATFORM_TABLE_H
-#define CUMINROAD_PLATFORM_TABLE_H
+#ifndef CUMINROAD_STORE_TABLE_H
+#define CUMINROAD_STORE_TABLE_H
 
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -0,0 +1,77 @@
+#ifndef CUMINROAD_STORE_TABLEFOLLOWER_H
+#define CUMINROAD_STORE_TABLEFOLLOWER_H
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// Which table is followed, and how often.
+struct FollowOptions {
+  std::string Table;
+  /// The partitions that are read in full at the start, and again when the
+  /// store has dropped its history.
+  std::vector<std::string> Partitions;
+  /// How long the store holds a call without a change.
+  milliseconds Wait{10000};
+  /// Pause after an answer, so that many changes come in one.
+  milliseconds Gather{0};
+};
+
+/// What the owner of a follower does with the rows.
+class RowSink {
+public:
+  virtual ~RowSink() = default;
+  /// All rows of the table at one moment; replaces what was known.
+  virtual void tableRead(std::vector<StoredRow> Rows) = 0;
+  /// Rows that changed since, in order.
+  virtual void rowsChanged(std::vector<StoredRow> Rows) = 0;
+};
+
+/// Keeps up with one table: reads it whole, then waits for changes. Tries
+/// again for as long as it lives, with a delay that doubles.
+class TableFollower : public std::enable_shared_from_this<TableFollower> {
+public:
+  /// \p Store, \p Home and \p Sink must outlive the follower or its close().
+  TableFollower(RowStore &Store, Loop &Home, FollowOptions Options,
+                RowSink &Sink);
+
+  void start();
+  /// Ends the follower; nothing is called back after this.
+  void close() { Closed_ = true; }
+  /// Whether the table has been read whole.
+  bool loaded() const { return Loaded_; }
+  /// Version up to which changes are known.
+  std::int64_t version() const { return Version_; }
+
+private:
+  void readAll();
+  void readPartition(std::size_t Index, std::string From);
+  void pageRead(std::size_t Index, Result<RowPage> Page);
+  void follow();
+  void changed(Result<RowPage> Page);
+  void retry(void (TableFollower::*Step)());
+
+  RowStore &Store_;
+  Loop &Home_;
+  FollowOptions Options_;
+  RowSink &Sink_;
+  std::vector<StoredRow> Reading_;
+  /// Version of the first page of a full read: changes since then may be
+  /// missing in later pages, and are read again.
+  std::int64_t ReadVersion_ = 0;
+  std::int64_t Version_ = 0;
+  milliseconds Delay_;
+  bool Loaded_ = false;
+  bool Closed_ = false;
+};
+
+} // namespace cuminroad
+
+#endif
--- a/packages/platform/include/cuminroad/platform/VmList.h
+++ b/packages/store/include/cuminroad/store/VmList.h
@@ -1,5 +1,5 @@
-#ifndef CUMINROAD_PLATFORM_VMLIST_H
-#define CUMINROAD_PLATFORM_VMLIST_H
+#ifndef CUMINROAD_STORE_VMLIST_H
+#define CUMINROAD_STORE_VMLIST_H
 
 #include <functional>
 #include <string>
--- /dev/null
+++ b/packages/store/src/ChainedWriter.cpp
@@ -0,0 +1,161 @@
+#include "cuminroad/store/ChainedWriter.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+namespace {
+
+/// Least time between two transactions; bounds the calls to 40 a second.
+constexpr milliseconds WriteInterval{25};
+/// Rows in one transaction, below the store's limit of 100 entries, which also
+/// counts the head row and its check.
+constexpr std::size_t MaxRows = 90;
+/// Bytes in one transaction, well below the store's limit of 1 MB.
+constexpr std::size_t MaxBytes = 500'000;
+constexpr milliseconds WriteTimeout{1000};
+constexpr milliseconds RetryDelayMin{50};
+constexpr milliseconds RetryDelayMax{400};
+
+} // namespace
+
+ChainedWriter::ChainedWriter(RowStore &Store, Loop &Home, const Clock &Time,
+                             RowName Head,
+                             std::function<std::string(std::int64_t)> HeadValue)
+    : Store_(Store), Home_(Home), Time_(Time), Head_(std::move(Head)),
+      HeadValue_(std::move(HeadValue)), RetryDelay_(RetryDelayMin) {}
+
+void ChainedWriter::begin(std::int64_t HeadVersion, TimePoint WrittenAt) {
+  HeadVersion_ = HeadVersion;
+  RenewedAt_ = WrittenAt;
+}
+
+void ChainedWriter::add(Pending Change) {
+  const auto Same =
+      std::find_if(Puts_.begin(), Puts_.end(), [&](const Pending &Entry) {
+        return Entry.Name == Change.Name;
+      });
+  if (Same != Puts_.end())
+    *Same = std::move(Change);
+  else
+    Puts_.push_back(std::move(Change));
+  plan(milliseconds(0));
+}
+
+void ChainedWriter::put(RowName Name, std::string Value) {
+  add(Pending{std::move(Name), std::move(Value)});
+}
+
+void ChainedWriter::remove(RowName Name) {
+  add(Pending{std::move(Name), "", true});
+}
+
+void ChainedWriter::whenCommitted(Committed Done) {
+  Waiting_.push_back(std::move(Done));
+  plan(milliseconds(0));
+}
+
+void ChainedWriter::renew() {
+  RenewWanted_ = true;
+  plan(milliseconds(0));
+}
+
+void ChainedWriter::plan(milliseconds Delay) {
+  if (Planned_ || Writing_ || Closed_)
+    return;
+  Planned_ = true;
+  const auto Since =
+      std::chrono::duration_cast<milliseconds>(Time_.now() - LastWrite_);
+  Home_.after(std::max(Delay, WriteInterval - Since),
+              [Self = shared_from_this()] {
+                Self->Planned_ = false;
+                if (!Self->Closed_ && !Self->Writing_)
+                  Self->write();
+              });
+}
+
+void ChainedWriter::gatherRows() {
+  std::size_t Bytes = 0;
+  std::size_t Rows = 0;
+  while (Rows < Puts_.size() && Rows < MaxRows && Bytes < MaxBytes)
+    Bytes += Puts_[Rows++].Value.size();
+  const auto End = Puts_.begin() + static_cast<std::ptrdiff_t>(Rows);
+  Sent_.assign(std::make_move_iterator(Puts_.begin()),
+               std::make_move_iterator(End));
+  Puts_.erase(Puts_.begin(), End);
+  // What waits is only told when nothing that it waits for is left.
+  if (Puts_.empty())
+    SentWaiting_.swap(Waiting_);
+}
+
+void ChainedWriter::write() {
+  if (!Repeating_) {
+    gatherRows();
+    FirstTry_ = Serial_ + 1;
+  }
+  RenewWanted_ = false;
+  RowTransaction Change;
+  Change.Checks.push_back(RowCheck{Head_, HeadVersion_});
+  Change.Puts.push_back(RowPut{Head_, HeadValue_(++Serial_)});
+  for (const Pending &Entry : Sent_) {
+    if (Entry.Remove)
+      Change.Removals.push_back(Entry.Name);
+    else
+      Change.Puts.push_back(RowPut{Entry.Name, Entry.Value});
+  }
+  Writing_ = true;
+  const TimePoint SentAt = Time_.now();
+  LastWrite_ = SentAt;
+  Store_.commit(std::move(Change), WriteTimeout,
+                [Self = shared_from_this(), SentAt](Result<RowCommit> Outcome) {
+                  Self->Writing_ = false;
+                  if (!Self->Closed_)
+                    Self->settle(SentAt, std::move(Outcome));
+                });
+}
+
+void ChainedWriter::settle(TimePoint SentAt, Result<RowCommit> Outcome) {
+  if (Outcome && Outcome->committed())
+    return settleCommitted(SentAt, Outcome->Version);
+  if (Outcome)
+    return settleConflict(*Outcome);
+  Repeating_ = true;
+  RenewWanted_ = true;
+  plan(RetryDelay_);
+  RetryDelay_ = std::min(RetryDelay_ * 2, RetryDelayMax);
+}
+
+void ChainedWriter::settleCommitted(TimePoint RenewedAt, std::int64_t Version) {
+  HeadVersion_ = Version;
+  RenewedAt_ = RenewedAt;
+  Repeating_ = false;
+  RetryDelay_ = RetryDelayMin;
+  Sent_.clear();
+  std::vector<Committed> Told;
+  Told.swap(SentWaiting_);
+  for (Committed &Done : Told)
+    Done();
+  if (!Puts_.empty() || !Waiting_.empty() || RenewWanted_)
+    plan(milliseconds(0));
+}
+
+void ChainedWriter::settleConflict(const RowCommit &Outcome) {
+  const auto Head = std::find_if(
+      Outcome.Found.begin(), Outcome.Found.end(),
+      [this](const StoredRow &Row) { return Row.Name.Key == Head_.Key; });
+  // An earlier try whose answer was lost took effect, if the head row carries
+  // the number of one of the tries. All of them carried the same rows.
+  if (Head != Outcome.Found.end() && Repeating_) {
+    for (std::int64_t Try = FirstTry_; Try <= Serial_; ++Try)
+      if (Head->Value == HeadValue_(Try)) {
+        // When it took effect is not known: the lease counts from before.
+        RenewWanted_ = true;
+        return settleCommitted(RenewedAt_, Head->Version);
+      }
+  }
+  Closed_ = true;
+  if (OnReplaced)
+    OnReplaced();
+}
+
+} // namespace cuminroad
--- a/packages/platform/src/HttpTable.cpp
+++ b/packages/store/src/HttpTable.cpp
@@ -1,4 +1,4 @@
-#include "cuminroad/platform/HttpTable.h"
+#include "cuminroad/store/HttpTable.h"
 
 #include <fmt/format.h>
 
--- a/packages/platform/src/HttpVmList.cpp
+++ b/packages/store/src/HttpVmList.cpp
@@ -1,4 +1,4 @@
-#include "cuminroad/platform/VmList.h"
+#include "cuminroad/store/VmList.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/packages/platform/src/ResolvingTable.cpp
+++ b/packages/store/src/ResolvingTable.cpp
@@ -1,4 +1,4 @@
-#include "cuminroad/platform/ResolvingTable.h"
+#include "cuminroad/store/ResolvingTable.h"
 
 #include <algorithm>
 
--- a/packages/platform/tests/ResolvingTableTest.cpp
+++ b/packages/store/tests/ResolvingTableTest.cpp
@@ -5,7 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "cuminroad/platform/ResolvingTable.h"
+#include "cuminroad/store/ResolvingTable.h"
 
 using namespace cuminroad;
 
