Spread advice by cost, renew tickets for room only, and find owners sooner

Ruled out: processor time (0.06 of a core).

Now tickets are renewed only where room is expected, quick questions have daemons of their own, new work goes before late work, request rows are spread over 64 partitions, timeouts of the owner's writes follow the store's speed, and a restarted holder takes its pool back at once.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
@@ -10,6 +10,7 @@
 #include "cuminroad/base/Clock.h"
 #include "cuminroad/fleet/PeerCalls.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
+#include "cuminroad/fleet/QueueConfig.h"
 #include "cuminroad/net/Loop.h"
 #include "cuminroad/pool/PoolCommand.h"
 
@@ -17,8 +18,8 @@
 
 /// Spreads questions to the placement advisor over the daemons: it takes one
 /// call at a time from each calling machine, so that a pool's owner alone would
-/// be too slow. Questions wait here, the earliest first, until a daemon is
-/// free. Runs on the control thread.
+/// be too slow. Questions wait here, those of urgent queues first, until a
+/// daemon is free. Runs on the control thread.
 class AdviceDesk : public std::enable_shared_from_this<AdviceDesk> {
 public:
   struct Answer {
@@ -29,13 +30,17 @@
     TimePoint At{};
   };
   using Done = std::function<void(const StepName &, Result<Answer>)>;
+  /// Whether an answer is still of use.
+  using Needed = std::function<bool(const StepName &)>;
 
   AdviceDesk(PlacementAdvisor &Own, PeerCalls &Peers, Loop &Home,
-             const Clock &Time, std::string SelfName, Done Done);
+             const Clock &Time, std::string SelfName, Needed Needed, Done Done);
 
   void close() { Closed_ = true; }
   /// Daemons that may be asked, with their addresses.
   void setPeers(const std::map<std::string, std::string> &Addresses);
+  /// Tells which queues need advice, and how long it takes.
+  void setQueues(std::span<const QueueRoute> Routes);
   void ask(const AskAdvice &Question);
   std::size_t waiting() const { return Queue_.size(); }
 
@@ -52,7 +57,7 @@
   };
 
   void pump();
-  Caller *freeCaller(std::string &Name);
+  std::vector<std::string> freeCallers(bool Quick) const;
   void send(const std::string &Name, Question Next);
   void answered(const std::string &Name, Question Sent,
                 Result<std::vector<AdviceTicket>> Good);
@@ -62,10 +67,12 @@
   Loop &Home_;
   const Clock &Time_;
   std::string SelfName_;
+  Needed Needed_;
   Done Done_;
   std::map<std::string, Caller> Callers_;
   std::vector<Question> Queue_;
   std::size_t NextCaller_ = 0;
+  bool QuickWork_ = false;
   bool Closed_ = false;
 };
 
--- a/packages/fleet/include/cuminroad/fleet/VmDirectory.h
+++ b/packages/fleet/include/cuminroad/fleet/VmDirectory.h
@@ -25,6 +25,11 @@
 
   const std::map<std::string, VmEntry> &entries() const { return Entries_; }
   bool known() const { return Known_; }
+  /// Drops what is known, since it is not kept up any more.
+  void forget() {
+    Entries_.clear();
+    Known_ = false;
+  }
   /// Adds a listener; \returns a number for removeListener().
   int addListener(std::function<void()> Listener);
   void removeListener(int Number) { Listeners_.erase(Number); }
--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -1,15 +1,19 @@
 #include "cuminroad/fleet/AdviceDesk.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace cuminroad {
 
 namespace {
 
-/// Calls that a daemon has under way for this pool: one with the advisor, one
-/// on its way.
+/// Calls that a daemon has under way for this pool.
 constexpr int OpenPerCaller = 1;
-/// The owner's own process has enough to do; its own call counts double.
+/// Questions that take less are answered between others: a part of the daemons
+/// is kept for them, since a call waits for those before it.
+constexpr double QuickMs = 60;
+constexpr std::size_t QuickShare = 3;
 constexpr milliseconds FailedCallerPause{2000};
 constexpr int MaxTries = 4;
 /// Time beyond the advisor's own: links, and another pool's call before it.
@@ -18,9 +22,11 @@
 } // namespace
 
 AdviceDesk::AdviceDesk(PlacementAdvisor &Own, PeerCalls &Peers, Loop &Home,
-                       const Clock &Time, std::string SelfName, Done Done)
+                       const Clock &Time, std::string SelfName, Needed Needed,
+                       Done Done)
     : Own_(Own), Peers_(Peers), Home_(Home), Time_(Time),
-      SelfName_(std::move(SelfName)), Done_(std::move(Done)) {
+      SelfName_(std::move(SelfName)), Needed_(std::move(Needed)),
+      Done_(std::move(Done)) {
   Callers_[SelfName_] = Caller{};
 }
 
@@ -37,32 +43,57 @@
   pump();
 }
 
+void AdviceDesk::setQueues(std::span<const QueueRoute> Routes) {
+  QuickWork_ =
+      std::any_of(Routes.begin(), Routes.end(), [](const QueueRoute &Route) {
+        return Route.Terms.Advice &&
+               static_cast<double>(Route.Terms.Advice->Decision.count()) <=
+                   QuickMs;
+      });
+}
+
 void AdviceDesk::ask(const AskAdvice &Ask) {
   Queue_.push_back(Question{Ask});
   pump();
 }
 
-AdviceDesk::Caller *AdviceDesk::freeCaller(std::string &Name) {
+std::vector<std::string> AdviceDesk::freeCallers(bool Quick) const {
   const TimePoint Now = Time_.now();
-  std::vector<std::string> Free;
-  for (const auto &[Key, Entry] : Callers_)
-    if (Entry.Listed && Entry.Open < OpenPerCaller && Entry.NotBefore <= Now)
-      Free.push_back(Key);
-  if (Free.empty())
-    return nullptr;
-  Name = Free[NextCaller_++ % Free.size()];
-  return &Callers_[Name];
+  // Every pool's owner sees the daemons in the same order.
+  std::size_t Index = 0;
+  const std::size_t Reserved = QuickWork_ ? Callers_.size() / QuickShare : 0;
+  std::vector<std::string> Out;
+  for (const auto &[Name, Entry] : Callers_) {
+    const bool ForQuick = Index++ < Reserved;
+    if (Entry.Listed && Entry.Open < OpenPerCaller && Entry.NotBefore <= Now &&
+        (Quick || !ForQuick))
+      Out.push_back(Name);
+    // Daemons that are kept for quick questions come first for those.
+    if (Quick && Index == Reserved && !Out.empty())
+      return Out;
+  }
+  return Out;
 }
 
 void AdviceDesk::pump() {
-  while (!Queue_.empty() && !Closed_) {
-    std::string Name;
-    if (freeCaller(Name) == nullptr)
-      return;
-    Question Next = std::move(Queue_.front());
-    Queue_.erase(Queue_.begin());
-    send(Name, std::move(Next));
+  std::stable_sort(Queue_.begin(), Queue_.end(),
+                   [](const Question &Left, const Question &Right) {
+                     return std::tie(Left.Ask.Priority, Left.Ask.Renewal) <
+                            std::tie(Right.Ask.Priority, Right.Ask.Renewal);
+                   });
+  std::vector<Question> Kept;
+  for (Question &Next : std::exchange(Queue_, {})) {
+    if (!Needed_(Next.Ask.Step))
+      continue;
+    const std::vector<std::string> Free =
+        freeCallers(Next.Ask.ExpectedMs <= QuickMs);
+    if (Free.empty())
+      Kept.push_back(std::move(Next));
+    else
+      send(Free[NextCaller_++ % Free.size()], std::move(Next));
   }
+  // Nothing is asked while the queue is gone through.
+  Queue_ = std::move(Kept);
 }
 
 void AdviceDesk::send(const std::string &Name, Question Next) {
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -22,6 +22,8 @@
 /// balancer sends callers to others.
 constexpr milliseconds StoreAwayUnready{2500};
 constexpr milliseconds CheckInterval{500};
+/// VMs rewrite their entries often; changes are gathered for this long.
+constexpr milliseconds VmGather{300};
 /// A stopping daemon keeps its front door open until the balancer has noticed
 /// that it is not ready: two checks a second apart.
 constexpr milliseconds LeaveRotation{2600};
@@ -92,7 +94,8 @@
 private:
   std::unique_ptr<HttpServer> listen(const ListenAddress &At,
                                      HttpHandler Handler);
-  std::shared_ptr<TableFollower> follow(std::string Table, RowSink &Sink);
+  std::shared_ptr<TableFollower> follow(std::string Table, RowSink &Sink,
+                                        milliseconds Gather = {});
   void configChanged();
   void daemonsChanged();
   void watchPool(const std::string &Service);
@@ -119,6 +122,8 @@
   std::unique_ptr<HttpServer> Ready_;
   std::unique_ptr<HttpServer> PeerServer_;
   std::vector<std::shared_ptr<TableFollower>> Followers_;
+  /// Only a pool's owner needs to know the VMs.
+  std::shared_ptr<TableFollower> VmFollower_;
   std::map<std::string, std::shared_ptr<PoolLease>, std::less<>> Leases_;
   std::map<std::string, std::shared_ptr<PoolOwner>, std::less<>> Owners_;
   bool Stopping_ = false;
@@ -133,13 +138,12 @@
   return startLoopHttpServer(Parts_.Home, Options, std::move(Handler));
 }
 
-std::shared_ptr<TableFollower> FleetDaemonImpl::follow(std::string Table,
-                                                       RowSink &Sink) {
+std::shared_ptr<TableFollower>
+FleetDaemonImpl::follow(std::string Table, RowSink &Sink, milliseconds Gather) {
   auto Out = std::make_shared<TableFollower>(
       Parts_.Store, Parts_.Home,
-      FollowOptions{std::move(Table), {""}, FollowWait, milliseconds(0)}, Sink);
+      FollowOptions{std::move(Table), {""}, FollowWait, Gather}, Sink);
   Out->start();
-  Followers_.push_back(Out);
   return Out;
 }
 
@@ -152,9 +156,8 @@
                   });
   Front_ = listen(Parts_.Settings.Front, MakeFront_(Queues_, Door_));
   Parts_.Events.record(EventId::DaemonStarted, Self_.Name, Self_.Incarnation);
-  follow(Parts_.Formats.configTable(), Config_);
-  follow(std::string(DaemonTable), Daemons_);
-  follow(Parts_.Formats.vmTable(), Directory_);
+  Followers_ = {follow(Parts_.Formats.configTable(), Config_),
+                follow(std::string(DaemonTable), Daemons_)};
   registerSelf();
   check();
 }
@@ -225,12 +228,19 @@
   auto Owner = std::make_shared<PoolOwner>(Context_, Term);
   Owner->OnReplaced = [this, Service = Term.Service] { poolLost(Service); };
   Owners_[Term.Service] = Owner;
+  if (!VmFollower_)
+    VmFollower_ = follow(Parts_.Formats.vmTable(), Directory_, VmGather);
   Owner->start();
   Owner->setPeers(peerAddresses());
 }
 
 void FleetDaemonImpl::poolLost(const std::string &Service) {
   Owners_.erase(Service);
+  if (Owners_.empty() && VmFollower_) {
+    VmFollower_->close();
+    VmFollower_.reset();
+    Directory_.forget();
+  }
   Leases_[Service]->lost();
 }
 
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -10,9 +10,10 @@
 
 /// Kept back from a caller's patience for the answer's way.
 constexpr milliseconds AnswerMargin{150};
-/// One try of a transaction; several fit into a caller's patience.
-constexpr milliseconds WriteTimeout{900};
-constexpr milliseconds ReadTimeout{700};
+/// Longest wait for one try of a transaction: two fit into the usual patience.
+/// Shorter ones would repeat calls to a store that is only slow.
+constexpr milliseconds WriteTimeout{1600};
+constexpr milliseconds ReadTimeout{1200};
 constexpr milliseconds OwnerTimeout{350};
 constexpr milliseconds RetryDelay{60};
 /// A store that has not answered for this long is taken to be away.
--- a/packages/fleet/src/JobRows.cpp
+++ b/packages/fleet/src/JobRows.cpp
@@ -1,5 +1,8 @@
 #include "cuminroad/fleet/JobRows.h"
 
+#include <algorithm>
+#include <charconv>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -10,11 +13,16 @@
 /// Follows the job's id in the key of its cancellation. It sorts behind the id
 /// and before the next one.
 constexpr std::string_view CancelSuffix = "!";
-constexpr std::string_view PartitionDigits = "0123456789abcdef";
+/// The store handles the transactions of one partition one after another. Read
+/// in full by a new owner, so that more would make takeovers slower.
+constexpr unsigned PartitionCount = 64;
 
-/// Ids are hexadecimal: their first digit spreads them evenly.
+/// Ids are hexadecimal: their first two digits spread them evenly.
 std::string requestPartition(std::string_view Job) {
-  return fmt::format("jobs-{}", Job.substr(0, 1));
+  unsigned Number = 0;
+  std::from_chars(Job.data(), Job.data() + std::min<std::size_t>(Job.size(), 2),
+                  Number, 16);
+  return fmt::format("jobs-{}", Number % PartitionCount);
 }
 
 } // namespace
@@ -44,8 +52,8 @@
 
 std::vector<std::string> requestPartitions() {
   std::vector<std::string> Out;
-  for (std::size_t Index = 0; Index < PartitionDigits.size(); ++Index)
-    Out.push_back(requestPartition(PartitionDigits.substr(Index, 1)));
+  for (unsigned Number = 0; Number < PartitionCount; ++Number)
+    Out.push_back(requestPartition(fmt::format("{:02x}", Number)));
   return Out;
 }
 
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -86,7 +86,8 @@
     SeenVersion_ = Version;
     SeenAt_ = Now;
   }
-  const bool Vacant = Owner_.Holder.empty();
+  // The holder's process has ended where this is its next life.
+  const bool Vacant = Owner_.Holder.empty() || Owner_.Holder == Self_.Name;
   const milliseconds Wait =
       standbyDelay() + (Vacant ? milliseconds(0) : OwnerLapse);
   if (Now - SeenAt_ >= Wait)
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -22,6 +22,8 @@
 /// that has gone silent shows only when this has passed.
 constexpr milliseconds FollowWait{2000};
 constexpr milliseconds ReadTimeout{1500};
+/// From the record of a start in the store until it is at its VM.
+constexpr milliseconds SendDelay{40};
 constexpr milliseconds ReadRetry{100};
 constexpr milliseconds CleaningInterval{10000};
 /// Finished jobs stay readable this much longer than promised.
@@ -66,6 +68,7 @@
   Advice_ = std::make_shared<AdviceDesk>(
       Context_.Advisor, Context_.Peers, Context_.Home, Context_.Time,
       Context_.Self.Name,
+      [this](const StepName &Step) { return Scheduler_->wantsAdvice(Step); },
       [this](const StepName &Step, Result<AdviceDesk::Answer> Answer) {
         if (!Answer) {
           Context_.Events.record(EventId::AdviceFailed, Step.Job,
@@ -80,6 +83,7 @@
                                Answer->At + ValidFor);
         wake();
       });
+  Advice_->setQueues(Context_.Queues.config().Routes);
   Requests_ = std::make_shared<TableFollower>(
       Context_.Store, Context_.Home,
       FollowOptions{std::string(RequestTable), requestPartitions(), FollowWait,
@@ -252,6 +256,7 @@
 void PoolOwner::queuesChanged() {
   if (!Scheduler_)
     return;
+  Advice_->setQueues(Context_.Queues.config().Routes);
   for (const QueueRoute &Route : Context_.Queues.config().Routes)
     Scheduler_->setTerms(Route.Terms);
   wake();
@@ -327,6 +332,7 @@
   LastPass_ = Context_.Time.now();
   checkUnlistedVms();
   // Without a fresh lease another owner may be at work already.
+  Scheduler_->setStartDelay(Writer_->recentDelay() + SendDelay);
   if (LastPass_ - Writer_->renewedAt() < OwnerStartLimit)
     Scheduler_->schedule();
   for (const PoolCommand &Command : Scheduler_->takeCommands())
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -36,6 +36,10 @@
   std::vector<std::string> Vms;
   /// How long the advisor is expected to take.
   double ExpectedMs = 0;
+  /// Of the step's queue; 0 goes first.
+  int Priority = 0;
+  /// The VMs are known to be good, and new tickets are wanted.
+  bool Renewal = false;
 };
 
 using PoolCommand = std::variant<StartRun, StopRun, PaceRun, AskAdvice>;
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -13,17 +13,18 @@
   /// Blocked steps that get VMs reserved at a time. Each holds room back from
   /// steps behind it, so that a few of them suffice.
   int ReservedSteps = 6;
-  /// A ticket is used only if it holds this much longer: the start has to be
-  /// written, sent and received.
-  milliseconds TicketMargin{250};
-  /// A step's tickets are renewed when they hold no longer than this.
-  milliseconds TicketRenewal{700};
+  /// A ticket is used only if it holds this much longer than a start takes.
+  milliseconds TicketMargin{150};
+  /// How long a start takes to reach its VM: it is recorded before it is sent.
+  /// Measured while running; this is the value at the start.
+  milliseconds StartDelay{100};
   /// Waiting steps whose tickets are kept fresh.
   int FreshSteps = 16;
   /// VMs asked about again when a step's tickets are renewed.
   int RenewedVms = 6;
-  /// An advice call without an answer is given up after this.
-  milliseconds AdviceTimeout{4000};
+  /// Tickets are renewed when room is expected within the advisor's time and
+  /// this.
+  milliseconds RenewalLead{250};
   /// A step's advice is asked for when the steps before it are expected to end
   /// within the advisor's time and this.
   milliseconds AdviceLead{300};
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -71,6 +71,12 @@
                           TimePoint ValidUntil) = 0;
   virtual void adviceFailed(const StepName &Step) = 0;
 
+  /// Whether an answer to a question about this step is still of use.
+  virtual bool wantsAdvice(const StepName &Step) const = 0;
+  /// How long a start takes to reach its VM at present, with what must be
+  /// recorded before it.
+  virtual void setStartDelay(milliseconds Delay) = 0;
+
   /// Places what can be placed and handles what became due.
   virtual void schedule() = 0;
   /// \returns the commands since the last call, in order.
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Forecast.h"
+
 namespace cuminroad {
 
 namespace {
@@ -36,11 +38,8 @@
 }
 
 void AdvicePlanner::consider(StepRecord &Step) {
-  if (Step.Asking) {
-    if (Now_ - Step.AskedAt < Options_.AdviceTimeout)
-      return;
-    Step.Asking = false;
-  }
+  if (Step.Asking)
+    return;
   const bool Ready = isReady(Step);
   if (!Ready && !soonReady(Step))
     return;
@@ -91,29 +90,40 @@
       New.push_back(Id);
   }
   if (!New.empty())
-    ask(Step, std::move(New));
+    ask(Step, std::move(New), false);
 }
 
 void AdvicePlanner::renewTickets(StepRecord &Step) {
-  // The VMs most likely to take the next task: those with most room.
-  std::vector<std::pair<std::int64_t, VmRecord *>> Best;
+  // The VMs that are expected to have room when the answer comes, those with
+  // room for most tasks first.
   const Capacity Need = Step.Plan->reserved();
+  const bool Gang = Step.Plan->Gang;
+  const int Wanted = Gang ? static_cast<int>(Step.Tasks.size()) : 1;
+  const TimePoint Then =
+      Now_ +
+      toMillis(
+          expectedMs(Step, static_cast<std::size_t>(Options_.RenewedVms))) +
+      Options_.RenewalLead;
+  std::vector<std::pair<int, VmRecord *>> Best;
   for (const auto &[Vm, Ticket] : Step.Good) {
     if (!usable(Step, *Vm) || Ticket.Born != Vm->Vm.Born)
       continue;
-    const Capacity Free = Vm->free();
-    const std::int64_t Lack =
-        std::max<std::int64_t>(0, Need.MilliCores - Free.MilliCores) +
-        std::max<std::int64_t>(0, Need.Accelerators - Free.Accelerators) * 8000;
-    Best.emplace_back(Lack, Vm);
+    const int Room = countFits(freeAt(*Vm, Then, Now_), Need);
+    if (Room > 0)
+      Best.emplace_back(-Room, Vm);
   }
   std::sort(Best.begin(), Best.end());
-  const std::size_t Wanted =
+  int Room = 0;
+  for (const auto &[Less, Vm] : Best)
+    Room -= std::max(Less, -Wanted);
+  if (Room < Wanted)
+    return;
+  const std::size_t Most =
       std::max(static_cast<std::size_t>(Options_.RenewedVms),
-               Step.Plan->Gang ? Step.Tasks.size() : 0);
-  Best.resize(std::min(Best.size(), Wanted));
-  const milliseconds Margin =
-      Options_.TicketMargin + toMillis(expectedMs(Step, Best.size()) * 1.3);
+               Gang ? Step.Tasks.size() : 0);
+  Best.resize(std::min(Best.size(), Most));
+  const milliseconds Margin = Options_.TicketMargin + Options_.StartDelay +
+                              toMillis(expectedMs(Step, Best.size()));
   const bool Stale =
       std::any_of(Best.begin(), Best.end(), [&](const auto &Entry) {
         return Step.Good[Entry.second].ValidUntil < Now_ + Margin;
@@ -121,16 +131,18 @@
   if (!Stale)
     return;
   std::vector<std::string> Vms;
-  for (const auto &[Lack, Vm] : Best)
+  for (const auto &[Less, Vm] : Best)
     Vms.push_back(Vm->Vm.Id);
-  ask(Step, std::move(Vms));
+  ask(Step, std::move(Vms), true);
 }
 
-void AdvicePlanner::ask(StepRecord &Step, std::vector<std::string> Vms) {
+void AdvicePlanner::ask(StepRecord &Step, std::vector<std::string> Vms,
+                        bool Renewal) {
   Step.Asking = true;
-  Step.AskedAt = Now_;
   const double Expected = expectedMs(Step, Vms.size());
-  Tables_.Commands.push_back(AskAdvice{nameOf(Step), std::move(Vms), Expected});
+  Tables_.Commands.push_back(AskAdvice{nameOf(Step), std::move(Vms), Expected,
+                                       Step.Occurrence->Job->Terms.Priority,
+                                       Renewal});
 }
 
 } // namespace cuminroad
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -27,7 +27,7 @@
   void askAboutNewVms(StepRecord &Step);
   void renewTickets(StepRecord &Step);
   bool soonReady(const StepRecord &Step) const;
-  void ask(StepRecord &Step, std::vector<std::string> Vms);
+  void ask(StepRecord &Step, std::vector<std::string> Vms, bool Renewal);
   double expectedMs(const StepRecord &Step, std::size_t Vms) const;
   bool usable(const StepRecord &Step, const VmRecord &Vm) const;
 
--- /dev/null
+++ b/packages/pool/src/Forecast.cpp
@@ -0,0 +1,47 @@
+#include "Forecast.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cuminroad {
+
+namespace {
+
+/// Expected ends are late rather than early: the next one counts as this far
+/// away at least.
+constexpr milliseconds LeastRemaining{50};
+
+std::int64_t fits(std::int64_t Free, std::int64_t Need) {
+  if (Need <= 0)
+    return std::numeric_limits<int>::max();
+  return std::max<std::int64_t>(Free, 0) / Need;
+}
+
+} // namespace
+
+int countFits(const Capacity &Free, const Capacity &Need) {
+  return static_cast<int>(std::min({fits(Free.MilliCores, Need.MilliCores),
+                                    fits(Free.MemoryMb, Need.MemoryMb),
+                                    fits(Free.Accelerators,
+                                         Need.Accelerators)}));
+}
+
+TimePoint expectedEnd(const TaskRecord &Task, TimePoint Now) {
+  const StepPlan &Plan = *Task.Step->Plan;
+  if (Plan.LongRunning)
+    return TimePoint::max();
+  const TimePoint End =
+      Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
+                          Plan.Estimate * Task.Vm->Slowness);
+  return std::max(End, Now + LeastRemaining);
+}
+
+Capacity freeAt(const VmRecord &Vm, TimePoint When, TimePoint Now) {
+  Capacity Out = Vm.free();
+  for (const TaskRecord *Task : Vm.Tasks)
+    if (expectedEnd(*Task, Now) <= When)
+      Out += Task->Step->Plan->reserved();
+  return Out;
+}
+
+} // namespace cuminroad
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -36,6 +36,8 @@
                   std::span<const AdviceTicket> Good,
                   TimePoint ValidUntil) override;
   void adviceFailed(const StepName &Step) override;
+  bool wantsAdvice(const StepName &Step) const override;
+  void setStartDelay(milliseconds Delay) override;
 
   void schedule() override;
   std::vector<PoolCommand> takeCommands() override;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -186,6 +186,16 @@
     Step->Asking = false;
 }
 
+bool PoolSchedulerImpl::wantsAdvice(const StepName &Name) const {
+  const StepRecord *Step = Tables_.step(Name);
+  return Step != nullptr && Step->Waiting > 0 &&
+         !isFinal(Step->Occurrence->Job->Stage);
+}
+
+void PoolSchedulerImpl::setStartDelay(milliseconds Delay) {
+  Options_.StartDelay = Delay;
+}
+
 void PoolSchedulerImpl::stopStuckTasks() {
   const TimePoint Now = Time_.now();
   for (const auto &[Id, Vm] : Tables_.Vms) {
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -86,7 +86,6 @@
   /// VMs that the advisor was asked about, and their lives.
   std::map<std::string, std::int64_t> AskedVms;
   bool Asking = false;
-  TimePoint AskedAt{};
   /// Set at each pass in which the step could not be placed whole.
   bool Blocked = false;
 
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -1,7 +1,8 @@
 #include "SchedulingPass.h"
 
 #include <algorithm>
-#include <limits>
+
+#include "Forecast.h"
 
 namespace cuminroad {
 
@@ -18,26 +19,10 @@
 constexpr double ConflictWeight = 10.0;
 /// Tasks of a long-running step are spread, so that one VM's end hits few.
 constexpr double SpreadWeight = 0.5;
-/// Expected ends are late rather than early: the next one counts as this far
-/// away at least.
-constexpr milliseconds LeastRemaining{50};
 /// Estimates are often too low; reserved VMs are not used by work that may
 /// overrun.
 constexpr double BackfillMargin = 1.3;
 
-std::int64_t fits(std::int64_t Free, std::int64_t Need) {
-  if (Need <= 0)
-    return std::numeric_limits<int>::max();
-  return std::max<std::int64_t>(Free, 0) / Need;
-}
-
-int countFits(const Capacity &Free, const Capacity &Need) {
-  return static_cast<int>(
-      std::min({fits(Free.MilliCores, Need.MilliCores),
-                fits(Free.MemoryMb, Need.MemoryMb),
-                fits(Free.Accelerators, Need.Accelerators)}));
-}
-
 int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
   if (Step.OnVms == 0)
     return 0;
@@ -74,7 +59,7 @@
     const milliseconds Objective = Job->objective();
     for (const auto &[Number, Occurrence] : Job->Occurrences) {
       const TimePoint Deadline = Occurrence->Due + Objective;
-      const bool Late =
+      const bool Hopeless =
           !Job->Plan.lasts() &&
           Now_ > Occurrence->Due + milliseconds(static_cast<std::int64_t>(
                                        Options_.LateFactor *
@@ -82,15 +67,17 @@
       for (StepRecord &Step : Occurrence->Steps) {
         Step.Blocked = false;
         if (Step.Waiting > 0 && isReady(Step))
-          Order_.push_back(
-              Candidate{&Step, Late, Job->Terms.Priority, Deadline});
+          Order_.push_back(Candidate{&Step, Hopeless, Job->Terms.Priority,
+                                     !Job->Plan.lasts() && Now_ > Deadline,
+                                     Deadline});
       }
     }
   }
   std::stable_sort(Order_.begin(), Order_.end(),
                    [](const Candidate &Left, const Candidate &Right) {
-                     return std::tie(Left.Late, Left.Priority, Left.Deadline) <
-                            std::tie(Right.Late, Right.Priority,
+                     return std::tie(Left.Hopeless, Left.Priority, Left.Late,
+                                     Left.Deadline) <
+                            std::tie(Right.Hopeless, Right.Priority, Right.Late,
                                      Right.Deadline);
                    });
 }
@@ -177,7 +164,8 @@
     return true;
   const auto Found = Step.Good.find(&Vm);
   return Found != Step.Good.end() && Found->second.Born == Vm.Vm.Born &&
-         Found->second.ValidUntil > Now_ + Options_.TicketMargin;
+         Found->second.ValidUntil >
+             Now_ + Options_.TicketMargin + Options_.StartDelay;
 }
 
 bool SchedulingPass::reservationAllows(const StepRecord &Step,
@@ -247,27 +235,9 @@
                                       Task.Checkpoint, Task.Ticket});
 }
 
-TimePoint SchedulingPass::expectedEnd(const TaskRecord &Task) const {
-  const StepPlan &Plan = *Task.Step->Plan;
-  if (Plan.LongRunning)
-    return TimePoint::max();
-  const TimePoint End =
-      Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
-                          Plan.Estimate * Task.Vm->Slowness);
-  return std::max(End, Now_ + LeastRemaining);
-}
-
-Capacity SchedulingPass::freeAt(const VmRecord &Vm, TimePoint When) const {
-  Capacity Out = Vm.free();
-  for (const TaskRecord *Task : Vm.Tasks)
-    if (expectedEnd(*Task) <= When)
-      Out += Task->Step->Plan->reserved();
-  return Out;
-}
-
 int SchedulingPass::countFits(const StepRecord &Step, const VmRecord &Vm,
                               TimePoint When) const {
-  int Out = cuminroad::countFits(freeAt(Vm, When), Step.Plan->reserved());
+  int Out = cuminroad::countFits(freeAt(Vm, When, Now_), Step.Plan->reserved());
   if (Step.Plan->MaxPerVm > 0)
     Out = std::min(Out, Step.Plan->MaxPerVm);
   return Out;
@@ -283,7 +253,8 @@
       continue;
     Usable.push_back(Vm.get());
     for (const TaskRecord *Task : Vm->Tasks)
-      if (const TimePoint End = expectedEnd(*Task); End != TimePoint::max())
+      if (const TimePoint End = expectedEnd(*Task, Now_);
+          End != TimePoint::max())
         Times.push_back(End);
   }
   const int Wanted = Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
@@ -310,7 +281,7 @@
     if (Here <= 0)
       return;
     Vm->ReservedUntil = *At;
-    Vm->Spare = freeAt(*Vm, *At) - Step.Plan->reserved() * Here;
+    Vm->Spare = freeAt(*Vm, *At, Now_) - Step.Plan->reserved() * Here;
     // What fits beside the step must also fit now.
     Vm->Spare = smaller(Vm->Spare, Vm->free());
     Open -= Here;
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -20,8 +20,11 @@
 private:
   struct Candidate {
     StepRecord *Step;
-    bool Late;
+    /// So late that it is of little value to its caller.
+    bool Hopeless;
     int Priority;
+    /// Behind its objective: those that can still meet theirs go first.
+    bool Late;
     TimePoint Deadline;
   };
 
@@ -40,8 +43,6 @@
   double score(const StepRecord &Step, const VmRecord &Vm) const;
   void start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
   void reserve(StepRecord &Step);
-  TimePoint expectedEnd(const TaskRecord &Task) const;
-  Capacity freeAt(const VmRecord &Vm, TimePoint When) const;
   int countFits(const StepRecord &Step, const VmRecord &Vm,
                 TimePoint When) const;
 
--- a/packages/store/include/cuminroad/store/ChainedWriter.h
+++ b/packages/store/include/cuminroad/store/ChainedWriter.h
@@ -38,6 +38,8 @@
   /// When the last transaction that took effect was sent.
   TimePoint renewedAt() const { return RenewedAt_; }
   std::int64_t headVersion() const { return HeadVersion_; }
+  /// How long a transaction takes at present.
+  milliseconds recentDelay() const { return Delay_; }
   bool idle() const { return !Writing_ && Puts_.empty() && Waiting_.empty(); }
   /// Called once when the head row shows another writer.
   std::function<void()> OnReplaced;
@@ -55,6 +57,7 @@
   void settleCommitted(TimePoint RenewedAt, std::int64_t Version);
   void settleConflict(const RowCommit &Outcome);
   void gatherRows();
+  void noteDelay(milliseconds Delay);
   void add(Pending Change);
 
   RowStore &Store_;
@@ -80,6 +83,9 @@
   TimePoint RenewedAt_{};
   TimePoint LastWrite_{};
   milliseconds RetryDelay_;
+  milliseconds Timeout_;
+  /// How long a transaction takes, smoothed.
+  milliseconds Delay_{0};
 };
 
 } // namespace cuminroad
--- a/packages/store/include/cuminroad/store/TableFollower.h
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -52,8 +52,8 @@
 
 private:
   void readAll();
-  void readPartition(std::size_t Index, std::string From);
-  void pageRead(std::size_t Index, Result<RowPage> Page);
+  void readPartition(const std::string &Partition, std::string From);
+  void pageRead(const std::string &Partition, Result<RowPage> Page);
   void follow();
   void changed(Result<RowPage> Page);
   void retry(void (TableFollower::*Step)());
@@ -63,9 +63,11 @@
   FollowOptions Options_;
   RowSink &Sink_;
   std::vector<StoredRow> Reading_;
-  /// Version of the first page of a full read: changes since then may be
-  /// missing in later pages, and are read again.
+  /// Lowest version of a page of a full read: changes since then may be missing
+  /// in other pages, and are read again.
   std::int64_t ReadVersion_ = 0;
+  std::size_t OpenReads_ = 0;
+  int ReadNumber_ = 0;
   std::int64_t Version_ = 0;
   milliseconds Delay_;
   bool Loaded_ = false;
--- a/packages/store/src/ChainedWriter.cpp
+++ b/packages/store/src/ChainedWriter.cpp
@@ -13,7 +13,15 @@
 constexpr std::size_t MaxRows = 90;
 /// Bytes in one transaction, well below the store's limit of 1 MB.
 constexpr std::size_t MaxBytes = 500'000;
-constexpr milliseconds WriteTimeout{1000};
+/// A try is given up after this many times the usual delay, within bounds. A
+/// lost answer stops the writer for as long, and a repeat is harmless; but
+/// repeats to a store that is only slow make it slower, so that the time
+/// doubles with each try.
+constexpr int TimeoutFactor = 6;
+constexpr milliseconds TimeoutMin{200};
+constexpr milliseconds TimeoutMax{2500};
+/// Share of the newest delay in the usual one.
+constexpr int NewestPart = 4;
 constexpr milliseconds RetryDelayMin{50};
 constexpr milliseconds RetryDelayMax{400};
 
@@ -23,7 +31,8 @@
                              RowName Head,
                              std::function<std::string(std::int64_t)> HeadValue)
     : Store_(Store), Home_(Home), Time_(Time), Head_(std::move(Head)),
-      HeadValue_(std::move(HeadValue)), RetryDelay_(RetryDelayMin) {}
+      HeadValue_(std::move(HeadValue)), RetryDelay_(RetryDelayMin),
+      Timeout_(TimeoutMin) {}
 
 void ChainedWriter::begin(std::int64_t HeadVersion, TimePoint WrittenAt) {
   HeadVersion_ = HeadVersion;
@@ -106,7 +115,7 @@
   Writing_ = true;
   const TimePoint SentAt = Time_.now();
   LastWrite_ = SentAt;
-  Store_.commit(std::move(Change), WriteTimeout,
+  Store_.commit(std::move(Change), Timeout_,
                 [Self = shared_from_this(), SentAt](Result<RowCommit> Outcome) {
                   Self->Writing_ = false;
                   if (!Self->Closed_)
@@ -115,16 +124,24 @@
 }
 
 void ChainedWriter::settle(TimePoint SentAt, Result<RowCommit> Outcome) {
-  if (Outcome && Outcome->committed())
-    return settleCommitted(SentAt, Outcome->Version);
-  if (Outcome)
+  if (Outcome) {
+    noteDelay(std::chrono::duration_cast<milliseconds>(Time_.now() - SentAt));
+    if (Outcome->committed())
+      return settleCommitted(SentAt, Outcome->Version);
     return settleConflict(*Outcome);
+  }
   Repeating_ = true;
+  Timeout_ = std::min(Timeout_ * 2, TimeoutMax);
   RenewWanted_ = true;
   plan(RetryDelay_);
   RetryDelay_ = std::min(RetryDelay_ * 2, RetryDelayMax);
 }
 
+void ChainedWriter::noteDelay(milliseconds Delay) {
+  Delay_ += (Delay - Delay_) / NewestPart;
+  Timeout_ = std::clamp(Delay_ * TimeoutFactor, TimeoutMin, TimeoutMax);
+}
+
 void ChainedWriter::settleCommitted(TimePoint RenewedAt, std::int64_t Version) {
   HeadVersion_ = Version;
   RenewedAt_ = RenewedAt;
--- a/packages/store/src/TableFollower.cpp
+++ b/packages/store/src/TableFollower.cpp
@@ -1,6 +1,8 @@
 #include "cuminroad/store/TableFollower.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace cuminroad {
 
@@ -25,35 +27,43 @@
 void TableFollower::readAll() {
   Reading_.clear();
   ReadVersion_ = 0;
-  readPartition(0, "");
+  OpenReads_ = Options_.Partitions.size();
+  ++ReadNumber_;
+  for (const std::string &Partition : Options_.Partitions)
+    readPartition(Partition, "");
 }
 
-void TableFollower::readPartition(std::size_t Index, std::string From) {
-  RowRange Range{Options_.Table, Options_.Partitions[Index], std::move(From),
-                 ""};
+void TableFollower::readPartition(const std::string &Partition,
+                                  std::string From) {
+  RowRange Range{Options_.Table, Partition, std::move(From), ""};
   Store_.read(std::move(Range), ReadTimeout,
-              [Self = shared_from_this(), Index](Result<RowPage> Page) {
-                if (!Self->Closed_)
-                  Self->pageRead(Index, std::move(Page));
+              [Self = shared_from_this(), Partition,
+               Number = ReadNumber_](Result<RowPage> Page) {
+                if (!Self->Closed_ && Number == Self->ReadNumber_)
+                  Self->pageRead(Partition, std::move(Page));
               });
 }
 
-void TableFollower::pageRead(std::size_t Index, Result<RowPage> Page) {
-  if (!Page)
+void TableFollower::pageRead(const std::string &Partition,
+                             Result<RowPage> Page) {
+  if (!Page) {
+    // Answers of this read that are still to come are of no use.
+    ++ReadNumber_;
     return retry(&TableFollower::readAll);
-  if (ReadVersion_ == 0)
+  }
+  if (ReadVersion_ == 0 || Page->Version < ReadVersion_)
     ReadVersion_ = Page->Version;
+  const bool More = Page->HasMore && !Page->Rows.empty();
+  const std::string Last = More ? Page->Rows.back().Name.Key : "";
   std::move(Page->Rows.begin(), Page->Rows.end(), std::back_inserter(Reading_));
-  if (Page->HasMore && !Page->Rows.empty()) {
-    return readPartition(Index, keyAfter(Reading_.back().Name.Key));
-  }
-  if (Index + 1 < Options_.Partitions.size())
-    return readPartition(Index + 1, "");
+  if (More)
+    return readPartition(Partition, keyAfter(Last));
+  if (--OpenReads_ > 0)
+    return;
   Delay_ = RetryDelayMin;
   Version_ = ReadVersion_;
   Loaded_ = true;
-  Sink_.tableRead(std::move(Reading_));
-  Reading_.clear();
+  Sink_.tableRead(std::exchange(Reading_, {}));
   if (!Closed_)
     follow();
 }
