Settle starts whose answer was lost by the VM's lists; log blocked steps

TWICE: a start's answer was lost, its run ended, and the repeat was refused as old, which was taken for never run. LOST: a question to the advisor was dropped while no task of its step waited, and the step stayed marked as being asked about, so that a task which failed later was never placed. Ruled out: the owner's takeover before (both tasks were started after it).

A refusal of a repeat now counts as settled by the VM's lists, and a dropped question is answered. New log lines: step_blocked, advice_came, and the plan with job_accepted.

--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -92,6 +92,8 @@
               "The task's VM is gone; it restarts if it may."},
     EventInfo{EventId::TaskThrottled, Severity::Warning, "task_throttled",
               "The task uses more than it declared and is held to that."},
+    EventInfo{EventId::StepBlocked, Severity::Info, "step_blocked",
+              "A step waits for room; logged after 1 s, 2 s, 4 s and so on."},
     EventInfo{EventId::RunStarted, Severity::Info, "run_started",
               "A start was sent to a VM."},
     EventInfo{EventId::RunRefused, Severity::Warning, "run_refused",
@@ -113,6 +115,8 @@
     EventInfo{EventId::PeerMessageRejected, Severity::Warning,
               "peer_message_rejected",
               "A message between daemons could not be read."},
+    EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
+              "The placement advisor named the VMs that may run a step."},
     EventInfo{EventId::LinesDropped, Severity::Warning, "lines_dropped",
               "Log lines were left out to keep the volume bounded."},
 };
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -82,6 +82,7 @@
   void execute(const AskAdvice &Do);
   void recordChanges();
   void tellLosses();
+  void tellBlocked();
   void renewRegularly();
   void forgetOldJobs();
   void replaced();
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -85,6 +85,7 @@
   void sendStart(StartOrder Order, int Tries);
   void startAnswered(const StartOrder &Order, int Tries,
                      const Result<OrderAnswer> &Answer);
+  void repeatStart(const StartOrder &Order, int Tries);
   void sendStop(const TaskRun &Run, int Tries);
   VmTarget target(bool Fresh) const;
 
--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -82,9 +82,12 @@
                             std::tie(Right.Ask.Priority, Right.Ask.Renewal);
                    });
   std::vector<Question> Kept;
+  std::vector<StepName> Unneeded;
   for (Question &Next : std::exchange(Queue_, {})) {
-    if (!Needed_(Next.Ask.Step))
+    if (!Needed_(Next.Ask.Step)) {
+      Unneeded.push_back(Next.Ask.Step);
       continue;
+    }
     const std::vector<std::string> Free =
         freeCallers(Next.Ask.ExpectedMs <= QuickMs);
     if (Free.empty())
@@ -94,6 +97,9 @@
   }
   // Nothing is asked while the queue is gone through.
   Queue_ = std::move(Kept);
+  // The step may be asked about again later.
+  for (const StepName &Step : Unneeded)
+    Done_(Step, Answer{Step, {}, {}, Time_.now()});
 }
 
 void AdviceDesk::send(const std::string &Name, Question Next) {
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "cuminroad/pool/JobProgress.h"
 
 namespace cuminroad {
@@ -22,6 +24,18 @@
 /// seconds.
 constexpr milliseconds StoreRetryAfter{2000};
 
+/// Queue and steps in short, as a log line has them.
+std::string describe(const JobRequest &Request) {
+  std::string Out = Request.Queue;
+  for (const StepPlan &Step : Request.Plan.Steps)
+    Out += fmt::format(" {}x{}m/{}MB/{}g{}{}{}", Step.Tasks,
+                       Step.PerTask.MilliCores, Step.PerTask.MemoryMb,
+                       Step.PerTask.Accelerators, Step.Gang ? " gang" : "",
+                       Step.LongRunning ? " lasting" : "",
+                       Step.Fills ? " fills" : "");
+  return Out;
+}
+
 } // namespace
 
 struct JobDoor::Submission {
@@ -72,7 +86,7 @@
     // A conflict means that the job is there already: it remains one job.
     Context_.Events.record(Outcome->committed() ? EventId::JobAccepted
                                                 : EventId::JobReadBack,
-                           Job, Open->Request.Queue);
+                           Job, describe(Open->Request));
     return Open->Done(SubmitReply{SubmitOutcome::Accepted});
   }
   Open->Uncertain =
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -75,6 +75,11 @@
                                  Answer.error().text());
           return Scheduler_->adviceFailed(Step);
         }
+        if (!Answer->Asked.empty())
+          Context_.Events.record(
+              EventId::AdviceCame, Step.Job,
+              fmt::format("{}.{} good {} of {}", Step.Occurrence, Step.Step,
+                          Answer->Good.size(), Answer->Asked.size()));
         const QueueTerms *Terms = Scheduler_->terms(Step.Job);
         const milliseconds ValidFor = Terms != nullptr && Terms->Advice
                                           ? Terms->Advice->ValidFor
@@ -338,6 +343,7 @@
   for (const PoolCommand &Command : Scheduler_->takeCommands())
     std::visit([this](const auto &Do) { execute(Do); }, Command);
   tellLosses();
+  tellBlocked();
   recordChanges();
 }
 
@@ -364,6 +370,17 @@
                            fmt::format("{} {}", Loss.Vm, Loss.Reason));
 }
 
+void PoolOwner::tellBlocked() {
+  for (const BlockedStep &Each : Scheduler_->takeBlocked())
+    Context_.Events.record(
+        EventId::StepBlocked, Each.Step.Job,
+        fmt::format("{}.{} waited_ms {} tasks {} vms good {} usable {} "
+                    "ticket {} room {}",
+                    Each.Step.Occurrence, Each.Step.Step, Each.Waited.count(),
+                    Each.Waiting, Each.Good, Each.Usable, Each.Ticketed,
+                    Each.Roomy));
+}
+
 void PoolOwner::recordChanges() {
   const std::vector<std::string> Changed = Scheduler_->takeChangedJobs();
   std::vector<std::pair<std::string, JobStage>> Finals;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -236,19 +236,34 @@
                                    errorInfo(Answer.error().Code).Name);
     // It may have been carried out, or may be later; the same run again is
     // harmless and settles it.
-    Home_.after(OrderRetry, [Self = shared_from_this(), Order, Tries] {
-      Self->sendStart(Order, Tries + 1);
-    });
-    return;
+    return repeatStart(Order, Tries);
   }
   if (Answer->VmClock)
     noteClock(*Answer->VmClock);
   if (Answer->Outcome == OrderOutcome::Fenced)
     return Events_.fenced(*this);
-  Events_.startAnswered(*this, Order.Run, startOutcome(Answer->Outcome),
+  StartOutcome Outcome = startOutcome(Answer->Outcome);
+  if (Tries > 0 && Outcome != StartOutcome::Accepted) {
+    // An earlier try may have been carried out. Once the order has expired it
+    // can't be any more, and the VM's lists tell; until then it is repeated.
+    const bool Expired = Answer->Outcome == OrderOutcome::OldRun ||
+                         Answer->Outcome == OrderOutcome::LeaseOver ||
+                         Answer->Outcome == OrderOutcome::TicketExpired;
+    if (!Expired && Answer->Outcome != OrderOutcome::OtherInstance)
+      return repeatStart(Order, Tries);
+    if (Expired)
+      Outcome = StartOutcome::OldRun;
+  }
+  Events_.startAnswered(*this, Order.Run, Outcome,
                         orderOutcomeName(Answer->Outcome));
 }
 
+void VmLink::repeatStart(const StartOrder &Order, int Tries) {
+  Home_.after(OrderRetry, [Self = shared_from_this(), Order, Tries] {
+    Self->sendStart(Order, Tries + 1);
+  });
+}
+
 void VmLink::stopRun(const TaskRun &Run) { sendStop(Run, 0); }
 
 void VmLink::sendStop(const TaskRun &Run, int Tries) {
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -26,6 +26,20 @@
   std::string_view Reason;
 };
 
+/// Why a step has waited for long; for logs.
+struct BlockedStep {
+  StepName Step;
+  milliseconds Waited{0};
+  int Waiting = 0;
+  /// VMs that the advisor allows, or all where none is asked; of these, those
+  /// that take work, those with a ticket that holds, and those with room for a
+  /// task.
+  int Good = 0;
+  int Usable = 0;
+  int Ticketed = 0;
+  int Roomy = 0;
+};
+
 /// Decides which task of which job runs on which VM of one pool. Events go in,
 /// commands come out; it does no I/O and starts no thread.
 ///
@@ -84,6 +98,7 @@
   /// \returns the jobs whose progress changed since the last call.
   virtual std::vector<std::string> takeChangedJobs() = 0;
   virtual std::vector<RunLoss> takeLosses() = 0;
+  virtual std::vector<BlockedStep> takeBlocked() = 0;
 
   virtual std::optional<JobStage> stage(std::string_view Job) const = 0;
   virtual JobProgress progress(std::string_view Job) const = 0;
--- a/packages/pool/include/cuminroad/pool/PoolVm.h
+++ b/packages/pool/include/cuminroad/pool/PoolVm.h
@@ -62,7 +62,7 @@
 /// How a VM answered a start.
 enum class StartOutcome {
   Accepted,
-  /// The run is not above one that ended there.
+  /// The run is not above one that ended there: it was started before.
   OldRun,
   /// The VM is unhealthy, full, or the order came too late; it did nothing.
   Refused,
--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 int countFits(const Capacity &Free, const Capacity &Need) {
-  return static_cast<int>(std::min({fits(Free.MilliCores, Need.MilliCores),
-                                    fits(Free.MemoryMb, Need.MemoryMb),
-                                    fits(Free.Accelerators,
-                                         Need.Accelerators)}));
+  return static_cast<int>(
+      std::min({fits(Free.MilliCores, Need.MilliCores),
+                fits(Free.MemoryMb, Need.MemoryMb),
+                fits(Free.Accelerators, Need.Accelerators)}));
 }
 
 TimePoint expectedEnd(const TaskRecord &Task, TimePoint Now) {
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -43,6 +43,7 @@
   std::vector<PoolCommand> takeCommands() override;
   std::vector<std::string> takeChangedJobs() override;
   std::vector<RunLoss> takeLosses() override;
+  std::vector<BlockedStep> takeBlocked() override;
 
   std::optional<JobStage> stage(std::string_view Job) const override;
   JobProgress progress(std::string_view Job) const override;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -139,7 +139,9 @@
   TaskRecord *Task = current(Vm, Run);
   if (Task == nullptr)
     return;
-  if (Outcome == StartOutcome::Accepted) {
+  // An old run was started by an earlier try of the order, and may have ended:
+  // the VM's lists tell.
+  if (Outcome == StartOutcome::Accepted || Outcome == StartOutcome::OldRun) {
     if (Task->Phase == TaskPhase::Placed)
       Tables_.setPhase(*Task, TaskPhase::Running);
     Task->ConfirmedAt = Time_.now();
@@ -236,6 +238,10 @@
   return std::exchange(Tables_.Losses, {});
 }
 
+std::vector<BlockedStep> PoolSchedulerImpl::takeBlocked() {
+  return std::exchange(Tables_.BlockedSteps, {});
+}
+
 std::unique_ptr<PoolScheduler> makePoolScheduler(const Clock &Time,
                                                  const WallClock &Wall,
                                                  const PoolOptions &Options) {
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -49,6 +49,7 @@
   std::set<std::string> Changed;
   std::vector<PoolCommand> Commands;
   std::vector<RunLoss> Losses;
+  std::vector<BlockedStep> BlockedSteps;
 };
 
 /// \returns the task's name for messages.
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -88,6 +88,9 @@
   bool Asking = false;
   /// Set at each pass in which the step could not be placed whole.
   bool Blocked = false;
+  /// Since when it has been so, and when that is to be logged next.
+  std::optional<TimePoint> BlockedSince;
+  milliseconds NextReport{0};
 
   bool complete() const { return Done == static_cast<int>(Tasks.size()); }
 };
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -19,6 +19,8 @@
 constexpr double ConflictWeight = 10.0;
 /// Tasks of a long-running step are spread, so that one VM's end hits few.
 constexpr double SpreadWeight = 0.5;
+/// A step that is blocked for this long is logged; then at each doubling.
+constexpr milliseconds FirstBlockedReport{1000};
 /// Estimates are often too low; reserved VMs are not used by work that may
 /// overrun.
 constexpr double BackfillMargin = 1.3;
@@ -87,10 +89,38 @@
     placeGang(Step);
   else
     placeTasks(Step);
-  if (Step.Blocked && Reservations_ < Options_.ReservedSteps)
+  if (!Step.Blocked) {
+    Step.BlockedSince.reset();
+    return;
+  }
+  reportBlocked(Step);
+  if (Reservations_ < Options_.ReservedSteps)
     reserve(Step);
 }
 
+void SchedulingPass::reportBlocked(StepRecord &Step) {
+  if (!Step.BlockedSince) {
+    Step.BlockedSince = Now_;
+    Step.NextReport = FirstBlockedReport;
+  }
+  const auto Waited =
+      std::chrono::duration_cast<milliseconds>(Now_ - *Step.BlockedSince);
+  if (Waited < Step.NextReport)
+    return;
+  Step.NextReport *= 2;
+  BlockedStep Report{nameOf(Step), Waited, Step.Waiting, 0, 0, 0, 0};
+  const bool Advised = Step.Occurrence->Job->Terms.Advice.has_value();
+  for (const auto &[Id, Vm] : Tables_.Vms) {
+    if (Advised && !Step.Good.contains(Vm.get()))
+      continue;
+    ++Report.Good;
+    Report.Usable += eligible(Step, *Vm);
+    Report.Ticketed += ticketHolds(Step, *Vm);
+    Report.Roomy += Step.Plan->reserved().fitsIn(Vm->free());
+  }
+  Tables_.BlockedSteps.push_back(std::move(Report));
+}
+
 void SchedulingPass::placeTasks(StepRecord &Step) {
   for (TaskRecord &Task : Step.Tasks) {
     if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now_)
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -43,6 +43,7 @@
   double score(const StepRecord &Step, const VmRecord &Vm) const;
   void start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
   void reserve(StepRecord &Step);
+  void reportBlocked(StepRecord &Step);
   int countFits(const StepRecord &Step, const VmRecord &Vm,
                 TimePoint When) const;
 
