Reach the store through another daemon while it turns this one away

A call that certainly did nothing is repeated through a peer, and while calls keep failing peers are asked first. A link's first unanswered hold now keeps new work from the VM.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -30,6 +30,8 @@
   RowUnreadable = 1210,
   StoreLost = 1211,
   StoreBack = 1212,
+  StoreRelayed = 1213,
+  StoreRelayEnded = 1214,
   ContractProposed = 1300,
   ContractAccepted = 1301,
   ContractApplied = 1302,
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -52,6 +52,10 @@
               "The store stopped answering; what needs it waits."},
     EventInfo{EventId::StoreBack, Severity::Info, "store_back",
               "The store answers again."},
+    EventInfo{EventId::StoreRelayed, Severity::Warning, "store_relayed",
+              "The store turns this daemon away; its calls go through others."},
+    EventInfo{EventId::StoreRelayEnded, Severity::Info, "store_relay_ended",
+              "The store answers this daemon directly again."},
     EventInfo{EventId::ContractProposed, Severity::Info, "contract_proposed",
               "An operator's change was written; the stricter of old and new "
               "limits applies."},
--- a/packages/fleet/include/cuminroad/fleet/PeerService.h
+++ b/packages/fleet/include/cuminroad/fleet/PeerService.h
@@ -8,6 +8,7 @@
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/net/HttpServer.h"
 #include "cuminroad/pool/JobState.h"
+#include "cuminroad/store/RowStore.h"
 
 namespace cuminroad {
 
@@ -25,9 +26,11 @@
                       std::string_view Queue) const = 0;
 };
 
-/// \returns the handler of calls from other daemons; see PeerCalls. Both
-/// arguments must outlive it.
-HttpHandler makePeerHandler(const OwnedPools &Pools, PlacementAdvisor &Advisor);
+/// \returns the handler of calls from other daemons; see PeerCalls and
+/// RelayedStore. All arguments must outlive it.
+/// \param Store without relay, so that no call is passed on twice.
+HttpHandler makePeerHandler(const OwnedPools &Pools, PlacementAdvisor &Advisor,
+                            RowStore &Store);
 
 } // namespace cuminroad
 
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -53,6 +53,7 @@
 
   void reported(VmLink &Link, const HoldAnswer &Answer,
                 TimePoint AskedAt) override;
+  void unanswered(VmLink &Link) override;
   void silent(VmLink &Link, std::string_view Why) override;
   void lapsed(VmLink &Link) override;
   void fenced(VmLink &Link) override;
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -0,0 +1,68 @@
+#ifndef CUMINROAD_FLEET_RELAYEDSTORE_H
+#define CUMINROAD_FLEET_RELAYEDSTORE_H
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cuminroad/base/EventLog.h"
+#include "cuminroad/net/HttpClient.h"
+#include "cuminroad/net/Loop.h"
+#include "cuminroad/store/RowStore.h"
+
+namespace cuminroad {
+
+/// The store, reached through another daemon while it turns this one away. A
+/// call that certainly did nothing is repeated through a peer at once; while
+/// calls keep failing they go to peers first, and one in a while is tried
+/// directly. Peers never pass a relayed call on.
+///
+/// Outcomes mean the same as without relay: a commit whose answer was lost
+/// anywhere on the way is WriteOutcomeUnknown.
+class RelayedStore final : public RowStore {
+public:
+  /// Addresses of the peers to try, the best first.
+  using PeerList = std::function<std::vector<std::string>()>;
+
+  RelayedStore(RowStore &Direct, HttpClient &Client, const Clock &Time,
+               EventLog &Events, PeerList Peers);
+
+  void commit(RowTransaction Change, milliseconds Timeout,
+              CommitDone Done) override;
+  void read(RowRange Range, milliseconds Timeout, PageDone Done) override;
+  void changes(RowChanges Wanted, PageDone Done) override;
+  milliseconds storeTime() const override;
+  TimePoint lastContact() const override;
+
+private:
+  /// What both kinds of calls need to be passed on.
+  struct Relayed {
+    std::string Body;
+    milliseconds Timeout{0};
+    std::vector<std::string> Peers;
+  };
+
+  bool preferRelay();
+  /// Notes how a direct call ended; \returns whether to try a peer.
+  bool noteDirect(bool Failed);
+  void relayPage(Relayed Call, PageDone Done);
+  void relayCommit(Relayed Call, CommitDone Done);
+  void send(const Relayed &Call, HttpCallback Done);
+  void noteRelayed(milliseconds StoreTime);
+  std::vector<std::string> peersToTry();
+
+  RowStore &Direct_;
+  HttpClient &Client_;
+  const Clock &Time_;
+  EventLog &Events_;
+  PeerList Peers_;
+  std::size_t NextPeer_ = 0;
+  int DirectFailures_ = 0;
+  TimePoint NextDirect_{};
+  TimePoint RelayedContact_{};
+  milliseconds RelayedStoreTime_{0};
+};
+
+} // namespace cuminroad
+
+#endif
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -25,6 +25,8 @@
   /// The VM answered a hold that was sent at \p AskedAt.
   virtual void reported(VmLink &Link, const HoldAnswer &Answer,
                         TimePoint AskedAt) = 0;
+  /// A hold was not answered; it is repeated.
+  virtual void unanswered(VmLink &Link) = 0;
   /// The VM does not answer.
   virtual void silent(VmLink &Link, std::string_view Why) = 0;
   /// The leases on all that ran on the VM have ended.
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -9,6 +9,7 @@
 #include "cuminroad/base/Ids.h"
 #include "cuminroad/fleet/PoolLease.h"
 #include "cuminroad/fleet/PoolOwner.h"
+#include "cuminroad/fleet/RelayedStore.h"
 #include "cuminroad/net/LoopHttp.h"
 
 namespace cuminroad {
@@ -74,12 +75,15 @@
                                                 randomId(),
                                                 Parts_.Settings.Domain,
                                                 Parts_.Settings.Peer.text()},
-        Peers_(Parts_.Client), Directory_(Parts_.Formats, Parts_.Events),
+        Peers_(Parts_.Client),
+        Store_(Parts_.Store, Parts_.Client, Parts_.Time, Parts_.Events,
+               [this] { return relayPeers(); }),
+        Directory_(Parts_.Formats, Parts_.Events),
         Config_([this] { configChanged(); }),
         Daemons_([this] { daemonsChanged(); }),
-        Context_{Parts_.Settings, Self_,       Parts_.Time,  Parts_.Wall,
-                 Parts_.Events,   Parts_.Home, Parts_.Store, Parts_.Vms,
-                 Parts_.Advisor,  Peers_,      Queues_,      Directory_},
+        Context_{Parts_.Settings, Self_,       Parts_.Time, Parts_.Wall,
+                 Parts_.Events,   Parts_.Home, Store_,      Parts_.Vms,
+                 Parts_.Advisor,  Peers_,      Queues_,     Directory_},
         Door_(Context_, *this, *this) {}
 
   void start() override;
@@ -107,11 +111,13 @@
   void drain(TimePoint Until);
   void finish();
   std::map<std::string, std::string> peerAddresses() const;
+  std::vector<std::string> relayPeers() const;
 
   FleetParts Parts_;
   FrontHandlerMaker MakeFront_;
   DaemonIdentity Self_;
   PeerCalls Peers_;
+  RelayedStore Store_;
   QueueBook Queues_;
   VmDirectory Directory_;
   RowMap Config_;
@@ -141,15 +147,15 @@
 std::shared_ptr<TableFollower>
 FleetDaemonImpl::follow(std::string Table, RowSink &Sink, milliseconds Gather) {
   auto Out = std::make_shared<TableFollower>(
-      Parts_.Store, Parts_.Home,
+      Store_, Parts_.Home,
       FollowOptions{std::move(Table), {""}, FollowWait, Gather}, Sink);
   Out->start();
   return Out;
 }
 
 void FleetDaemonImpl::start() {
-  PeerServer_ =
-      listen(Parts_.Settings.Peer, makePeerHandler(*this, Parts_.Advisor));
+  PeerServer_ = listen(Parts_.Settings.Peer,
+                       makePeerHandler(*this, Parts_.Advisor, Parts_.Store));
   Ready_ = listen(Parts_.Settings.Ready,
                   [this](const HttpRequest &, const HttpResponder &Respond) {
                     Respond(plain(ready() ? 200 : 503));
@@ -168,13 +174,12 @@
   RowTransaction Change;
   Change.Puts.push_back(
       RowPut{RowName{std::string(DaemonTable), "", Self_.Name}, Self_.Peer});
-  Parts_.Store.commit(std::move(Change), WriteTimeout,
-                      [this](const Result<RowCommit> &Outcome) {
-                        if (Outcome && Outcome->committed())
-                          return;
-                        Parts_.Home.after(WriteRetry,
-                                          [this] { registerSelf(); });
-                      });
+  Store_.commit(std::move(Change), WriteTimeout,
+                [this](const Result<RowCommit> &Outcome) {
+                  if (Outcome && Outcome->committed())
+                    return;
+                  Parts_.Home.after(WriteRetry, [this] { registerSelf(); });
+                });
 }
 
 void FleetDaemonImpl::configChanged() {
@@ -208,6 +213,14 @@
   return Out;
 }
 
+std::vector<std::string> FleetDaemonImpl::relayPeers() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Address] : Daemons_.rows())
+    if (Name != Self_.Name)
+      Out.push_back(Address);
+  return Out;
+}
+
 void FleetDaemonImpl::daemonsChanged() {
   for (const auto &[Service, Owner] : Owners_)
     Owner->setPeers(peerAddresses());
@@ -269,8 +282,7 @@
 }
 
 void FleetDaemonImpl::check() {
-  const bool Away =
-      Parts_.Time.now() - Parts_.Store.lastContact() > StoreAwayUnready;
+  const bool Away = Parts_.Time.now() - Store_.lastContact() > StoreAwayUnready;
   if (Away != StoreAway_ && Queues_.known())
     Parts_.Events.record(Away ? EventId::StoreLost : EventId::StoreBack,
                          Self_.Name);
@@ -291,10 +303,9 @@
     Owner->release([] {});
   RowTransaction Change;
   Change.Removals.push_back(RowName{std::string(DaemonTable), "", Self_.Name});
-  Parts_.Store.commit(std::move(Change), WriteTimeout,
-                      [](const Result<RowCommit> &) {
-                        // A row that stays only costs others a failed call.
-                      });
+  Store_.commit(std::move(Change), WriteTimeout, [](const Result<RowCommit> &) {
+    // A row that stays only costs others a failed call.
+  });
   Front_->announceClose();
   Parts_.Home.after(LeaveRotation, [this, Until] {
     Front_->drain();
--- a/packages/fleet/src/PeerService.cpp
+++ b/packages/fleet/src/PeerService.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "PeerMessages.h"
+#include "StoreMessages.h"
 
 namespace cuminroad {
 
@@ -32,6 +33,28 @@
       });
 }
 
+HttpResponse packed(std::string Body) {
+  return HttpResponse{200, {}, std::move(Body), "application/msgpack"};
+}
+
+/// Makes a call of the store for a daemon that the store turns away.
+void relay(RowStore &Store, const HttpRequest &Request, HttpResponder Respond) {
+  const auto Call = decodeStoreCall(Request.Body);
+  if (!Call)
+    return Respond(plain(StatusBadRequest, Call.error().text()));
+  const auto Reply = [&Store, Respond = std::move(Respond)](auto Value) {
+    using T = typename decltype(Value)::value_type;
+    Respond(
+        packed(encode(StoreAnswer<T>{std::move(Value), Store.storeTime()})));
+  };
+  if (const auto *Commit = std::get_if<CommitCall>(&*Call))
+    Store.commit(Commit->Change, Commit->Timeout, Reply);
+  else if (const auto *Read = std::get_if<ReadCall>(&*Call))
+    Store.read(Read->Range, Read->Timeout, Reply);
+  else
+    Store.changes(std::get<ChangesCall>(*Call).Wanted, Reply);
+}
+
 HttpResponse answer(const OwnedPools &Pools, const HttpRequest &Request) {
   const std::string_view Service = Request.query("service");
   if (Request.Path != StagePath && Request.Path != PendingPath)
@@ -48,13 +71,16 @@
 
 } // namespace
 
-HttpHandler makePeerHandler(const OwnedPools &Pools,
-                            PlacementAdvisor &Advisor) {
-  return [&Pools, &Advisor](HttpRequest Request, HttpResponder Respond) {
-    if (Request.Path == AdvisePath)
-      return advise(Advisor, Request, std::move(Respond));
-    Respond(answer(Pools, Request));
-  };
+HttpHandler makePeerHandler(const OwnedPools &Pools, PlacementAdvisor &Advisor,
+                            RowStore &Store) {
+  return
+      [&Pools, &Advisor, &Store](HttpRequest Request, HttpResponder Respond) {
+        if (Request.Path == StorePath)
+          return relay(Store, Request, std::move(Respond));
+        if (Request.Path == AdvisePath)
+          return advise(Advisor, Request, std::move(Respond));
+        Respond(answer(Pools, Request));
+      };
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -490,9 +490,10 @@
 
 void PoolOwner::silent(VmLink &Link, std::string_view Why) {
   Context_.Events.record(EventId::VmUnreachable, Link.vm(), Why);
-  Scheduler_->vmSilent(Link.vm());
 }
 
+void PoolOwner::unanswered(VmLink &Link) { Scheduler_->vmSilent(Link.vm()); }
+
 void PoolOwner::lapsed(VmLink &Link) {
   Context_.Events.record(EventId::VmLeaseLapsed, Link.vm(), Term_.Service);
   Scheduler_->vmEmptied(Link.vm());
--- /dev/null
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -0,0 +1,193 @@
+#include "cuminroad/fleet/RelayedStore.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "StoreMessages.h"
+
+namespace cuminroad {
+
+namespace {
+
+/// Failures in a row after which calls go to peers first.
+constexpr int FailuresToRelay = 2;
+/// While calls go to peers, one is tried directly this often.
+constexpr milliseconds DirectRetry{700};
+/// Peers tried for one call.
+constexpr std::size_t PeersTried = 2;
+constexpr milliseconds ConnectTimeout{250};
+/// Time for the peer's own call beyond its timeout.
+constexpr milliseconds RelayMargin{100};
+/// Time for the store's answer beyond what it was asked to wait.
+constexpr milliseconds AnswerTime{1200};
+
+bool turnedAway(const Error &Fault) {
+  return Fault.Code == ErrorCode::PlatformUnavailable;
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(RowStore &Direct, HttpClient &Client,
+                           const Clock &Time, EventLog &Events, PeerList Peers)
+    : Direct_(Direct), Client_(Client), Time_(Time), Events_(Events),
+      Peers_(std::move(Peers)) {}
+
+bool RelayedStore::preferRelay() {
+  if (DirectFailures_ < FailuresToRelay)
+    return false;
+  const TimePoint Now = Time_.now();
+  if (Now < NextDirect_)
+    return true;
+  NextDirect_ = Now + DirectRetry;
+  return false;
+}
+
+bool RelayedStore::noteDirect(bool Failed) {
+  if (!Failed) {
+    if (DirectFailures_ >= FailuresToRelay)
+      Events_.record(EventId::StoreRelayEnded, "store");
+    DirectFailures_ = 0;
+    return false;
+  }
+  if (++DirectFailures_ == FailuresToRelay) {
+    NextDirect_ = Time_.now() + DirectRetry;
+    Events_.record(EventId::StoreRelayed, "store");
+  }
+  return true;
+}
+
+std::vector<std::string> RelayedStore::peersToTry() {
+  std::vector<std::string> Out = Peers_();
+  if (Out.empty())
+    return Out;
+  std::rotate(Out.begin(),
+              Out.begin() + static_cast<std::ptrdiff_t>(NextPeer_ % Out.size()),
+              Out.end());
+  Out.resize(std::min(Out.size(), PeersTried));
+  return Out;
+}
+
+void RelayedStore::noteRelayed(milliseconds StoreTime) {
+  RelayedContact_ = Time_.now();
+  RelayedStoreTime_ = StoreTime;
+}
+
+milliseconds RelayedStore::storeTime() const {
+  if (RelayedContact_ <= Direct_.lastContact())
+    return Direct_.storeTime();
+  return RelayedStoreTime_ + std::chrono::duration_cast<milliseconds>(
+                                 Time_.now() - RelayedContact_);
+}
+
+TimePoint RelayedStore::lastContact() const {
+  return std::max(Direct_.lastContact(), RelayedContact_);
+}
+
+void RelayedStore::send(const Relayed &Call, HttpCallback Done) {
+  HttpCall Out;
+  Out.Method = "POST";
+  Out.Url = fmt::format("http://{}{}", Call.Peers.front(), StorePath);
+  Out.Headers = {{"Content-Type", "application/msgpack"}};
+  Out.Body = Call.Body;
+  Out.ConnectTimeout = std::min(ConnectTimeout, Call.Timeout);
+  Out.Timeout = Call.Timeout + RelayMargin;
+  Client_.send(std::move(Out), std::move(Done));
+}
+
+void RelayedStore::relayCommit(Relayed Call, CommitDone Done) {
+  if (Call.Peers.empty())
+    return Done(failure(ErrorCode::PlatformUnavailable, "no peer"));
+  send(Call, [this, Call, Done = std::move(Done)](
+                 const HttpResult &Answer) mutable {
+    if (!Answer && Answer.error().Code != ErrorCode::ConnectFailed)
+      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
+    auto Decoded = Answer && Answer->Status == 200
+                       ? decodeCommitAnswer(Answer->Body)
+                       : failure(ErrorCode::PlatformUnavailable, "relay");
+    const bool Certain =
+        !Decoded ? Decoded.error().Code == ErrorCode::PlatformUnavailable
+                 : !Decoded->Value && turnedAway(Decoded->Value.error());
+    if (Certain) {
+      ++NextPeer_;
+      Call.Peers.erase(Call.Peers.begin());
+      return relayCommit(std::move(Call), std::move(Done));
+    }
+    if (!Decoded)
+      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
+    if (Decoded->Value)
+      noteRelayed(Decoded->StoreTime);
+    Done(std::move(Decoded->Value));
+  });
+}
+
+void RelayedStore::relayPage(Relayed Call, PageDone Done) {
+  if (Call.Peers.empty())
+    return Done(failure(ErrorCode::PlatformUnavailable, "no peer"));
+  send(Call, [this, Call, Done = std::move(Done)](
+                 const HttpResult &Answer) mutable {
+    auto Decoded = Answer && Answer->Status == 200
+                       ? decodePageAnswer(Answer->Body)
+                       : failure(ErrorCode::PlatformUnavailable, "relay");
+    if (!Decoded || (!Decoded->Value && turnedAway(Decoded->Value.error()))) {
+      ++NextPeer_;
+      Call.Peers.erase(Call.Peers.begin());
+      return relayPage(std::move(Call), std::move(Done));
+    }
+    if (Decoded->Value)
+      noteRelayed(Decoded->StoreTime);
+    Done(std::move(Decoded->Value));
+  });
+}
+
+void RelayedStore::commit(RowTransaction Change, milliseconds Timeout,
+                          CommitDone Done) {
+  const auto Relay = [this, Timeout](const RowTransaction &What) {
+    return Relayed{encode(StoreCall(CommitCall{What, Timeout})), Timeout,
+                   peersToTry()};
+  };
+  if (preferRelay())
+    return relayCommit(Relay(Change), std::move(Done));
+  Direct_.commit(Change, Timeout,
+                 [this, Change, Relay,
+                  Done = std::move(Done)](Result<RowCommit> Outcome) mutable {
+                   const bool Failed = !Outcome;
+                   if (!noteDirect(Failed) || !turnedAway(Outcome.error()))
+                     return Done(std::move(Outcome));
+                   relayCommit(Relay(Change), std::move(Done));
+                 });
+}
+
+void RelayedStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
+  const auto Relay = [this, Range, Timeout] {
+    return Relayed{encode(StoreCall(ReadCall{Range, Timeout})), Timeout,
+                   peersToTry()};
+  };
+  if (preferRelay())
+    return relayPage(Relay(), std::move(Done));
+  Direct_.read(Range, Timeout,
+               [this, Relay,
+                Done = std::move(Done)](Result<RowPage> Page) mutable {
+                 if (!noteDirect(!Page))
+                   return Done(std::move(Page));
+                 relayPage(Relay(), std::move(Done));
+               });
+}
+
+void RelayedStore::changes(RowChanges Wanted, PageDone Done) {
+  const auto Relay = [this, Wanted] {
+    return Relayed{encode(StoreCall(ChangesCall{Wanted})),
+                   Wanted.Wait + AnswerTime, peersToTry()};
+  };
+  if (preferRelay())
+    return relayPage(Relay(), std::move(Done));
+  Direct_.changes(Wanted, [this, Relay,
+                           Done = std::move(Done)](Result<RowPage> Page) mutable {
+    const bool Gone = !Page && Page.error().Code == ErrorCode::HistoryGone;
+    if (Gone || !noteDirect(!Page))
+      return Done(std::move(Page));
+    relayPage(Relay(), std::move(Done));
+  });
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/StoreMessages.cpp
@@ -0,0 +1,202 @@
+#include "StoreMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cuminroad {
+
+namespace {
+
+using nlohmann::json;
+
+json binary(const std::string &Bytes) {
+  return json::binary(std::vector<std::uint8_t>(Bytes.begin(), Bytes.end()));
+}
+
+std::string bytesOf(const json &Input) {
+  const auto &Bytes = Input.get_binary();
+  return std::string(Bytes.begin(), Bytes.end());
+}
+
+std::string pack(const json &Value) {
+  std::string Out;
+  json::to_msgpack(Value, Out);
+  return Out;
+}
+
+json nameToJson(const RowName &Name) {
+  return json::array({Name.Table, Name.Partition, Name.Key});
+}
+
+RowName nameFromJson(const json &Input) {
+  return RowName{Input.at(0).get<std::string>(), Input.at(1).get<std::string>(),
+                 Input.at(2).get<std::string>()};
+}
+
+json rowsToJson(const std::vector<StoredRow> &Rows) {
+  json Out = json::array();
+  for (const StoredRow &Row : Rows)
+    Out.push_back(json::array({nameToJson(Row.Name), binary(Row.Value),
+                               Row.Version, Row.Removed}));
+  return Out;
+}
+
+std::vector<StoredRow> rowsFromJson(const json &Input) {
+  std::vector<StoredRow> Out;
+  for (const json &Row : Input)
+    Out.push_back(StoredRow{nameFromJson(Row.at(0)), bytesOf(Row.at(1)),
+                            Row.at(2).get<std::int64_t>(),
+                            Row.at(3).get<bool>()});
+  return Out;
+}
+
+json toJson(const CommitCall &Call) {
+  json Checks = json::array();
+  for (const RowCheck &Check : Call.Change.Checks)
+    Checks.push_back(json::array({nameToJson(Check.Name), Check.Version}));
+  json Puts = json::array();
+  for (const RowPut &Put : Call.Change.Puts)
+    Puts.push_back(json::array({nameToJson(Put.Name), binary(Put.Value)}));
+  json Removals = json::array();
+  for (const RowName &Name : Call.Change.Removals)
+    Removals.push_back(nameToJson(Name));
+  return {{"call", "commit"},
+          {"checks", std::move(Checks)},
+          {"puts", std::move(Puts)},
+          {"removals", std::move(Removals)},
+          {"timeout_ms", Call.Timeout.count()}};
+}
+
+json toJson(const ReadCall &Call) {
+  return {{"call", "read"},
+          {"table", Call.Range.Table},
+          {"partition", Call.Range.Partition},
+          {"from", Call.Range.From},
+          {"until", Call.Range.Until},
+          {"limit", Call.Range.Limit},
+          {"timeout_ms", Call.Timeout.count()}};
+}
+
+json toJson(const ChangesCall &Call) {
+  return {{"call", "changes"},
+          {"table", Call.Wanted.Table},
+          {"after", Call.Wanted.After},
+          {"wait_ms", Call.Wanted.Wait.count()}};
+}
+
+milliseconds millisAt(const json &Input, const char *Name) {
+  return milliseconds(Input.at(Name).get<std::int64_t>());
+}
+
+CommitCall commitFromJson(const json &Input) {
+  CommitCall Out;
+  for (const json &Each : Input.at("checks"))
+    Out.Change.Checks.push_back(
+        RowCheck{nameFromJson(Each.at(0)), Each.at(1).get<std::int64_t>()});
+  for (const json &Each : Input.at("puts"))
+    Out.Change.Puts.push_back(
+        RowPut{nameFromJson(Each.at(0)), bytesOf(Each.at(1))});
+  for (const json &Each : Input.at("removals"))
+    Out.Change.Removals.push_back(nameFromJson(Each));
+  Out.Timeout = millisAt(Input, "timeout_ms");
+  return Out;
+}
+
+ReadCall readFromJson(const json &Input) {
+  ReadCall Out;
+  Out.Range = RowRange{Input.at("table").get<std::string>(),
+                       Input.at("partition").get<std::string>(),
+                       Input.at("from").get<std::string>(),
+                       Input.at("until").get<std::string>(),
+                       Input.at("limit").get<int>()};
+  Out.Timeout = millisAt(Input, "timeout_ms");
+  return Out;
+}
+
+template <typename T>
+json answerToJson(const StoreAnswer<T> &Answer, json (*Encode)(const T &)) {
+  json Out{{"time_ms", Answer.StoreTime.count()}};
+  if (Answer.Value)
+    Out["value"] = Encode(*Answer.Value);
+  else
+    Out["error"] = json::array({static_cast<int>(Answer.Value.error().Code),
+                                Answer.Value.error().Detail});
+  return Out;
+}
+
+template <typename T>
+Result<StoreAnswer<T>> decodeAnswer(std::string_view Bytes,
+                                    T (*Decode)(const json &)) {
+  try {
+    const json Input = json::from_msgpack(Bytes);
+    StoreAnswer<T> Out{T{}, millisAt(Input, "time_ms")};
+    if (Input.contains("error"))
+      Out.Value = failure(
+          static_cast<ErrorCode>(Input.at("error").at(0).get<int>()),
+          Input.at("error").at(1).get<std::string>());
+    else
+      Out.Value = Decode(Input.at("value"));
+    return Out;
+  } catch (const json::exception &Fault) {
+    return failure(ErrorCode::AnswerUnreadable, Fault.what());
+  }
+}
+
+json commitToJson(const RowCommit &Commit) {
+  return json::array({Commit.Version, rowsToJson(Commit.Found)});
+}
+
+RowCommit commitValue(const json &Input) {
+  return RowCommit{Input.at(0).get<std::int64_t>(), rowsFromJson(Input.at(1))};
+}
+
+json pageToJson(const RowPage &Page) {
+  return json::array({rowsToJson(Page.Rows), Page.HasMore, Page.Version});
+}
+
+RowPage pageValue(const json &Input) {
+  return RowPage{rowsFromJson(Input.at(0)), Input.at(1).get<bool>(),
+                 Input.at(2).get<std::int64_t>()};
+}
+
+} // namespace
+
+std::string encode(const StoreCall &Call) {
+  return pack(std::visit([](const auto &Each) { return toJson(Each); }, Call));
+}
+
+Result<StoreCall> decodeStoreCall(std::string_view Bytes) {
+  try {
+    const json Input = json::from_msgpack(Bytes);
+    const std::string Kind = Input.at("call").get<std::string>();
+    if (Kind == "commit")
+      return StoreCall(commitFromJson(Input));
+    if (Kind == "read")
+      return StoreCall(readFromJson(Input));
+    if (Kind == "changes")
+      return StoreCall(ChangesCall{
+          RowChanges{Input.at("table").get<std::string>(),
+                     Input.at("after").get<std::int64_t>(),
+                     millisAt(Input, "wait_ms")}});
+    return failure(ErrorCode::MalformedInput, "call " + Kind);
+  } catch (const json::exception &Fault) {
+    return failure(ErrorCode::MalformedInput, Fault.what());
+  }
+}
+
+std::string encode(const StoreAnswer<RowCommit> &Answer) {
+  return pack(answerToJson(Answer, commitToJson));
+}
+
+std::string encode(const StoreAnswer<RowPage> &Answer) {
+  return pack(answerToJson(Answer, pageToJson));
+}
+
+Result<StoreAnswer<RowCommit>> decodeCommitAnswer(std::string_view Bytes) {
+  return decodeAnswer<RowCommit>(Bytes, commitValue);
+}
+
+Result<StoreAnswer<RowPage>> decodePageAnswer(std::string_view Bytes) {
+  return decodeAnswer<RowPage>(Bytes, pageValue);
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/StoreMessages.h
@@ -0,0 +1,45 @@
+#ifndef CUMINROAD_FLEET_SRC_STOREMESSAGES_H
+#define CUMINROAD_FLEET_SRC_STOREMESSAGES_H
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "cuminroad/base/Error.h"
+#include "cuminroad/store/RowStore.h"
+
+// Calls of the store that one daemon makes for another, in MessagePack.
+
+namespace cuminroad {
+
+inline constexpr std::string_view StorePath = "/peer/store";
+
+struct CommitCall {
+  RowTransaction Change;
+  milliseconds Timeout{0};
+};
+struct ReadCall {
+  RowRange Range;
+  milliseconds Timeout{0};
+};
+struct ChangesCall {
+  RowChanges Wanted;
+};
+using StoreCall = std::variant<CommitCall, ReadCall, ChangesCall>;
+
+/// An answer with the store's time as the peer knows it.
+template <typename T> struct StoreAnswer {
+  Result<T> Value;
+  milliseconds StoreTime{0};
+};
+
+std::string encode(const StoreCall &Call);
+Result<StoreCall> decodeStoreCall(std::string_view Bytes);
+std::string encode(const StoreAnswer<RowCommit> &Answer);
+std::string encode(const StoreAnswer<RowPage> &Answer);
+Result<StoreAnswer<RowCommit>> decodeCommitAnswer(std::string_view Bytes);
+Result<StoreAnswer<RowPage>> decodePageAnswer(std::string_view Bytes);
+
+} // namespace cuminroad
+
+#endif
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -168,7 +168,9 @@
 }
 
 void VmLink::holdFailed(std::string_view Why) {
-  ++Failures_;
+  // Nothing new is placed there until it answers.
+  if (++Failures_ == 1)
+    Events_.unanswered(*this);
   if (Failures_ >= SilentAfter && !SilentTold_) {
     SilentTold_ = true;
     Events_.silent(*this, Why);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -149,10 +149,10 @@
   }
   if (Task->Phase != TaskPhase::Placed && Task->Phase != TaskPhase::Stopping)
     return;
-  if (Outcome == StartOutcome::Refused) {
+  if (Outcome == StartOutcome::Refused)
     countFailure(*Vm);
+  if (Outcome != StartOutcome::TicketExpired)
     Task->NotBefore = Time_.now() + Options_.RefusalDelay;
-  }
   if (Outcome == StartOutcome::TicketExpired) {
     Task->Step->Good.erase(Vm);
     Task->Step->AskedVms.erase(Vm->Vm.Id);
