Take pools over sooner, shorten task leases, ask advice twice when late

The owner row now carries its own lapse (1 s, more while the store is slow); starts are recorded under the row's chain before they are sent, so that safety does not rest on the lapse. Task leases are 4 s. A late question is put to a second daemon as well.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
@@ -49,19 +49,27 @@
     std::string Address;
     int Open = 0;
     TimePoint NotBefore{};
+    milliseconds Pause{0};
     bool Listed = true;
   };
+  /// A question; more than one daemon may be asking it.
   struct Question {
     AskAdvice Ask;
     int Tries = 0;
+    int Open = 0;
+    bool Answered = false;
   };
+  using QuestionPtr = std::shared_ptr<Question>;
 
   void pump();
   std::vector<std::string> freeCallers(bool Quick) const;
-  void send(const std::string &Name, Question Next);
-  void answered(const std::string &Name, Question Sent,
+  void send(const std::string &Name, const QuestionPtr &Next);
+  void hedge(const QuestionPtr &Sent);
+  void answered(const std::string &Name, const QuestionPtr &Sent,
                 Result<std::vector<AdviceTicket>> Good);
 
+  void settle(const QuestionPtr &Sent, Result<std::vector<AdviceTicket>> Good);
+
   PlacementAdvisor &Own_;
   PeerCalls &Peers_;
   Loop &Home_;
@@ -70,7 +78,7 @@
   Needed Needed_;
   Done Done_;
   std::map<std::string, Caller> Callers_;
-  std::vector<Question> Queue_;
+  std::vector<QuestionPtr> Queue_;
   std::size_t NextCaller_ = 0;
   bool QuickWork_ = false;
   bool Closed_ = false;
--- a/packages/fleet/include/cuminroad/fleet/OwnerRow.h
+++ b/packages/fleet/include/cuminroad/fleet/OwnerRow.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "cuminroad/base/Clock.h"
 #include "cuminroad/base/Error.h"
 
 namespace cuminroad {
@@ -22,6 +23,9 @@
   std::int64_t Epoch = 0;
   /// Rises with each transaction of one owner.
   std::int64_t Serial = 0;
+  /// The row may be taken over when it has not changed for this long; the owner
+  /// asks for more while the store is slow.
+  milliseconds Lapse{0};
 };
 
 std::string encodeOwner(const OwnerRow &Row);
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -89,6 +89,7 @@
   void replaced();
   VmLink *link(std::string_view Vm) const;
   std::string headValue(std::int64_t Serial) const;
+  std::int64_t serialOf(const std::string &HeadValue) const;
 
   FleetContext Context_;
   PoolTerm Term_;
--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -14,10 +14,16 @@
 /// is kept for them, since a call waits for those before it.
 constexpr double QuickMs = 60;
 constexpr std::size_t QuickShare = 3;
-constexpr milliseconds FailedCallerPause{2000};
+/// A daemon that did not answer is left alone this long; doubles up to the
+/// last.
+constexpr milliseconds FailedCallerPause{1000};
+constexpr milliseconds FailedCallerPauseMax{8000};
+/// Another daemon is asked as well when the answer is this late. Shorter than
+/// the time to find out that a daemon is gone.
+constexpr milliseconds HedgeAfter{150};
 constexpr int MaxTries = 4;
 /// Time beyond the advisor's own: links, and another pool's call before it.
-constexpr milliseconds CallMargin{1200};
+constexpr milliseconds CallMargin{900};
 
 } // namespace
 
@@ -53,7 +59,9 @@
 }
 
 void AdviceDesk::ask(const AskAdvice &Ask) {
-  Queue_.push_back(Question{Ask});
+  auto Next = std::make_shared<Question>();
+  Next->Ask = Ask;
+  Queue_.push_back(std::move(Next));
   pump();
 }
 
@@ -76,24 +84,28 @@
 }
 
 void AdviceDesk::pump() {
+  if (Closed_)
+    return;
   std::stable_sort(Queue_.begin(), Queue_.end(),
-                   [](const Question &Left, const Question &Right) {
-                     return std::tie(Left.Ask.Priority, Left.Ask.Renewal) <
-                            std::tie(Right.Ask.Priority, Right.Ask.Renewal);
+                   [](const QuestionPtr &Left, const QuestionPtr &Right) {
+                     return std::tie(Left->Ask.Priority, Left->Ask.Renewal) <
+                            std::tie(Right->Ask.Priority, Right->Ask.Renewal);
                    });
-  std::vector<Question> Kept;
+  std::vector<QuestionPtr> Kept;
   std::vector<StepName> Unneeded;
-  for (Question &Next : std::exchange(Queue_, {})) {
-    if (!Needed_(Next.Ask.Step)) {
-      Unneeded.push_back(Next.Ask.Step);
+  for (QuestionPtr &Next : std::exchange(Queue_, {})) {
+    if (Next->Answered)
+      continue;
+    if (Next->Open == 0 && !Needed_(Next->Ask.Step)) {
+      Unneeded.push_back(Next->Ask.Step);
       continue;
     }
     const std::vector<std::string> Free =
-        freeCallers(Next.Ask.ExpectedMs <= QuickMs);
+        freeCallers(Next->Ask.ExpectedMs <= QuickMs);
     if (Free.empty())
       Kept.push_back(std::move(Next));
     else
-      send(Free[NextCaller_++ % Free.size()], std::move(Next));
+      send(Free[NextCaller_++ % Free.size()], Next);
   }
   // Nothing is asked while the queue is gone through.
   Queue_ = std::move(Kept);
@@ -102,41 +114,65 @@
     Done_(Step, Answer{Step, {}, {}, Time_.now()});
 }
 
-void AdviceDesk::send(const std::string &Name, Question Next) {
+void AdviceDesk::send(const std::string &Name, const QuestionPtr &Next) {
   Caller &To = Callers_[Name];
   ++To.Open;
-  ++Next.Tries;
-  const AskAdvice Ask = Next.Ask;
-  const milliseconds Timeout =
-      milliseconds(static_cast<std::int64_t>(Ask.ExpectedMs)) + CallMargin;
+  ++Next->Tries;
+  ++Next->Open;
+  const AskAdvice &Ask = Next->Ask;
+  const milliseconds Expected(static_cast<std::int64_t>(Ask.ExpectedMs));
   auto Done = [Self = shared_from_this(), Name,
-               Next = std::move(Next)](Result<std::vector<AdviceTicket>> Good) {
+               Next](Result<std::vector<AdviceTicket>> Good) {
     if (!Self->Closed_)
       Self->answered(Name, Next, std::move(Good));
   };
+  Home_.after(Expected + HedgeAfter,
+              [Self = shared_from_this(), Next] { Self->hedge(Next); });
   if (Name == SelfName_)
-    Own_.advise(Ask.Step, Ask.Vms, Timeout, std::move(Done));
+    Own_.advise(Ask.Step, Ask.Vms, Expected + CallMargin, std::move(Done));
   else
-    Peers_.advise(To.Address, Ask.Step, Ask.Vms, Timeout, std::move(Done));
+    Peers_.advise(To.Address, Ask.Step, Ask.Vms, Expected + CallMargin,
+                  std::move(Done));
 }
 
-void AdviceDesk::answered(const std::string &Name, Question Sent,
+void AdviceDesk::hedge(const QuestionPtr &Sent) {
+  if (Closed_ || Sent->Answered || Sent->Open == 0 || Sent->Tries >= MaxTries)
+    return;
+  Queue_.push_back(Sent);
+  pump();
+}
+
+void AdviceDesk::answered(const std::string &Name, const QuestionPtr &Sent,
                           Result<std::vector<AdviceTicket>> Good) {
   Caller &From = Callers_[Name];
   --From.Open;
-  if (!Good) {
-    From.NotBefore = Time_.now() + FailedCallerPause;
-    Home_.after(FailedCallerPause,
-                [Self = shared_from_this()] { Self->pump(); });
-    if (Sent.Tries < MaxTries)
-      Queue_.insert(Queue_.begin(), std::move(Sent));
-    else
-      Done_(Sent.Ask.Step, tl::unexpected(Good.error()));
+  --Sent->Open;
+  if (Good) {
+    From.Pause = milliseconds(0);
   } else {
-    Done_(Sent.Ask.Step,
-          Answer{Sent.Ask.Step, Sent.Ask.Vms, std::move(*Good), Time_.now()});
+    From.Pause =
+        std::clamp(From.Pause * 2, FailedCallerPause, FailedCallerPauseMax);
+    From.NotBefore = Time_.now() + From.Pause;
+    Home_.after(From.Pause, [Self = shared_from_this()] { Self->pump(); });
   }
+  if (!Sent->Answered && (Good || Sent->Open == 0))
+    settle(Sent, std::move(Good));
   pump();
 }
 
+void AdviceDesk::settle(const QuestionPtr &Sent,
+                        Result<std::vector<AdviceTicket>> Good) {
+  const AskAdvice &Ask = Sent->Ask;
+  if (!Good && Sent->Tries < MaxTries) {
+    if (std::find(Queue_.begin(), Queue_.end(), Sent) == Queue_.end())
+      Queue_.push_back(Sent);
+    return;
+  }
+  Sent->Answered = true;
+  if (Good)
+    Done_(Ask.Step, Answer{Ask.Step, Ask.Vms, std::move(*Good), Time_.now()});
+  else
+    Done_(Ask.Step, tl::unexpected(Good.error()));
+}
+
 } // namespace cuminroad
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -1,5 +1,7 @@
 #include "cuminroad/fleet/PoolLease.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "cuminroad/fleet/JobRows.h"
@@ -12,9 +14,9 @@
 constexpr milliseconds ReadTimeout{800};
 constexpr milliseconds TakeTimeout{1000};
 /// Standbys are spread over this time.
-constexpr std::int64_t RankSpreadMs = 500;
+constexpr std::int64_t RankSpreadMs = 400;
 /// A daemon that owns a pool already leaves the next one to others.
-constexpr milliseconds OwnerHandicap{900};
+constexpr milliseconds OwnerHandicap{600};
 
 } // namespace
 
@@ -62,7 +64,7 @@
                 else
                   Self->SeenAt_ = Self->Time_.now();
                 if (!Self->Mine_ && !Self->Polling_)
-                  Self->pollLater(OwnerPoll);
+                  Self->pollLater(OwnerPoll + Self->Rank_);
               });
 }
 
@@ -89,14 +91,17 @@
   // The holder's process has ended where this is its next life.
   const bool Vacant = Owner_.Holder.empty() || Owner_.Holder == Self_.Name;
   const milliseconds Wait =
-      standbyDelay() + (Vacant ? milliseconds(0) : OwnerLapse);
+      standbyDelay() +
+      (Vacant ? milliseconds(0)
+              : std::clamp(Owner_.Lapse, OwnerLapseMin, OwnerLapseMax));
   if (Now - SeenAt_ >= Wait)
     take(Version, Owner_.Epoch > 0);
 }
 
 void PoolLease::take(std::int64_t Version, bool Inherited) {
-  const OwnerRow Row{Self_.Name, Self_.Incarnation, Self_.Peer,
-                     Owner_.Epoch + 1, 0};
+  const OwnerRow Row{Self_.Name, Self_.Incarnation,
+                     Self_.Peer, Owner_.Epoch + 1,
+                     0,          OwnerLapseMax};
   RowTransaction Change;
   Change.Checks.push_back(RowCheck{ownerRow(Service_), Version});
   Change.Puts.push_back(RowPut{ownerRow(Service_), encodeOwner(Row)});
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -15,13 +15,16 @@
 /// are handled together.
 constexpr milliseconds PassInterval{15};
 /// A pass at least this often, for what becomes due without an event.
-constexpr milliseconds IdlePass{200};
+constexpr milliseconds IdlePass{150};
 /// Pause between reads of new jobs, so that several come in one.
 constexpr milliseconds GatherRequests{15};
 /// How long the store holds a call without a change; short, since a connection
 /// that has gone silent shows only when this has passed.
 constexpr milliseconds FollowWait{2000};
 constexpr milliseconds ReadTimeout{1500};
+/// While nothing could be recorded for this long, nothing is placed: it would
+/// wait all the same, and its ticket would expire.
+constexpr milliseconds StoreStall{1500};
 /// From the record of a start in the store until it is at its VM.
 constexpr milliseconds SendDelay{40};
 constexpr milliseconds ReadRetry{100};
@@ -53,16 +56,29 @@
     : Context_(Context), Term_(std::move(Term)) {}
 
 std::string PoolOwner::headValue(std::int64_t Serial) const {
+  const milliseconds Lapse =
+      std::clamp(OwnerLapseMin + Writer_->recentDelay() * OwnerLapseDelays,
+                 OwnerLapseMin, OwnerLapseMax);
   return encodeOwner(OwnerRow{Context_.Self.Name, Context_.Self.Incarnation,
-                              Context_.Self.Peer, Term_.Epoch, Serial});
+                              Context_.Self.Peer, Term_.Epoch, Serial, Lapse});
+}
+
+std::int64_t PoolOwner::serialOf(const std::string &HeadValue) const {
+  const auto Row = decodeOwner(HeadValue);
+  const bool Mine = Row && Row->Incarnation == Context_.Self.Incarnation &&
+                    Row->Epoch == Term_.Epoch;
+  return Mine ? Row->Serial : 0;
 }
 
 void PoolOwner::start() {
   if (Term_.Inherited)
     InheritedUntil_ = Context_.Time.now() + InheritedWait;
   Writer_ = std::make_shared<ChainedWriter>(
-      Context_.Store, Context_.Home, Context_.Time, ownerRow(Term_.Service),
-      [this](std::int64_t Serial) { return headValue(Serial); });
+      Context_.Store, Context_.Home, Context_.Time,
+      ChainedWriter::Head{
+          ownerRow(Term_.Service),
+          [this](std::int64_t Serial) { return headValue(Serial); },
+          [this](const std::string &Value) { return serialOf(Value); }});
   Writer_->OnReplaced = [this] { replaced(); };
   Writer_->begin(Term_.RowVersion, Term_.WrittenAt);
   Advice_ = std::make_shared<AdviceDesk>(
@@ -123,7 +139,8 @@
     const RowName Row = ownerRow(Self->Term_.Service);
     Change.Checks.push_back(RowCheck{Row, Self->Writer_->headVersion()});
     Change.Puts.push_back(
-        RowPut{Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0})});
+        RowPut{Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0,
+                                         milliseconds(0)})});
     Self->close();
     Self->Context_.Store.commit(std::move(Change), ReadTimeout,
                                 [Done](const Result<RowCommit> &) { Done(); });
@@ -336,9 +353,8 @@
 void PoolOwner::pass() {
   LastPass_ = Context_.Time.now();
   checkUnlistedVms();
-  // Without a fresh lease another owner may be at work already.
   Scheduler_->setStartDelay(Writer_->recentDelay() + SendDelay);
-  if (LastPass_ - Writer_->renewedAt() < OwnerStartLimit)
+  if (LastPass_ - Writer_->renewedAt() < StoreStall)
     Scheduler_->schedule();
   for (const PoolCommand &Command : Scheduler_->takeCommands())
     std::visit([this](const auto &Do) { execute(Do); }, Command);
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -98,34 +98,34 @@
 void RelayedStore::relayCommit(Relayed Call, CommitDone Done) {
   if (Call.Peers.empty())
     return Done(failure(ErrorCode::PlatformUnavailable, "no peer"));
-  send(Call, [this, Call, Done = std::move(Done)](
-                 const HttpResult &Answer) mutable {
-    if (!Answer && Answer.error().Code != ErrorCode::ConnectFailed)
-      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
-    auto Decoded = Answer && Answer->Status == 200
-                       ? decodeCommitAnswer(Answer->Body)
-                       : failure(ErrorCode::PlatformUnavailable, "relay");
-    const bool Certain =
-        !Decoded ? Decoded.error().Code == ErrorCode::PlatformUnavailable
-                 : !Decoded->Value && turnedAway(Decoded->Value.error());
-    if (Certain) {
-      ++NextPeer_;
-      Call.Peers.erase(Call.Peers.begin());
-      return relayCommit(std::move(Call), std::move(Done));
-    }
-    if (!Decoded)
-      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
-    if (Decoded->Value)
-      noteRelayed(Decoded->StoreTime);
-    Done(std::move(Decoded->Value));
-  });
+  send(Call,
+       [this, Call, Done = std::move(Done)](const HttpResult &Answer) mutable {
+         if (!Answer && Answer.error().Code != ErrorCode::ConnectFailed)
+           return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
+         auto Decoded = Answer && Answer->Status == 200
+                            ? decodeCommitAnswer(Answer->Body)
+                            : failure(ErrorCode::PlatformUnavailable, "relay");
+         const bool Certain =
+             !Decoded ? Decoded.error().Code == ErrorCode::PlatformUnavailable
+                      : !Decoded->Value && turnedAway(Decoded->Value.error());
+         if (Certain) {
+           ++NextPeer_;
+           Call.Peers.erase(Call.Peers.begin());
+           return relayCommit(std::move(Call), std::move(Done));
+         }
+         if (!Decoded)
+           return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
+         if (Decoded->Value)
+           noteRelayed(Decoded->StoreTime);
+         Done(std::move(Decoded->Value));
+       });
 }
 
 void RelayedStore::relayPage(Relayed Call, PageDone Done) {
   if (Call.Peers.empty())
     return Done(failure(ErrorCode::PlatformUnavailable, "no peer"));
-  send(Call, [this, Call, Done = std::move(Done)](
-                 const HttpResult &Answer) mutable {
+  send(Call, [this, Call,
+              Done = std::move(Done)](const HttpResult &Answer) mutable {
     auto Decoded = Answer && Answer->Status == 200
                        ? decodePageAnswer(Answer->Body)
                        : failure(ErrorCode::PlatformUnavailable, "relay");
@@ -165,13 +165,13 @@
   };
   if (preferRelay())
     return relayPage(Relay(), std::move(Done));
-  Direct_.read(Range, Timeout,
-               [this, Relay,
-                Done = std::move(Done)](Result<RowPage> Page) mutable {
-                 if (!noteDirect(!Page))
-                   return Done(std::move(Page));
-                 relayPage(Relay(), std::move(Done));
-               });
+  Direct_.read(
+      Range, Timeout,
+      [this, Relay, Done = std::move(Done)](Result<RowPage> Page) mutable {
+        if (!noteDirect(!Page))
+          return Done(std::move(Page));
+        relayPage(Relay(), std::move(Done));
+      });
 }
 
 void RelayedStore::changes(RowChanges Wanted, PageDone Done) {
@@ -181,8 +181,8 @@
   };
   if (preferRelay())
     return relayPage(Relay(), std::move(Done));
-  Direct_.changes(Wanted, [this, Relay,
-                           Done = std::move(Done)](Result<RowPage> Page) mutable {
+  Direct_.changes(Wanted, [this, Relay, Done = std::move(Done)](
+                              Result<RowPage> Page) mutable {
     const bool Gone = !Page && Page.error().Code == ErrorCode::HistoryGone;
     if (Gone || !noteDirect(!Page))
       return Done(std::move(Page));
--- a/packages/fleet/src/StoreMessages.cpp
+++ b/packages/fleet/src/StoreMessages.cpp
@@ -35,8 +35,8 @@
 json rowsToJson(const std::vector<StoredRow> &Rows) {
   json Out = json::array();
   for (const StoredRow &Row : Rows)
-    Out.push_back(json::array({nameToJson(Row.Name), binary(Row.Value),
-                               Row.Version, Row.Removed}));
+    Out.push_back(json::array(
+        {nameToJson(Row.Name), binary(Row.Value), Row.Version, Row.Removed}));
   return Out;
 }
 
@@ -130,9 +130,9 @@
     const json Input = json::from_msgpack(Bytes);
     StoreAnswer<T> Out{T{}, millisAt(Input, "time_ms")};
     if (Input.contains("error"))
-      Out.Value = failure(
-          static_cast<ErrorCode>(Input.at("error").at(0).get<int>()),
-          Input.at("error").at(1).get<std::string>());
+      Out.Value =
+          failure(static_cast<ErrorCode>(Input.at("error").at(0).get<int>()),
+                  Input.at("error").at(1).get<std::string>());
     else
       Out.Value = Decode(Input.at("value"));
     return Out;
@@ -173,10 +173,9 @@
     if (Kind == "read")
       return StoreCall(readFromJson(Input));
     if (Kind == "changes")
-      return StoreCall(ChangesCall{
-          RowChanges{Input.at("table").get<std::string>(),
-                     Input.at("after").get<std::int64_t>(),
-                     millisAt(Input, "wait_ms")}});
+      return StoreCall(ChangesCall{RowChanges{
+          Input.at("table").get<std::string>(),
+          Input.at("after").get<std::int64_t>(), millisAt(Input, "wait_ms")}});
     return failure(ErrorCode::MalformedInput, "call " + Kind);
   } catch (const json::exception &Fault) {
     return failure(ErrorCode::MalformedInput, Fault.what());
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cuminroad/fleet/LeaseTimes.h"
+
 namespace cuminroad {
 
 namespace {
@@ -72,7 +74,8 @@
   const TimePoint Now = Time_.now();
   const milliseconds Allowed =
       std::chrono::duration_cast<milliseconds>(Events_.leaseLimit() - Now);
-  const milliseconds Lease = std::min(Options_.MaxLease - LeaseMargin, Allowed);
+  const milliseconds Lease =
+      std::min({Options_.MaxLease - LeaseMargin, TaskLease, Allowed});
   if (Lease.count() <= 0)
     return std::nullopt;
   const milliseconds Until =
--- a/packages/store/include/cuminroad/store/ChainedWriter.h
+++ b/packages/store/include/cuminroad/store/ChainedWriter.h
@@ -20,9 +20,16 @@
 public:
   using Committed = std::function<void()>;
 
-  /// \param HeadValue the head row's content for a given serial number.
-  ChainedWriter(RowStore &Store, Loop &Home, const Clock &Time, RowName Head,
-                std::function<std::string(std::int64_t Serial)> HeadValue);
+  /// What is in the head row.
+  struct Head {
+    RowName Row;
+    /// Its content for a given serial number.
+    std::function<std::string(std::int64_t Serial)> Encode;
+    /// The serial number in a content of this writer; 0 for another writer's.
+    std::function<std::int64_t(const std::string &Value)> SerialOf;
+  };
+
+  ChainedWriter(RowStore &Store, Loop &Home, const Clock &Time, Head Head);
 
   /// Continues from a head row that this process has just written.
   void begin(std::int64_t HeadVersion, TimePoint WrittenAt);
@@ -63,8 +70,7 @@
   RowStore &Store_;
   Loop &Home_;
   const Clock &Time_;
-  RowName Head_;
-  std::function<std::string(std::int64_t)> HeadValue_;
+  Head Head_;
   std::int64_t HeadVersion_ = 0;
   std::int64_t Serial_ = 0;
   /// Serial number of the first try of the present rows.
--- a/packages/store/src/ChainedWriter.cpp
+++ b/packages/store/src/ChainedWriter.cpp
@@ -28,11 +28,9 @@
 } // namespace
 
 ChainedWriter::ChainedWriter(RowStore &Store, Loop &Home, const Clock &Time,
-                             RowName Head,
-                             std::function<std::string(std::int64_t)> HeadValue)
+                             Head Head)
     : Store_(Store), Home_(Home), Time_(Time), Head_(std::move(Head)),
-      HeadValue_(std::move(HeadValue)), RetryDelay_(RetryDelayMin),
-      Timeout_(TimeoutMin) {}
+      RetryDelay_(RetryDelayMin), Timeout_(TimeoutMin) {}
 
 void ChainedWriter::begin(std::int64_t HeadVersion, TimePoint WrittenAt) {
   HeadVersion_ = HeadVersion;
@@ -104,8 +102,8 @@
   }
   RenewWanted_ = false;
   RowTransaction Change;
-  Change.Checks.push_back(RowCheck{Head_, HeadVersion_});
-  Change.Puts.push_back(RowPut{Head_, HeadValue_(++Serial_)});
+  Change.Checks.push_back(RowCheck{Head_.Row, HeadVersion_});
+  Change.Puts.push_back(RowPut{Head_.Row, Head_.Encode(++Serial_)});
   for (const Pending &Entry : Sent_) {
     if (Entry.Remove)
       Change.Removals.push_back(Entry.Name);
@@ -159,16 +157,15 @@
 void ChainedWriter::settleConflict(const RowCommit &Outcome) {
   const auto Head = std::find_if(
       Outcome.Found.begin(), Outcome.Found.end(),
-      [this](const StoredRow &Row) { return Row.Name.Key == Head_.Key; });
+      [this](const StoredRow &Row) { return Row.Name == Head_.Row; });
   // An earlier try whose answer was lost took effect, if the head row carries
   // the number of one of the tries. All of them carried the same rows.
-  if (Head != Outcome.Found.end() && Repeating_) {
-    for (std::int64_t Try = FirstTry_; Try <= Serial_; ++Try)
-      if (Head->Value == HeadValue_(Try)) {
-        // When it took effect is not known: the lease counts from before.
-        RenewWanted_ = true;
-        return settleCommitted(RenewedAt_, Head->Version);
-      }
+  const std::int64_t Serial =
+      Head == Outcome.Found.end() ? 0 : Head_.SerialOf(Head->Value);
+  if (Repeating_ && Serial >= FirstTry_) {
+    // When it took effect is not known: the lease counts from before.
+    RenewWanted_ = true;
+    return settleCommitted(RenewedAt_, Head->Version);
   }
   Closed_ = true;
   if (OnReplaced)
