Keep slow and silent daemons out of the way of advice and relayed calls

Relayed calls wait 0.7 s and leave silent peers alone, daemons that failed are probed beside a healthy one, a new life of a daemon counts as healthy, and a start with an expired ticket is not sent.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/fleet/DaemonRow.h"
 #include "cuminroad/fleet/PeerCalls.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/fleet/QueueConfig.h"
@@ -37,8 +38,8 @@
              const Clock &Time, std::string SelfName, Needed Needed, Done Done);
 
   void close() { Closed_ = true; }
-  /// Daemons that may be asked, with their addresses.
-  void setPeers(const std::map<std::string, std::string> &Addresses);
+  /// The other daemons that may be asked.
+  void setPeers(const DaemonRows &Others);
   /// Tells which queues need advice, and how long it takes.
   void setQueues(std::span<const QueueRoute> Routes);
   void ask(const AskAdvice &Question);
@@ -46,7 +47,7 @@
 
 private:
   struct Caller {
-    std::string Address;
+    DaemonRow Daemon;
     int Open = 0;
     TimePoint NotBefore{};
     milliseconds Pause{0};
@@ -62,7 +63,10 @@
   using QuestionPtr = std::shared_ptr<Question>;
 
   void pump();
+  /// Daemons that answered last and have nothing to do.
   std::vector<std::string> freeCallers(bool Quick) const;
+  /// A daemon that failed and may be tried again, or "".
+  std::string suspectToProbe() const;
   void send(const std::string &Name, const QuestionPtr &Next);
   void hedge(const QuestionPtr &Sent);
   void answered(const std::string &Name, const QuestionPtr &Sent,
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -41,7 +41,7 @@
   void release(std::function<void()> Done);
   /// Takes in changed contracts.
   void queuesChanged();
-  void setPeers(const std::map<std::string, std::string> &Addresses);
+  void setPeers(const DaemonRows &Others);
 
   /// Whether the pool's jobs are known.
   bool loaded() const { return Scheduler_ != nullptr; }
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_FLEET_RELAYEDSTORE_H
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,7 @@
   EventLog &Events_;
   PeerList Peers_;
   std::size_t NextPeer_ = 0;
+  std::map<std::string, TimePoint> SilentUntil_;
   int DirectFailures_ = 0;
   TimePoint NextDirect_{};
   TimePoint RelayedContact_{};
--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-/// Calls that a daemon has under way for this pool.
+/// Calls that a daemon has under way for this pool; two quick ones, so that the
+/// way there and back costs nothing.
 constexpr int OpenPerCaller = 1;
+constexpr int OpenQuickPerCaller = 2;
 /// Questions that take less are answered between others: a part of the daemons
 /// is kept for them, since a call waits for those before it.
 constexpr double QuickMs = 60;
 constexpr std::size_t QuickShare = 3;
 /// A daemon that did not answer is left alone this long; doubles up to the
 /// last.
-constexpr milliseconds FailedCallerPause{1000};
+constexpr milliseconds FailedCallerPause{300};
 constexpr milliseconds FailedCallerPauseMax{8000};
 /// Another daemon is asked as well when the answer is this late. Shorter than
 /// the time to find out that a daemon is gone.
@@ -36,14 +38,17 @@
   Callers_[SelfName_] = Caller{};
 }
 
-void AdviceDesk::setPeers(const std::map<std::string, std::string> &Addresses) {
+void AdviceDesk::setPeers(const DaemonRows &Others) {
   for (auto &[Name, Entry] : Callers_)
-    Entry.Listed = Name == SelfName_ || Addresses.contains(Name);
-  for (const auto &[Name, Address] : Addresses) {
+    Entry.Listed = Name == SelfName_ || Others.contains(Name);
+  for (const auto &[Name, Row] : Others) {
     Caller &Entry = Callers_[Name];
-    if (Entry.Address != Address)
+    // A new life of the daemon has not failed yet.
+    if (!(Entry.Daemon == Row)) {
       Entry.NotBefore = TimePoint{};
-    Entry.Address = Address;
+      Entry.Pause = milliseconds(0);
+    }
+    Entry.Daemon = Row;
     Entry.Listed = true;
   }
   pump();
@@ -66,23 +71,35 @@
 }
 
 std::vector<std::string> AdviceDesk::freeCallers(bool Quick) const {
-  const TimePoint Now = Time_.now();
+  std::vector<const std::pair<const std::string, Caller> *> Healthy;
+  for (const auto &Entry : Callers_)
+    if (Entry.second.Listed && Entry.second.Pause.count() == 0)
+      Healthy.push_back(&Entry);
   // Every pool's owner sees the daemons in the same order.
-  std::size_t Index = 0;
-  const std::size_t Reserved = QuickWork_ ? Callers_.size() / QuickShare : 0;
+  const std::size_t Reserved = QuickWork_ ? Healthy.size() / QuickShare : 0;
   std::vector<std::string> Out;
-  for (const auto &[Name, Entry] : Callers_) {
-    const bool ForQuick = Index++ < Reserved;
-    if (Entry.Listed && Entry.Open < OpenPerCaller && Entry.NotBefore <= Now &&
+  for (std::size_t Index = 0; Index < Healthy.size(); ++Index) {
+    const bool ForQuick = Index < Reserved;
+    const auto &[Name, Entry] = *Healthy[Index];
+    if (Entry.Open < (ForQuick ? OpenQuickPerCaller : OpenPerCaller) &&
         (Quick || !ForQuick))
       Out.push_back(Name);
     // Daemons that are kept for quick questions come first for those.
-    if (Quick && Index == Reserved && !Out.empty())
+    if (Quick && Index + 1 == Reserved && !Out.empty())
       return Out;
   }
   return Out;
 }
 
+std::string AdviceDesk::suspectToProbe() const {
+  const TimePoint Now = Time_.now();
+  for (const auto &[Name, Entry] : Callers_)
+    if (Entry.Listed && Entry.Pause.count() > 0 && Entry.Open == 0 &&
+        Entry.NotBefore <= Now)
+      return Name;
+  return "";
+}
+
 void AdviceDesk::pump() {
   if (Closed_)
     return;
@@ -102,6 +119,10 @@
     }
     const std::vector<std::string> Free =
         freeCallers(Next->Ask.ExpectedMs <= QuickMs);
+    // A daemon that failed gets a question that another one is asked as well.
+    const std::string Suspect = suspectToProbe();
+    if (!Suspect.empty())
+      send(Suspect, Next);
     if (Free.empty())
       Kept.push_back(std::move(Next));
     else
@@ -117,7 +138,8 @@
 void AdviceDesk::send(const std::string &Name, const QuestionPtr &Next) {
   Caller &To = Callers_[Name];
   ++To.Open;
-  ++Next->Tries;
+  // A probe of a daemon that failed is no try of its own.
+  Next->Tries += To.Pause.count() == 0;
   ++Next->Open;
   const AskAdvice &Ask = Next->Ask;
   const milliseconds Expected(static_cast<std::int64_t>(Ask.ExpectedMs));
@@ -131,7 +153,7 @@
   if (Name == SelfName_)
     Own_.advise(Ask.Step, Ask.Vms, Expected + CallMargin, std::move(Done));
   else
-    Peers_.advise(To.Address, Ask.Step, Ask.Vms, Expected + CallMargin,
+    Peers_.advise(To.Daemon.Peer, Ask.Step, Ask.Vms, Expected + CallMargin,
                   std::move(Done));
 }
 
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cuminroad/base/Ids.h"
+#include "cuminroad/fleet/DaemonRow.h"
 #include "cuminroad/fleet/PoolLease.h"
 #include "cuminroad/fleet/PoolOwner.h"
 #include "cuminroad/fleet/RelayedStore.h"
@@ -110,7 +111,6 @@
   bool ready() const;
   void drain(TimePoint Until);
   void finish();
-  std::map<std::string, std::string> peerAddresses() const;
   std::vector<std::string> relayPeers() const;
 
   FleetParts Parts_;
@@ -122,6 +122,8 @@
   VmDirectory Directory_;
   RowMap Config_;
   RowMap Daemons_;
+  /// The other daemons that have registered.
+  DaemonRows Others_;
   FleetContext Context_;
   JobDoor Door_;
   std::unique_ptr<HttpServer> Front_;
@@ -173,7 +175,8 @@
     return;
   RowTransaction Change;
   Change.Puts.push_back(
-      RowPut{RowName{std::string(DaemonTable), "", Self_.Name}, Self_.Peer});
+      RowPut{RowName{std::string(DaemonTable), "", Self_.Name},
+             encodeDaemon(DaemonRow{Self_.Peer, Self_.Incarnation})});
   Store_.commit(std::move(Change), WriteTimeout,
                 [this](const Result<RowCommit> &Outcome) {
                   if (Outcome && Outcome->committed())
@@ -207,23 +210,24 @@
     Owner->queuesChanged();
 }
 
-std::map<std::string, std::string> FleetDaemonImpl::peerAddresses() const {
-  auto Out = Daemons_.rows();
-  Out.erase(Self_.Name);
-  return Out;
-}
-
 std::vector<std::string> FleetDaemonImpl::relayPeers() const {
   std::vector<std::string> Out;
-  for (const auto &[Name, Address] : Daemons_.rows())
-    if (Name != Self_.Name)
-      Out.push_back(Address);
+  for (const auto &[Name, Row] : Others_)
+    Out.push_back(Row.Peer);
   return Out;
 }
 
 void FleetDaemonImpl::daemonsChanged() {
+  Others_.clear();
+  for (const auto &[Name, Bytes] : Daemons_.rows()) {
+    auto Row = decodeDaemon(Bytes);
+    if (!Row)
+      Parts_.Events.record(EventId::RowUnreadable, Name, Row.error().text());
+    else if (Name != Self_.Name)
+      Others_[Name] = std::move(*Row);
+  }
   for (const auto &[Service, Owner] : Owners_)
-    Owner->setPeers(peerAddresses());
+    Owner->setPeers(Others_);
 }
 
 void FleetDaemonImpl::watchPool(const std::string &Service) {
@@ -244,7 +248,7 @@
   if (!VmFollower_)
     VmFollower_ = follow(Parts_.Formats.vmTable(), Directory_, VmGather);
   Owner->start();
-  Owner->setPeers(peerAddresses());
+  Owner->setPeers(Others_);
 }
 
 void FleetDaemonImpl::poolLost(const std::string &Service) {
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds ReadTimeout{1500};
 /// While nothing could be recorded for this long, nothing is placed: it would
 /// wait all the same, and its ticket would expire.
-constexpr milliseconds StoreStall{1500};
+constexpr milliseconds StoreStall{700};
+constexpr int StoreStallDelays = 3;
 /// From the record of a start in the store until it is at its VM.
 constexpr milliseconds SendDelay{40};
 constexpr milliseconds ReadRetry{100};
@@ -157,8 +158,8 @@
     OnReplaced();
 }
 
-void PoolOwner::setPeers(const std::map<std::string, std::string> &Addresses) {
-  Advice_->setPeers(Addresses);
+void PoolOwner::setPeers(const DaemonRows &Others) {
+  Advice_->setPeers(Others);
 }
 
 void PoolOwner::readProgress(std::string From) {
@@ -354,7 +355,8 @@
   LastPass_ = Context_.Time.now();
   checkUnlistedVms();
   Scheduler_->setStartDelay(Writer_->recentDelay() + SendDelay);
-  if (LastPass_ - Writer_->renewedAt() < StoreStall)
+  if (LastPass_ - Writer_->renewedAt() <
+      StoreStall + Writer_->recentDelay() * StoreStallDelays)
     Scheduler_->schedule();
   for (const PoolCommand &Command : Scheduler_->takeCommands())
     std::visit([this](const auto &Do) { execute(Do); }, Command);
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -17,6 +17,10 @@
 /// Peers tried for one call.
 constexpr std::size_t PeersTried = 2;
 constexpr milliseconds ConnectTimeout{250};
+/// Longest wait for a peer; it may be cut off itself.
+constexpr milliseconds RelayTimeoutMax{700};
+/// A peer that did not answer is not asked again for this long.
+constexpr milliseconds SilentPeerPause{2500};
 /// Time for the peer's own call beyond its timeout.
 constexpr milliseconds RelayMargin{100};
 /// Time for the store's answer beyond what it was asked to wait.
@@ -58,7 +62,12 @@
 }
 
 std::vector<std::string> RelayedStore::peersToTry() {
+  const TimePoint Now = Time_.now();
   std::vector<std::string> Out = Peers_();
+  std::erase_if(Out, [this, Now](const std::string &Peer) {
+    const auto Silent = SilentUntil_.find(Peer);
+    return Silent != SilentUntil_.end() && Silent->second > Now;
+  });
   if (Out.empty())
     return Out;
   std::rotate(Out.begin(),
@@ -92,7 +101,12 @@
   Out.Body = Call.Body;
   Out.ConnectTimeout = std::min(ConnectTimeout, Call.Timeout);
   Out.Timeout = Call.Timeout + RelayMargin;
-  Client_.send(std::move(Out), std::move(Done));
+  Client_.send(std::move(Out), [this, Peer = Call.Peers.front(),
+                                Done = std::move(Done)](HttpResult Answer) {
+    if (!Answer)
+      SilentUntil_[Peer] = Time_.now() + SilentPeerPause;
+    Done(std::move(Answer));
+  });
 }
 
 void RelayedStore::relayCommit(Relayed Call, CommitDone Done) {
@@ -143,7 +157,8 @@
 void RelayedStore::commit(RowTransaction Change, milliseconds Timeout,
                           CommitDone Done) {
   const auto Relay = [this, Timeout](const RowTransaction &What) {
-    return Relayed{encode(StoreCall(CommitCall{What, Timeout})), Timeout,
+    const milliseconds Each = std::min(Timeout, RelayTimeoutMax);
+    return Relayed{encode(StoreCall(CommitCall{What, Each})), Each,
                    peersToTry()};
   };
   if (preferRelay())
@@ -160,7 +175,8 @@
 
 void RelayedStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
   const auto Relay = [this, Range, Timeout] {
-    return Relayed{encode(StoreCall(ReadCall{Range, Timeout})), Timeout,
+    const milliseconds Each = std::min(Timeout, RelayTimeoutMax);
+    return Relayed{encode(StoreCall(ReadCall{Range, Each})), Each,
                    peersToTry()};
   };
   if (preferRelay())
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds LapseMargin{150};
 constexpr milliseconds LapseCheck{100};
 constexpr milliseconds OrderTimeout{900};
+/// A start takes this long to its VM; it is not sent with a ticket that expires
+/// on the way.
+constexpr milliseconds TicketMargin{20};
 constexpr milliseconds OrderRetry{200};
 constexpr int StopTries = 6;
 
@@ -207,6 +210,9 @@
 }
 
 void VmLink::startRun(const StartRun &Command, const std::string &Spec) {
+  if (Time_.now() + TicketMargin > Command.TicketUntil)
+    return Events_.startAnswered(*this, Command.Run,
+                                 StartOutcome::TicketExpired, "not_sent");
   sendStart(StartOrder{Command.Run, Spec, milliseconds(0), Command.Checkpoint,
                        Command.Ticket},
             0);
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "cuminroad/base/Clock.h"
 #include "cuminroad/pool/TaskName.h"
 
 namespace cuminroad {
@@ -15,6 +16,8 @@
   TaskRun Run;
   std::string Checkpoint;
   std::string Ticket;
+  /// Not sent later than this, since the ticket would have expired.
+  TimePoint TicketUntil = TimePoint::max();
 };
 
 /// Stop a run; the VM saves a checkpoint where the task has them.
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -47,7 +47,6 @@
   /// Set in the phases Placed, Running and Stopping.
   VmRecord *Vm = nullptr;
   std::string Checkpoint;
-  std::string Ticket;
   TimePoint PlacedAt{};
   /// When the VM first confirmed the run, or that it will never come. The
   /// earliest time for a run that an earlier owner started.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -255,14 +255,16 @@
   if (Vm.ReservedUntil)
     Vm.Spare -= Step.Plan->reserved();
   Tables_.place(Task, Vm, Run, Now_);
-  const auto Ticket = Step.Good.find(&Vm);
-  Task.Ticket = Ticket == Step.Good.end() ? "" : Ticket->second.Ticket;
   JobRecord &Job = *Step.Occurrence->Job;
   if (Job.Stage == JobStage::Queued)
     Job.Stage = JobStage::Running;
   Job.Started = true;
-  Tables_.Commands.push_back(StartRun{Vm.Vm.Id, TaskRun{nameOf(Task), Run},
-                                      Task.Checkpoint, Task.Ticket});
+  StartRun Command{Vm.Vm.Id, TaskRun{nameOf(Task), Run}, Task.Checkpoint, ""};
+  if (const auto Ticket = Step.Good.find(&Vm); Ticket != Step.Good.end()) {
+    Command.Ticket = Ticket->second.Ticket;
+    Command.TicketUntil = Ticket->second.ValidUntil;
+  }
+  Tables_.Commands.push_back(std::move(Command));
 }
 
 int SchedulingPass::countFits(const StepRecord &Step, const VmRecord &Vm,
--- a/packages/store/src/ChainedWriter.cpp
+++ b/packages/store/src/ChainedWriter.cpp
@@ -19,7 +19,7 @@
 /// doubles with each try.
 constexpr int TimeoutFactor = 6;
 constexpr milliseconds TimeoutMin{200};
-constexpr milliseconds TimeoutMax{2500};
+constexpr milliseconds TimeoutMax{1600};
 /// Share of the newest delay in the usual one.
 constexpr int NewestPart = 4;
 constexpr milliseconds RetryDelayMin{50};
@@ -129,7 +129,8 @@
     return settleConflict(*Outcome);
   }
   Repeating_ = true;
-  Timeout_ = std::min(Timeout_ * 2, TimeoutMax);
+  if (Outcome.error().Code == ErrorCode::WriteOutcomeUnknown)
+    Timeout_ = std::min(Timeout_ * 2, TimeoutMax);
   RenewWanted_ = true;
   plan(RetryDelay_);
   RetryDelay_ = std::min(RetryDelay_ * 2, RetryDelayMax);
