--- a/packages/base/include/cuminroad/base/EventLog.h
+++ b/packages/base/include/cuminroad/base/EventLog.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdio>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -30,7 +31,8 @@
 public:
   /// \param Process name of this process on every line.
   /// \param Capacity number of events kept; older ones are dropped.
-  EventLog(std::string Process, std::size_t Capacity);
+  /// \param Out where lines go; null keeps them in memory only.
+  EventLog(std::string Process, std::size_t Capacity, std::FILE *Out = stdout);
 
   /// Records an event now. Secrets never go into \p Subject or \p Detail.
   void record(EventId Id, std::string_view Subject,
@@ -44,6 +46,7 @@
 private:
   std::string Process_;
   std::size_t Capacity_;
+  std::FILE *Out_;
   LogicalClock Clock_;
   mutable std::mutex Mutex_;
   std::deque<Event> Events_;
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -1,14 +1,12 @@
 #include "cuminroad/base/EventLog.h"
 
-#include <cstdio>
-
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace cuminroad {
 
-EventLog::EventLog(std::string Process, std::size_t Capacity)
-    : Process_(std::move(Process)), Capacity_(Capacity) {}
+EventLog::EventLog(std::string Process, std::size_t Capacity, std::FILE *Out)
+    : Process_(std::move(Process)), Capacity_(Capacity), Out_(Out) {}
 
 void EventLog::record(EventId Id, std::string_view Subject,
                       std::string_view Detail) {
@@ -24,8 +22,10 @@
   const std::string Text =
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   const std::lock_guard Lock(Mutex_);
-  fmt::print(stdout, "{}\n", Text);
-  std::fflush(stdout);
+  if (Out_ != nullptr) {
+    fmt::print(Out_, "{}\n", Text);
+    std::fflush(Out_);
+  }
   Events_.push_back(
       Event{Stamp, Id, std::string(Subject), std::string(Detail)});
   if (Events_.size() > Capacity_)
--- /dev/null
+++ b/packages/fleet/tests/PoolTrial.cpp
@@ -0,0 +1,85 @@
+#include "PoolTrial.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace cuminroad {
+
+void YesAdvisor::advise(const StepName &Step, std::span<const std::string> Vms,
+                        milliseconds, Done Done) {
+  std::vector<AdviceTicket> Good;
+  for (const std::string &Vm : Vms)
+    Good.push_back(AdviceTicket{Vm, Step.Job});
+  // One call in a few is slow, so that others wait behind it.
+  const milliseconds Takes(++Calls_ % 4 == 0 ? 300 : 20);
+  Home_.after(Takes, [Good, Done] { Done(Good); });
+}
+
+Result<VmEntry> CountFormats::decodeVm(std::string_view Key,
+                                       std::string_view Bytes) const {
+  int Tasks = 0;
+  if (std::from_chars(Bytes.data(), Bytes.data() + Bytes.size(), Tasks).ec !=
+      std::errc{})
+    return failure(ErrorCode::MalformedInput);
+  VmEntry Out;
+  Out.Vm.Id = Key;
+  Out.Vm.Total = TrialTask * Tasks;
+  Out.Vm.Born = 1;
+  Out.Service = TrialService;
+  Out.Address = std::string(Key) + ":1";
+  return Out;
+}
+
+TrialDaemon::TrialDaemon(std::string Name, FakeLoop &Home, FakeRows &Rows,
+                         FakeVms &Vms, const QueueTerms &Queue)
+    : Store(Rows, Home), Calls(Vms, Home), Name_(std::move(Name)), Home_(Home),
+      Events_(Name_, 100, nullptr), Peers_(Http_), Advisor_(Home),
+      Directory_(Formats_, Events_), Context_{Settings_, Self_,   Home.Time,
+                                              Wall_,     Events_, Home,
+                                              Store,     Calls,   Advisor_,
+                                              Peers_,    Queues_, Directory_} {
+  QueueConfig Config;
+  Config.Version = 1;
+  Config.Routes.push_back(QueueRoute{"h", "/q/", milliseconds(3000), Queue});
+  Queues_.apply(Config);
+  begin();
+}
+
+TrialDaemon::~TrialDaemon() { kill(); }
+
+void TrialDaemon::begin() {
+  Self_ = DaemonIdentity{Name_, fmt::format("{}-{}", Name_, ++Lives_), "d",
+                         Name_ + ":1"};
+  Lease_ = std::make_shared<PoolLease>(Store, Home_, Home_.Time, Events_, Self_,
+                                       std::string(TrialService));
+  Lease_->OnTaken = [this](const PoolTerm &Term) {
+    Owner_ = std::make_shared<PoolOwner>(Context_, Term);
+    Owner_->OnReplaced = [this] {
+      Owner_.reset();
+      Lease_->lost();
+    };
+    Owner_->start();
+  };
+  Lease_->start();
+}
+
+void TrialDaemon::kill() {
+  if (Lease_)
+    Lease_->stop();
+  if (Owner_)
+    Owner_->close();
+  Owner_.reset();
+  Lease_.reset();
+}
+
+void TrialDaemon::restart() {
+  kill();
+  begin();
+}
+
+void TrialDaemon::listVms(const std::vector<StoredRow> &Rows) {
+  Directory_.tableRead(Rows);
+}
+
+} // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/tests/PoolTrial.h
@@ -0,0 +1,95 @@
+#ifndef CUMINROAD_FLEET_TESTS_POOLTRIAL_H
+#define CUMINROAD_FLEET_TESTS_POOLTRIAL_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminroad/fakes/FakeRowStore.h"
+#include "cuminroad/fakes/FakeVms.h"
+#include "cuminroad/fleet/PoolLease.h"
+#include "cuminroad/fleet/PoolOwner.h"
+#include "cuminroad/pool/SystemWallClock.h"
+
+namespace cuminroad {
+
+/// An HTTP client whose calls all fail at once.
+class NoHttp final : public HttpClient {
+public:
+  void send(HttpCall, HttpCallback Done) override {
+    Done(failure(ErrorCode::ConnectFailed));
+  }
+  HttpTraffic traffic() const override { return {}; }
+};
+
+/// Names every VM as good, after a while.
+class YesAdvisor final : public PlacementAdvisor {
+public:
+  explicit YesAdvisor(FakeLoop &Home) : Home_(Home) {}
+  void advise(const StepName &, std::span<const std::string> Vms, milliseconds,
+              Done Done) override;
+
+private:
+  FakeLoop &Home_;
+  int Calls_ = 0;
+};
+
+/// A VM's entry is the number of tasks that it has room for.
+class CountFormats final : public PlatformFormats {
+public:
+  std::string configTable() const override { return "op"; }
+  std::string configKey() const override { return "config"; }
+  std::string vmTable() const override { return "vms"; }
+  Result<QueueConfig> decodeConfig(std::string_view) const override {
+    return QueueConfig{};
+  }
+  Result<VmEntry> decodeVm(std::string_view Key,
+                           std::string_view Bytes) const override;
+};
+
+inline constexpr std::string_view TrialService = "pool";
+/// Size of the trial's tasks; a VM has room for a few of them.
+inline constexpr Capacity TrialTask{1000, 100, 0};
+
+/// A daemon that may own the trial's pool, without ports and peers.
+class TrialDaemon {
+public:
+  TrialDaemon(std::string Name, FakeLoop &Home, FakeRows &Rows, FakeVms &Vms,
+              const QueueTerms &Queue);
+  ~TrialDaemon();
+
+  /// The process ends without a word, and another life of it begins.
+  void restart();
+  /// The process ends.
+  void kill();
+  bool owns() const { return Owner_ && Owner_->loaded(); }
+  const PoolOwner *owner() const { return Owner_.get(); }
+  void listVms(const std::vector<StoredRow> &Rows);
+
+  FakeRowStore Store;
+  FakeVmCalls Calls;
+
+private:
+  void begin();
+
+  std::string Name_;
+  FakeLoop &Home_;
+  int Lives_ = 0;
+  DaemonIdentity Self_;
+  FleetSettings Settings_;
+  EventLog Events_;
+  SystemWallClock Wall_;
+  NoHttp Http_;
+  PeerCalls Peers_;
+  YesAdvisor Advisor_;
+  CountFormats Formats_;
+  QueueBook Queues_;
+  VmDirectory Directory_;
+  FleetContext Context_;
+  std::shared_ptr<PoolLease> Lease_;
+  std::shared_ptr<PoolOwner> Owner_;
+};
+
+} // namespace cuminroad
+
+#endif
--- /dev/null
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -0,0 +1,245 @@
+// Two daemons, one pool: jobs through lost and late calls, cuts and kills, and
+// the history that the VMs saw.
+
+#include <map>
+#include <random>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include "PoolTrial.h"
+
+using namespace cuminroad;
+
+namespace {
+
+constexpr int VmCount = 4;
+constexpr int TasksPerVm = 3;
+
+QueueTerms trialQueue(bool Advised) {
+  QueueTerms Out;
+  Out.Name = "q";
+  Out.Service = TrialService;
+  Out.Attempts = 3;
+  if (Advised)
+    Out.Advice = AdviceTerms{milliseconds(20), 0.1, milliseconds(2000)};
+  return Out;
+}
+
+JobRequest makeJob(int Number, std::mt19937 &Random) {
+  JobRequest Out;
+  Out.Queue = "q";
+  Out.Service = TrialService;
+  Out.Plan.Id = fmt::format(
+      "{:016x}", 0x1111111111111111ULL * static_cast<unsigned>(Number % 16) +
+                     static_cast<unsigned>(Number));
+  StepPlan Step;
+  Step.Tasks = 1 + static_cast<int>(Random() % 4);
+  Step.PerTask = TrialTask;
+  Step.Estimate = milliseconds(300);
+  Out.Plan.Steps.push_back(Step);
+  Step.After = {0};
+  Out.Plan.Steps.push_back(Step);
+  return Out;
+}
+
+/// What may go wrong in a trial, and for how much of it.
+struct TrialFaults {
+  bool Store = false;
+  bool Orders = false;
+  bool Kills = false;
+  bool Cuts = false;
+};
+
+class Trial {
+public:
+  Trial(unsigned Seed, TrialFaults Faults)
+      : Random_(Seed), Faults_(Faults), Vms_(Home_) {
+    for (int Number = 0; Number < VmCount; ++Number) {
+      const std::string Id = fmt::format("vm{}", Number);
+      Vms_.add(Id, 1);
+      Entries_.push_back(StoredRow{RowName{"vms", "", Id},
+                                   std::to_string(TasksPerVm), 1, false});
+    }
+    Vms_.Plan = [this](const TaskRun &) {
+      return std::pair{milliseconds(100 + Random_() % 900),
+                       Random_() % 12 == 0 ? RunEnd::Failed : RunEnd::Done};
+    };
+    for (const char *Name : {"a", "b"}) {
+      auto Daemon = std::make_unique<TrialDaemon>(Name, Home_, Rows_, Vms_,
+                                                  trialQueue(Seed % 2 == 0));
+      Daemon->listVms(Entries_);
+      Daemons_.push_back(std::move(Daemon));
+    }
+    for (std::size_t Index = 0; Index < Daemons_.size(); ++Index)
+      injectFaults(Index);
+  }
+
+  void run() {
+    Home_.runFor(milliseconds(3000));
+    for (int Step = 0; Step < 60; ++Step) {
+      submit(Step);
+      disturb();
+      Home_.runFor(milliseconds(100 + Random_() % 300));
+    }
+    Calm_ = true;
+    Cut_.clear();
+    Home_.runFor(milliseconds(60000));
+  }
+
+  void check() {
+    std::map<TaskName, std::pair<std::string, TaskRun>> Running;
+    std::map<std::string, int> OnVm;
+    for (const RunEvent &Event : Vms_.History) {
+      const TaskName &Task = Event.Run.Task;
+      if (!Event.Start) {
+        Running.erase(Task);
+        --OnVm[Event.Vm];
+        continue;
+      }
+      BOOST_CHECK_MESSAGE(!Running.contains(Task),
+                          "runs twice: " << Task.Step.Job);
+      Running[Task] = {Event.Vm, Event.Run};
+      BOOST_CHECK_LE(++OnVm[Event.Vm], TasksPerVm);
+      if (Task.Step.Step == 1)
+        BOOST_CHECK_MESSAGE(firstStepDone(Task.Step.Job, Event.At),
+                            "started too early: " << Task.Step.Job);
+    }
+    BOOST_CHECK(Running.empty());
+    for (const auto &[Task, DoneAt] : Vms_.AcknowledgedDone)
+      for (const RunEvent &Event : Vms_.History)
+        BOOST_CHECK_MESSAGE(!Event.Start || Event.At <= DoneAt ||
+                                !(Event.Run.Task == Task),
+                            "started after it was done: " << Task.Step.Job);
+    for (const auto &[Job, Plan] : Jobs_)
+      checkJob(Job, Plan);
+  }
+
+private:
+  void injectFaults(std::size_t Index) {
+    TrialDaemon &Daemon = *Daemons_[Index];
+    Daemon.Store.Decide = [this, Index] {
+      if (Calm_ || !Faults_.Store)
+        return StoreFate{};
+      if (StoreCut_ == static_cast<int>(Index))
+        return StoreFate{StoreFate::Refused, {}};
+      switch (Random_() % 25) {
+      case 0:
+        return StoreFate{StoreFate::LostAfter, {}};
+      case 1:
+        return StoreFate{StoreFate::Late, milliseconds(500 + Random_() % 4000)};
+      default:
+        return StoreFate{};
+      }
+    };
+    Daemon.Calls.Decide = [this, Index](const std::string &Vm) {
+      if (Cut_.contains({Index, Vm}))
+        return OrderFate{OrderFate::Lost, {}};
+      if (Calm_ || !Faults_.Orders)
+        return OrderFate{};
+      switch (Random_() % 25) {
+      case 0:
+        return OrderFate{OrderFate::AnswerLost, {}};
+      case 1:
+        return OrderFate{OrderFate::Late,
+                         milliseconds(1000 + Random_() % 6000)};
+      default:
+        return OrderFate{};
+      }
+    };
+  }
+
+  void submit(int Number) {
+    const JobRequest Request = makeJob(Number, Random_);
+    RowTransaction Change;
+    Change.Checks.push_back(RowCheck{requestRow(Request.Plan.Id), 0});
+    Change.Puts.push_back(
+        RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
+    Rows_.apply(Change);
+    Jobs_[Request.Plan.Id] = Request.Plan;
+  }
+
+  void disturb() {
+    if (Faults_.Kills && Random_() % 12 == 0)
+      Daemons_[Random_() % Daemons_.size()]->restart();
+    if (Faults_.Store && Random_() % 10 == 0)
+      StoreCut_ = static_cast<int>(Random_() % 4);
+    if (Faults_.Cuts && Random_() % 6 == 0)
+      Cut_.insert({Random_() % Daemons_.size(),
+                   fmt::format("vm{}", Random_() % VmCount)});
+    if (Random_() % 40 == 0)
+      Cut_.clear();
+  }
+
+  bool firstStepDone(const std::string &Job, TimePoint Before) const {
+    std::set<TaskName> Done;
+    for (const RunEvent &Event : Vms_.History)
+      if (!Event.Start && Event.How == RunEnd::Done && Event.At <= Before &&
+          Event.Run.Task.Step.Job == Job && Event.Run.Task.Step.Step == 0)
+        Done.insert(Event.Run.Task);
+    return static_cast<int>(Done.size()) == Jobs_.at(Job).Steps[0].Tasks;
+  }
+
+  void checkJob(const std::string &Job, const JobPlan &Plan) const {
+    const StoredRow *Row = Rows_.find(progressRow(TrialService, Job));
+    BOOST_REQUIRE_MESSAGE(Row != nullptr, "never begun: " << Job);
+    const auto Progress = decodeProgress(Row->Value);
+    BOOST_REQUIRE(Progress);
+    BOOST_CHECK_MESSAGE(isFinal(Progress->Stage),
+                        "not finished: " << Job << " of "
+                                         << Plan.Steps[0].Tasks);
+    int Failures = 0;
+    for (const RunEvent &Event : Vms_.History)
+      Failures += !Event.Start && Event.How == RunEnd::Failed &&
+                  Event.Run.Task.Step.Job == Job;
+    if (Progress->Stage == JobStage::Failed)
+      BOOST_CHECK_GE(Failures, 3);
+  }
+
+  std::mt19937 Random_;
+  TrialFaults Faults_;
+  FakeLoop Home_;
+  FakeRows Rows_;
+  FakeVms Vms_;
+  std::vector<StoredRow> Entries_;
+  std::vector<std::unique_ptr<TrialDaemon>> Daemons_;
+  std::map<std::string, JobPlan> Jobs_;
+  std::set<std::pair<std::size_t, std::string>> Cut_;
+  int StoreCut_ = -1;
+  bool Calm_ = false;
+};
+
+void runTrials(unsigned First, unsigned Last, TrialFaults Faults) {
+  for (unsigned Seed = First; Seed <= Last; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      Trial Each(Seed, Faults);
+      Each.run();
+      Each.check();
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(calm) { runTrials(1, 4, TrialFaults{}); }
+
+BOOST_AUTO_TEST_CASE(storeLosesDelaysAndRefuses) {
+  runTrials(101, 115, TrialFaults{true, false, false, false});
+}
+
+BOOST_AUTO_TEST_CASE(ordersAreLostAndLate) {
+  runTrials(201, 215, TrialFaults{false, true, false, false});
+}
+
+BOOST_AUTO_TEST_CASE(daemonsAreKilled) {
+  runTrials(301, 315, TrialFaults{false, false, true, false});
+}
+
+BOOST_AUTO_TEST_CASE(vmsAreCutOff) {
+  runTrials(401, 415, TrialFaults{false, false, false, true});
+}
+
+BOOST_AUTO_TEST_CASE(everythingAtOnce) {
+  runTrials(501, 530, TrialFaults{true, true, true, true});
+}
--- /dev/null
+++ b/packages/store/tests/TableFollowerTest.cpp
@@ -0,0 +1,98 @@
+// Following a table over failures and lost history.
+
+#include <map>
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cuminroad/fakes/FakeRowStore.h"
+#include "cuminroad/store/TableFollower.h"
+
+using namespace cuminroad;
+
+namespace {
+
+class MapSink final : public RowSink {
+public:
+  void tableRead(std::vector<StoredRow> Rows) override {
+    Known.clear();
+    rowsChanged(std::move(Rows));
+  }
+  void rowsChanged(std::vector<StoredRow> Rows) override {
+    for (const StoredRow &Row : Rows) {
+      if (Row.Removed)
+        Known.erase(Row.Name.Key);
+      else
+        Known[Row.Name.Key] = Row.Value;
+    }
+  }
+  std::map<std::string, std::string> Known;
+};
+
+void write(FakeRows &Rows, int Partition, const std::string &Key,
+           const std::string &Value) {
+  RowTransaction Change;
+  const RowName Name{"t", "p" + std::to_string(Partition), Key};
+  if (Value.empty())
+    Change.Removals.push_back(Name);
+  else
+    Change.Puts.push_back(RowPut{Name, Value});
+  Rows.apply(Change);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(endsWithWhatTheTableHas) {
+  for (unsigned Seed = 1; Seed <= 40; ++Seed) {
+    std::mt19937 Random(Seed);
+    FakeLoop Home;
+    FakeRows Rows;
+    FakeRowStore Store(Rows, Home);
+    bool Calm = false;
+    Store.Decide = [&] {
+      return !Calm && Random() % 3 == 0 ? StoreFate{StoreFate::Refused, {}}
+                                        : StoreFate{};
+    };
+    MapSink Sink;
+    const auto Follower = std::make_shared<TableFollower>(
+        Store, Home,
+        FollowOptions{"t", {"p0", "p1"}, milliseconds(500), milliseconds(20)},
+        Sink);
+    std::map<std::string, std::string> Wanted;
+    for (int Step = 0; Step < 200; ++Step) {
+      const int Key = static_cast<int>(Random() % 700);
+      const std::string Name = "k" + std::to_string(Key);
+      const std::string Value =
+          Random() % 4 == 0 ? "" : "v" + std::to_string(Step);
+      write(Rows, Key % 2, Name, Value);
+      if (Value.empty())
+        Wanted.erase(Name);
+      else
+        Wanted[Name] = Value;
+      if (Step == 20)
+        Follower->start();
+      if (Random() % 40 == 0)
+        Rows.compact();
+      Home.runFor(milliseconds(Random() % 60));
+    }
+    Calm = true;
+    Home.runFor(milliseconds(5000));
+    BOOST_CHECK(Sink.Known == Wanted);
+    Follower->close();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(readsTablesOfSeveralPages) {
+  FakeLoop Home;
+  FakeRows Rows;
+  FakeRowStore Store(Rows, Home);
+  for (int Key = 0; Key < 1300; ++Key)
+    write(Rows, 0, "k" + std::to_string(Key), "v");
+  MapSink Sink;
+  const auto Follower = std::make_shared<TableFollower>(
+      Store, Home, FollowOptions{"t", {"p0"}, milliseconds(500), {}}, Sink);
+  Follower->start();
+  Home.runFor(milliseconds(500));
+  BOOST_CHECK_EQUAL(Sink.Known.size(), 1300);
+  Follower->close();
+}
