--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -100,6 +100,12 @@
   TimePoint InheritedUntil_{};
   int DirectoryListener_ = 0;
   std::map<std::string, std::shared_ptr<VmLink>, std::less<>> Links_;
+  /// The last end of a VM's life that was taken in.
+  struct SeenEnds {
+    std::int64_t Born = 0;
+    std::int64_t Last = 0;
+  };
+  std::map<std::string, SeenEnds> SeenEnds_;
   /// Jobs read before the progress was.
   std::map<std::string, JobRequest> ReadRequests_;
   std::set<std::string> ReadCancels_;
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -321,6 +321,7 @@
     }
     Entry->second->close();
     Scheduler_->vmRemoved(Entry->first);
+    SeenEnds_.erase(Entry->first);
     Context_.Events.record(EventId::VmGone, Entry->first, Term_.Service);
     Entry = Links_.erase(Entry);
   }
@@ -486,13 +487,20 @@
 
 void PoolOwner::reported(VmLink &Link, const HoldAnswer &Answer,
                          TimePoint AskedAt) {
+  SeenEnds &Seen = SeenEnds_[Link.vm()];
+  if (Seen.Born != Answer.Born)
+    Seen = SeenEnds{Answer.Born, 0};
   std::int64_t Last = 0;
   for (const TaskEnd &End : Answer.Ends) {
     Last = std::max(Last, End.Number);
+    // Ends are listed again until they are acknowledged.
+    if (End.Number <= Seen.Last)
+      continue;
     Context_.Events.record(EventId::RunEnded, runText(End.Run),
                            fmt::format("{} {}", Link.vm(), endName(End.How)));
     Scheduler_->taskEnded(Link.vm(), End);
   }
+  Seen.Last = std::max(Seen.Last, Last);
   Scheduler_->vmReported(Link.vm(), Answer.Born, Answer.Running, AskedAt);
   if (Last > 0) {
     recordChanges();
--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -50,6 +50,8 @@
   bool Orders = false;
   bool Kills = false;
   bool Cuts = false;
+  /// The owner loses the store, and the other daemon some of the VMs.
+  bool Splits = false;
 };
 
 class Trial {
@@ -63,7 +65,8 @@
                                    std::to_string(TasksPerVm), 1, false});
     }
     Vms_.Plan = [this](const TaskRun &) {
-      return std::pair{milliseconds(100 + Random_() % 900),
+      const unsigned Longest = Faults_.Splits ? 6000 : 900;
+      return std::pair{milliseconds(100 + Random_() % Longest),
                        Random_() % 12 == 0 ? RunEnd::Failed : RunEnd::Done};
     };
     for (const char *Name : {"a", "b"}) {
@@ -85,7 +88,8 @@
     }
     Calm_ = true;
     Cut_.clear();
-    Home_.runFor(milliseconds(60000));
+    // Long enough for all the work that is left.
+    Home_.runFor(milliseconds(Faults_.Splits ? 150000 : 60000));
   }
 
   void check() {
@@ -120,10 +124,10 @@
   void injectFaults(std::size_t Index) {
     TrialDaemon &Daemon = *Daemons_[Index];
     Daemon.Store.Decide = [this, Index] {
+      if (!Calm_ && StoreCut_ == static_cast<int>(Index))
+        return StoreFate{StoreFate::Refused, {}};
       if (Calm_ || !Faults_.Store)
         return StoreFate{};
-      if (StoreCut_ == static_cast<int>(Index))
-        return StoreFate{StoreFate::Refused, {}};
       switch (Random_() % 25) {
       case 0:
         return StoreFate{StoreFate::LostAfter, {}};
@@ -168,10 +172,21 @@
     if (Faults_.Cuts && Random_() % 6 == 0)
       Cut_.insert({Random_() % Daemons_.size(),
                    fmt::format("vm{}", Random_() % VmCount)});
+    if (Faults_.Splits && Random_() % 10 == 0)
+      split();
     if (Random_() % 40 == 0)
       Cut_.clear();
   }
 
+  void split() {
+    for (std::size_t Index = 0; Index < Daemons_.size(); ++Index)
+      if (Daemons_[Index]->owns())
+        StoreCut_ = static_cast<int>(Index);
+    Cut_.clear();
+    for (const char *Vm : {"vm0", "vm1"})
+      Cut_.insert({StoreCut_ == 0 ? 1U : 0U, Vm});
+  }
+
   bool firstStepDone(const std::string &Job, TimePoint Before) const {
     std::set<TaskName> Done;
     for (const RunEvent &Event : Vms_.History)
@@ -225,21 +240,25 @@
 BOOST_AUTO_TEST_CASE(calm) { runTrials(1, 4, TrialFaults{}); }
 
 BOOST_AUTO_TEST_CASE(storeLosesDelaysAndRefuses) {
-  runTrials(101, 115, TrialFaults{true, false, false, false});
+  runTrials(101, 115, TrialFaults{true, false, false, false, false});
 }
 
 BOOST_AUTO_TEST_CASE(ordersAreLostAndLate) {
-  runTrials(201, 215, TrialFaults{false, true, false, false});
+  runTrials(201, 215, TrialFaults{false, true, false, false, false});
 }
 
 BOOST_AUTO_TEST_CASE(daemonsAreKilled) {
-  runTrials(301, 315, TrialFaults{false, false, true, false});
+  runTrials(301, 315, TrialFaults{false, false, true, false, false});
 }
 
 BOOST_AUTO_TEST_CASE(vmsAreCutOff) {
-  runTrials(401, 415, TrialFaults{false, false, false, true});
+  runTrials(401, 415, TrialFaults{false, false, false, true, false});
+}
+
+BOOST_AUTO_TEST_CASE(ownerAndStandbyReachDifferentVms) {
+  runTrials(601, 615, TrialFaults{false, false, false, false, true});
 }
 
 BOOST_AUTO_TEST_CASE(everythingAtOnce) {
-  runTrials(501, 530, TrialFaults{true, true, true, true});
+  runTrials(501, 530, TrialFaults{true, true, true, true, false});
 }
--- /dev/null
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -0,0 +1,143 @@
+// When a VM's leases count as lapsed, and how starts are settled.
+
+#include <boost/test/unit_test.hpp>
+
+#include "cuminroad/fakes/FakeVms.h"
+#include "cuminroad/fleet/LeaseTimes.h"
+#include "cuminroad/fleet/VmLink.h"
+
+using namespace cuminroad;
+
+namespace {
+
+const TaskRun Run{{{"j", 0, 0}, 0}, 1};
+
+/// A link to one VM, and what it told.
+struct Fixture : VmLinkEvents {
+  Fixture() : Vms(Home), Calls(Vms, Home) { Vms.add("a", 1); }
+
+  void connect(milliseconds Inherited = {}) {
+    VmEntry Entry;
+    Entry.Vm.Id = "a";
+    Entry.Address = "a:1";
+    VmLink::Options Options;
+    Options.FencingToken = 1;
+    Options.InheritedUntil = Home.Time.now() + Inherited;
+    Link = std::make_shared<VmLink>(Entry, Options, Calls, Home, Home.Time,
+                                    *this);
+    Link->start();
+  }
+  ~Fixture() override {
+    if (Link)
+      Link->close();
+  }
+
+  void reported(VmLink &, const HoldAnswer &Answer, TimePoint) override {
+    ++Reports;
+    LastAnswer = Answer;
+    for (const TaskEnd &End : Answer.Ends)
+      Link->acknowledge(Answer.Born, End.Number);
+  }
+  void unanswered(VmLink &) override {}
+  void silent(VmLink &, std::string_view) override { Silent = true; }
+  void lapsed(VmLink &) override { LapsedAt = Home.Time.now(); }
+  void fenced(VmLink &) override { Fenced = true; }
+  void startAnswered(VmLink &, const TaskRun &, StartOutcome Outcome,
+                     std::string_view) override {
+    Outcomes.push_back(Outcome);
+  }
+  void stopAnswered(VmLink &, const TaskRun &) override {}
+  bool wanted(const VmLink &, const TaskRun &) const override { return true; }
+  TimePoint leaseLimit() const override { return TimePoint::max(); }
+
+  FakeLoop Home;
+  FakeVms Vms;
+  FakeVmCalls Calls;
+  std::shared_ptr<VmLink> Link;
+  int Reports = 0;
+  HoldAnswer LastAnswer;
+  bool Silent = false;
+  bool Fenced = false;
+  std::optional<TimePoint> LapsedAt;
+  std::vector<StartOutcome> Outcomes;
+};
+
+StartRun startOf(const std::string &Ticket = "",
+                 TimePoint Until = TimePoint::max()) {
+  return StartRun{"a", Run, "", Ticket, Until};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(vmNeverReachedHoldsUntilInheritedLeasesEnd, Fixture) {
+  Calls.Decide = [](const std::string &) {
+    return OrderFate{OrderFate::Lost, {}};
+  };
+  const TimePoint Begin = Home.Time.now();
+  connect(InheritedWait);
+  Home.runFor(InheritedWait * 2);
+  BOOST_REQUIRE(LapsedAt);
+  BOOST_CHECK(*LapsedAt - Begin >= InheritedWait);
+}
+
+BOOST_FIXTURE_TEST_CASE(cutVmLapsesAfterItsLeaseAndNotBefore, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  Link->startRun(startOf(), "spec");
+  Vms.Plan = [](const TaskRun &) {
+    return std::pair{milliseconds(60000), RunEnd::Done};
+  };
+  Home.runFor(milliseconds(500));
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 1);
+  Calls.Decide = [](const std::string &) {
+    return OrderFate{OrderFate::Lost, {}};
+  };
+  Home.runFor(TaskLease * 3);
+  BOOST_CHECK(Silent);
+  BOOST_REQUIRE(LapsedAt);
+  // The VM ended the run by itself, before the link counted it as ended.
+  const RunEvent &End = Vms.History.back();
+  BOOST_REQUIRE(!End.Start);
+  BOOST_CHECK(End.How == RunEnd::Lapsed);
+  BOOST_CHECK(End.At <= *LapsedAt);
+}
+
+BOOST_FIXTURE_TEST_CASE(lostAnswerIsSettledByARepeat, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  int Orders = 0;
+  Calls.Decide = [&](const std::string &) {
+    return ++Orders == 1 ? OrderFate{OrderFate::AnswerLost, {}} : OrderFate{};
+  };
+  Link->startRun(startOf(), "spec");
+  Home.runFor(milliseconds(5000));
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 1);
+  // The run is over by then: not a refusal, since it was carried out.
+  BOOST_CHECK(Outcomes[0] == StartOutcome::OldRun);
+}
+
+BOOST_FIXTURE_TEST_CASE(startWithAnExpiredTicketIsNotSent, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  const int Before = Calls.Starts;
+  Link->startRun(startOf("t", Home.Time.now()), "spec");
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 1);
+  BOOST_CHECK(Outcomes[0] == StartOutcome::TicketExpired);
+  BOOST_CHECK_EQUAL(Calls.Starts, Before);
+}
+
+BOOST_FIXTURE_TEST_CASE(newerOwnerEndsTheLink, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  Vms.hold(VmTarget{"a", "a:1", 2, false}, HoldOrder{});
+  Home.runFor(milliseconds(3000));
+  BOOST_CHECK(Fenced);
+}
+
+BOOST_FIXTURE_TEST_CASE(restartedVmIsReportedWithItsNewLife, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  Vms.restart("a", 7);
+  Home.runFor(milliseconds(3000));
+  BOOST_CHECK_EQUAL(LastAnswer.Born, 7);
+}
--- a/packages/pool/src/JobPlan.cpp
+++ b/packages/pool/src/JobPlan.cpp
@@ -11,19 +11,45 @@
                      [](const StepPlan &Step) { return Step.LongRunning; });
 }
 
+namespace {
+
+/// Bounds that keep one job from taking a daemon's memory; far above the widest
+/// jobs that are known.
+constexpr int MaxTasksPerStep = 5000;
+constexpr std::size_t MaxSteps = 500;
+constexpr int MaxOccurrences = 1'000'000;
+/// Largest figure of a size or a time.
+constexpr std::int64_t MaxFigure = 1'000'000'000'000;
+
+bool isFigure(std::int64_t Value) { return Value >= 0 && Value <= MaxFigure; }
+
+} // namespace
+
 Result<void> checkPlan(const JobPlan &Plan) {
   if (Plan.Steps.empty())
     return failure(ErrorCode::MissingField, "steps");
+  if (Plan.Steps.size() > MaxSteps)
+    return failure(ErrorCode::ValueOutOfRange, "steps");
   for (std::size_t Index = 0; Index < Plan.Steps.size(); ++Index) {
     const StepPlan &Step = Plan.Steps[Index];
-    if (Step.Tasks < 1)
+    if (Step.Tasks < 1 || Step.Tasks > MaxTasksPerStep)
       return failure(ErrorCode::ValueOutOfRange, "count");
+    if (!isFigure(Step.PerTask.MilliCores) ||
+        !isFigure(Step.PerTask.MemoryMb) ||
+        !isFigure(Step.PerTask.Accelerators))
+      return failure(ErrorCode::ValueOutOfRange, "size of a task");
+    if (!isFigure(Step.Estimate.count()) ||
+        !isFigure(Step.LatencyTarget.count()) || Step.MaxPerVm < 0 ||
+        Step.MayMiss < 0)
+      return failure(ErrorCode::ValueOutOfRange, "step");
     for (const int Before : Step.After)
       if (Before < 0 || Before >= static_cast<int>(Index))
         return failure(ErrorCode::ValueOutOfRange, "after");
   }
-  if (Plan.Occurrences < 0)
+  if (Plan.Occurrences < 0 || Plan.Occurrences > MaxOccurrences)
     return failure(ErrorCode::ValueOutOfRange, "times");
+  if (!isFigure(Plan.Interval.count()))
+    return failure(ErrorCode::ValueOutOfRange, "interval");
   return {};
 }
 
--- a/packages/pool/tests/SchedulerTest.cpp
+++ b/packages/pool/tests/SchedulerTest.cpp
@@ -87,8 +87,7 @@
     Scheduler->startAnswered(Start.Vm, Start.Run, StartOutcome::Accepted);
   }
   void end(const StartRun &Start, RunEnd How, const std::string &Saved = "") {
-    Scheduler->taskEnded(Start.Vm,
-                         TaskEnd{++EndNumber, Start.Run, How, Saved});
+    Scheduler->taskEnded(Start.Vm, TaskEnd{++EndNumber, Start.Run, How, Saved});
   }
   /// A report of the VM that lists these runs.
   void report(const std::string &Vm, std::vector<RunningTask> Running) {
@@ -521,8 +520,8 @@
   const auto Tail = [&](double Ms) {
     std::vector<RunningTask> Rows;
     for (const StartRun &Start : Sent)
-      Rows.push_back(RunningTask{
-          Start.Run, "", 100, Start.Run.Task.Step.Job == "s" ? Ms : 500});
+      Rows.push_back(RunningTask{Start.Run, "", 100,
+                                 Start.Run.Task.Step.Job == "s" ? Ms : 500});
     report("a", Rows);
     pass();
   };
@@ -607,10 +606,10 @@
     for (int Step = 0; Step < 400; ++Step) {
       if (Random() % 4 == 0)
         Each.Scheduler->addJob(
-            makeJob("j" + std::to_string(Step),
-                    {makeStep(1 + static_cast<int>(Random() % 6),
-                              {500 + static_cast<int>(Random() % 3000), 100,
-                               0})}),
+            makeJob(
+                "j" + std::to_string(Step),
+                {makeStep(1 + static_cast<int>(Random() % 6),
+                          {500 + static_cast<int>(Random() % 3000), 100, 0})}),
             makeQueue(static_cast<int>(Random() % 3)), Each.Time.now());
       if (Random() % 15 == 0)
         Each.Scheduler->cancelJob("j" + std::to_string(Random() % 400));
@@ -625,8 +624,7 @@
         std::int64_t Cores = 0;
         for (const StartRun &Run : Runs) {
           BOOST_CHECK(Names.insert(Run.Run.Task).second);
-          if (const JobPlan *Plan =
-                  Each.Scheduler->plan(Run.Run.Task.Step.Job))
+          if (const JobPlan *Plan = Each.Scheduler->plan(Run.Run.Task.Step.Job))
             Cores += Plan->Steps[0].PerTask.MilliCores;
         }
         BOOST_CHECK_LE(Cores, Big.MilliCores);
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -54,6 +54,7 @@
   };
 
   milliseconds clock() const;
+  int percentNow() const;
   VmState *reach(const VmTarget &Vm, OrderAnswer &Answer);
   void end(const std::string &Id, const TaskRun &Run, RunEnd How);
   void lapse(const std::string &Id);
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -32,6 +32,11 @@
   Vm.Born = Born;
 }
 
+int FakeVms::percentNow() const {
+  // Moves as long as time passes; no test looks at how far a run is.
+  return static_cast<int>(clock().count() / 100 % 100);
+}
+
 FakeVms::VmState *FakeVms::reach(const VmTarget &Vm, OrderAnswer &Answer) {
   Answer.VmClock = clock();
   const auto Found = Vms_.find(Vm.Id);
@@ -90,7 +95,7 @@
     return true;
   });
   for (const auto &[Run, EndsAt] : State->Running)
-    Out.Running.push_back(RunningTask{Run, "", 50, 0});
+    Out.Running.push_back(RunningTask{Run, "", percentNow(), 0});
   Out.Ends = State->Ends;
   return Out;
 }
