--- a/packages/fleet/include/cuminroad/fleet/DaemonIdentity.h
+++ b/packages/fleet/include/cuminroad/fleet/DaemonIdentity.h
@@ -12,6 +12,8 @@
   std::string Domain;
   /// "address:port" for other daemons.
   std::string Peer;
+  /// The part of a processor core that the process may use.
+  double CpuShare = 1.0;
 };
 
 } // namespace cuminroad
--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -29,6 +29,8 @@
   ListenAddress Peer;
   /// For metrics.
   ListenAddress Metrics;
+  /// The part of a processor core that this VM may use.
+  double CpuShare = 1.0;
   /// How often a VM shows that it lives.
   milliseconds Heartbeat{1500};
   /// Longest lease that a VM grants on what it runs.
--- a/packages/fleet/include/cuminroad/fleet/PoolLease.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolLease.h
@@ -29,7 +29,8 @@
 /// owner's transactions replaces. A standby takes over a row that has not
 /// changed for the length of the lease, by its own clock; time in which it
 /// could not read does not count. Standbys wait for different times, so that
-/// one is usually first, and those that own a pool already wait longer.
+/// one is usually first; those that own a pool already, and those with little
+/// processor time, wait longer.
 class PoolLease : public std::enable_shared_from_this<PoolLease> {
 public:
   PoolLease(RowStore &Store, Loop &Home, const Clock &Time, EventLog &Events,
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -17,6 +17,12 @@
 constexpr std::int64_t RankSpreadMs = 400;
 /// A daemon that owns a pool already leaves the next one to others.
 constexpr milliseconds OwnerHandicap{600};
+/// A share of a core that carries a pool of the sizes of today, by the slopes
+/// in docs/CAPACITY.md. Daemons with less leave pools to others, the longer the
+/// less they have.
+constexpr double EnoughCpu = 0.25;
+constexpr double WeaknessMs = 1000;
+constexpr double LeastCpu = 0.05;
 
 } // namespace
 
@@ -40,7 +46,10 @@
 
 milliseconds PoolLease::standbyDelay() const {
   const int Owned = PoolsOwned ? PoolsOwned() : 0;
-  return Rank_ + OwnerHandicap * Owned;
+  const double Cpu = std::clamp(Self_.CpuShare, LeastCpu, EnoughCpu);
+  const auto Weakness =
+      static_cast<std::int64_t>((EnoughCpu / Cpu - 1.0) * WeaknessMs);
+  return Rank_ + OwnerHandicap * Owned + milliseconds(Weakness);
 }
 
 void PoolLease::pollLater(milliseconds Delay) {
--- a/packages/fleet/tests/PoolTrial.cpp
+++ b/packages/fleet/tests/PoolTrial.cpp
@@ -50,7 +50,7 @@
 
 void TrialDaemon::begin() {
   Self_ = DaemonIdentity{Name_, fmt::format("{}-{}", Name_, ++Lives_), "d",
-                         Name_ + ":1"};
+                         Name_ + ":1", 1.0};
   Lease_ = std::make_shared<PoolLease>(Store, Home_, Home_.Time, Events_, Self_,
                                        std::string(TrialService));
   Lease_->OnTaken = [this](const PoolTerm &Term) {
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -23,8 +23,8 @@
     VmLink::Options Options;
     Options.FencingToken = 1;
     Options.InheritedUntil = Home.Time.now() + Inherited;
-    Link = std::make_shared<VmLink>(Entry, Options, Calls, Home, Home.Time,
-                                    *this);
+    Link =
+        std::make_shared<VmLink>(Entry, Options, Calls, Home, Home.Time, *this);
     Link->start();
   }
   ~Fixture() override {
