Relay only through daemons that reach the store; notice lapsed owners sooner

Peers are now asked every 0.2 s whether they reach the store while this daemon does not, and only those are used; a row that has not changed is read more often.

--- a/packages/fleet/include/cuminroad/fleet/PeerService.h
+++ b/packages/fleet/include/cuminroad/fleet/PeerService.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include "cuminroad/base/Clock.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/net/HttpServer.h"
 #include "cuminroad/pool/JobState.h"
@@ -30,7 +31,7 @@
 /// RelayedStore. All arguments must outlive it.
 /// \param Store without relay, so that no call is passed on twice.
 HttpHandler makePeerHandler(const OwnedPools &Pools, PlacementAdvisor &Advisor,
-                            RowStore &Store);
+                            RowStore &Store, const Clock &Time);
 
 } // namespace cuminroad
 
--- a/packages/fleet/include/cuminroad/fleet/PoolLease.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolLease.h
@@ -57,6 +57,7 @@
   void take(std::int64_t Version, bool Inherited);
   void taken(std::int64_t Version, TimePoint SentAt);
   milliseconds standbyDelay() const;
+  milliseconds pollDelay() const;
 
   RowStore &Store_;
   Loop &Home_;
@@ -70,6 +71,7 @@
   TimePoint SeenAt_{};
   TimePoint TakeSentAt_{};
   bool TakeInherited_ = false;
+  bool Unchanged_ = false;
   bool Mine_ = false;
   bool Polling_ = false;
   bool Stopped_ = false;
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -18,6 +18,10 @@
 /// calls keep failing they go to peers first, and one in a while is tried
 /// directly. Peers never pass a relayed call on.
 ///
+/// Only peers that have lately said that they reach the store are used. So
+/// where the store is away for all, calls fail at once and for certain, and
+/// none is lost on its way to a peer that is cut off as well.
+///
 /// Outcomes mean the same as without relay: a commit whose answer was lost
 /// anywhere on the way is WriteOutcomeUnknown.
 class RelayedStore final : public RowStore {
@@ -25,8 +29,8 @@
   /// Addresses of the peers to try, the best first.
   using PeerList = std::function<std::vector<std::string>()>;
 
-  RelayedStore(RowStore &Direct, HttpClient &Client, const Clock &Time,
-               EventLog &Events, PeerList Peers);
+  RelayedStore(RowStore &Direct, HttpClient &Client, Loop &Home,
+               const Clock &Time, EventLog &Events, PeerList Peers);
 
   void commit(RowTransaction Change, milliseconds Timeout,
               CommitDone Done) override;
@@ -51,14 +55,22 @@
   void send(const Relayed &Call, HttpCallback Done);
   void noteRelayed(milliseconds StoreTime);
   std::vector<std::string> peersToTry();
+  /// Asks peers whether they reach the store, for as long as this daemon is
+  /// turned away.
+  void probePeers();
+  void probe(const std::string &Peer);
 
   RowStore &Direct_;
   HttpClient &Client_;
+  Loop &Home_;
   const Clock &Time_;
   EventLog &Events_;
   PeerList Peers_;
   std::size_t NextPeer_ = 0;
-  std::map<std::string, TimePoint> SilentUntil_;
+  std::size_t NextProbe_ = 0;
+  bool Probing_ = false;
+  /// Until when a peer counts as one that reaches the store.
+  std::map<std::string, TimePoint> GoodUntil_;
   int DirectFailures_ = 0;
   TimePoint NextDirect_{};
   TimePoint RelayedContact_{};
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -78,8 +78,8 @@
                                                 Parts_.Settings.Peer.text(),
                                                 Parts_.Settings.CpuShare},
         Peers_(Parts_.Client),
-        Store_(Parts_.Store, Parts_.Client, Parts_.Time, Parts_.Events,
-               [this] { return relayPeers(); }),
+        Store_(Parts_.Store, Parts_.Client, Parts_.Home, Parts_.Time,
+               Parts_.Events, [this] { return relayPeers(); }),
         Directory_(Parts_.Formats, Parts_.Events),
         Config_([this] { configChanged(); }),
         Daemons_([this] { daemonsChanged(); }),
@@ -157,8 +157,9 @@
 }
 
 void FleetDaemonImpl::start() {
-  PeerServer_ = listen(Parts_.Settings.Peer,
-                       makePeerHandler(*this, Parts_.Advisor, Parts_.Store));
+  PeerServer_ =
+      listen(Parts_.Settings.Peer,
+             makePeerHandler(*this, Parts_.Advisor, Parts_.Store, Parts_.Time));
   Ready_ = listen(Parts_.Settings.Ready,
                   [this](const HttpRequest &, const HttpResponder &Respond) {
                     Respond(plain(ready() ? 200 : 503));
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -18,8 +18,12 @@
 constexpr milliseconds ReadTimeout{1200};
 constexpr milliseconds OwnerTimeout{350};
 constexpr milliseconds RetryDelay{60};
-/// A store that has not answered for this long is taken to be away.
-constexpr milliseconds StoreAway{1200};
+/// Longest time between two tries while no other call shows that the store
+/// answers.
+constexpr milliseconds BlindRetry{600};
+/// Share of a caller's patience for which a job is held while the store is
+/// away: enough for a blip. Callers who come back later wait no longer in all.
+constexpr double HoldShare = 0.15;
 /// Told to callers who are refused since the store is away: outages last
 /// seconds.
 constexpr milliseconds StoreRetryAfter{2000};
@@ -40,7 +44,10 @@
 
 struct JobDoor::Submission {
   JobRequest Request;
+  /// The caller waits until then.
   TimePoint Until;
+  /// A job that was certainly not accepted is refused after this.
+  TimePoint HoldUntil;
   SubmitDone Done;
   /// An earlier try may have taken effect, or may do so yet.
   bool Uncertain = false;
@@ -61,7 +68,11 @@
   auto Open = std::make_shared<Submission>();
   Open->Request = JobRequest{Queue.Name, Queue.Service,
                              Context_.Store.storeTime(), std::move(Plan)};
-  Open->Until = Context_.Time.now() + Patience - AnswerMargin;
+  const TimePoint Now = Context_.Time.now();
+  Open->Until = Now + Patience - AnswerMargin;
+  Open->HoldUntil =
+      Now + milliseconds(static_cast<std::int64_t>(
+                HoldShare * static_cast<double>(Patience.count())));
   Open->Done = std::move(Done);
   write(std::move(Open));
 }
@@ -91,13 +102,11 @@
   }
   Open->Uncertain =
       Open->Uncertain || Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
-  const bool Away =
-      Context_.Time.now() - Context_.Store.lastContact() > StoreAway;
-  const bool Hopeless = left(Open->Until) <= RetryDelay;
-  if (!Hopeless && (Open->Uncertain || !Away)) {
-    Context_.Home.after(RetryDelay, [this, Open] { write(Open); });
-    return;
-  }
+  const TimePoint Now = Context_.Time.now();
+  // What is uncertain is tried for as long as the caller waits, since nothing
+  // better can be told; what was certainly not accepted, for a part of it.
+  if (Now < (Open->Uncertain ? Open->Until : Open->HoldUntil))
+    return writeWhenReachable(std::move(Open), Now);
   if (Open->Uncertain) {
     Context_.Events.record(EventId::JobOutcomeUnknown, Job,
                            Outcome.error().text());
@@ -107,6 +116,21 @@
   Open->Done(SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
 
+void JobDoor::writeWhenReachable(std::shared_ptr<Submission> Open,
+                                 TimePoint FailedAt) {
+  Context_.Home.after(RetryDelay, [this, Open, FailedAt] {
+    const TimePoint Now = Context_.Time.now();
+    const bool Reached = Context_.Store.lastContact() > FailedAt;
+    // Other calls show that the store is back; a try of each waiting caller
+    // would only add to its load.
+    if (Reached || Now - FailedAt > BlindRetry ||
+        Now >= (Open->Uncertain ? Open->Until : Open->HoldUntil))
+      write(Open);
+    else
+      writeWhenReachable(Open, FailedAt);
+  });
+}
+
 void JobDoor::cancel(std::string_view Job, milliseconds Patience,
                      std::function<void(DoorAnswer<bool>)> Done) {
   auto Open = std::make_shared<Cancellation>();
--- a/packages/fleet/src/PeerService.cpp
+++ b/packages/fleet/src/PeerService.cpp
@@ -12,7 +12,11 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusAdvisorFailed = 502;
+constexpr int StatusNoContact = 503;
 constexpr int UnknownJobNumber = -1;
+/// A daemon whose last answer from the store is older does not count as
+/// reaching it. Standbys read the store every 700 ms at least.
+constexpr milliseconds RecentContact{900};
 
 HttpResponse plain(int Status, std::string Body) {
   return HttpResponse{Status, {}, std::move(Body), "text/plain"};
@@ -72,15 +76,20 @@
 } // namespace
 
 HttpHandler makePeerHandler(const OwnedPools &Pools, PlacementAdvisor &Advisor,
-                            RowStore &Store) {
-  return
-      [&Pools, &Advisor, &Store](HttpRequest Request, HttpResponder Respond) {
-        if (Request.Path == StorePath)
-          return relay(Store, Request, std::move(Respond));
-        if (Request.Path == AdvisePath)
-          return advise(Advisor, Request, std::move(Respond));
-        Respond(answer(Pools, Request));
-      };
+                            RowStore &Store, const Clock &Time) {
+  return [&Pools, &Advisor, &Store, &Time](HttpRequest Request,
+                                           HttpResponder Respond) {
+    if (Request.Path == ReachPath)
+      return Respond(plain(Time.now() - Store.lastContact() < RecentContact
+                               ? 200
+                               : StatusNoContact,
+                           ""));
+    if (Request.Path == StorePath)
+      return relay(Store, Request, std::move(Respond));
+    if (Request.Path == AdvisePath)
+      return advise(Advisor, Request, std::move(Respond));
+    Respond(answer(Pools, Request));
+  };
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds ReadTimeout{800};
 constexpr milliseconds TakeTimeout{1000};
+/// How often a row is read that has not changed since the last look.
+constexpr milliseconds SuspiciousPoll{150};
 /// Standbys are spread over this time.
 constexpr std::int64_t RankSpreadMs = 400;
 /// A daemon that owns a pool already leaves the next one to others.
@@ -52,6 +54,11 @@
   return Rank_ + OwnerHandicap * Owned + milliseconds(Weakness);
 }
 
+milliseconds PoolLease::pollDelay() const {
+  // A row that did not change since the last look may be about to lapse.
+  return Unchanged_ ? SuspiciousPoll : OwnerPoll + Rank_;
+}
+
 void PoolLease::pollLater(milliseconds Delay) {
   Polling_ = true;
   Home_.after(Delay, [Self = shared_from_this()] { Self->poll(); });
@@ -73,7 +80,7 @@
                 else
                   Self->SeenAt_ = Self->Time_.now();
                 if (!Self->Mine_ && !Self->Polling_)
-                  Self->pollLater(OwnerPoll + Self->Rank_);
+                  Self->pollLater(Self->pollDelay());
               });
 }
 
@@ -93,7 +100,8 @@
   if (!Owner_.Incarnation.empty() && Owner_.Incarnation == Self_.Incarnation &&
       Owner_.Serial == 0)
     return taken(Version, TakeSentAt_);
-  if (Version != SeenVersion_) {
+  Unchanged_ = Version == SeenVersion_;
+  if (!Unchanged_) {
     SeenVersion_ = Version;
     SeenAt_ = Now;
   }
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -19,8 +19,14 @@
 constexpr milliseconds ConnectTimeout{250};
 /// Longest wait for a peer; it may be cut off itself.
 constexpr milliseconds RelayTimeoutMax{700};
-/// A peer that did not answer is not asked again for this long.
-constexpr milliseconds SilentPeerPause{2500};
+/// How often some peers are asked whether they reach the store, how many of
+/// them, and how long the answer may take.
+constexpr milliseconds ProbeInterval{200};
+constexpr std::size_t ProbedPeers = 4;
+constexpr milliseconds ProbeTimeout{250};
+/// How long a peer's word that it reaches the store is believed.
+constexpr milliseconds GoodFor{700};
+constexpr int StatusOk = 200;
 /// Time for the peer's own call beyond its timeout.
 constexpr milliseconds RelayMargin{100};
 /// Time for the store's answer beyond what it was asked to wait.
@@ -32,10 +38,10 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(RowStore &Direct, HttpClient &Client,
+RelayedStore::RelayedStore(RowStore &Direct, HttpClient &Client, Loop &Home,
                            const Clock &Time, EventLog &Events, PeerList Peers)
-    : Direct_(Direct), Client_(Client), Time_(Time), Events_(Events),
-      Peers_(std::move(Peers)) {}
+    : Direct_(Direct), Client_(Client), Home_(Home), Time_(Time),
+      Events_(Events), Peers_(std::move(Peers)) {}
 
 bool RelayedStore::preferRelay() {
   if (DirectFailures_ < FailuresToRelay)
@@ -54,6 +60,8 @@
     DirectFailures_ = 0;
     return false;
   }
+  if (!Probing_)
+    probePeers();
   if (++DirectFailures_ == FailuresToRelay) {
     NextDirect_ = Time_.now() + DirectRetry;
     Events_.record(EventId::StoreRelayed, "store");
@@ -61,13 +69,39 @@
   return true;
 }
 
+void RelayedStore::probePeers() {
+  const std::vector<std::string> Peers = Peers_();
+  Probing_ = !Peers.empty();
+  if (!Probing_)
+    return;
+  for (std::size_t Each = 0; Each < std::min(ProbedPeers, Peers.size()); ++Each)
+    probe(Peers[NextProbe_++ % Peers.size()]);
+  Home_.after(ProbeInterval, [this] {
+    Probing_ = false;
+    if (DirectFailures_ > 0)
+      probePeers();
+  });
+}
+
+void RelayedStore::probe(const std::string &Peer) {
+  HttpCall Call;
+  Call.Url = fmt::format("http://{}{}", Peer, ReachPath);
+  Call.ConnectTimeout = ProbeTimeout;
+  Call.Timeout = ProbeTimeout;
+  Client_.send(std::move(Call), [this, Peer](const HttpResult &Answer) {
+    if (Answer && Answer->Status == StatusOk)
+      GoodUntil_[Peer] = Time_.now() + GoodFor;
+    else
+      GoodUntil_.erase(Peer);
+  });
+}
+
 std::vector<std::string> RelayedStore::peersToTry() {
   const TimePoint Now = Time_.now();
-  std::vector<std::string> Out = Peers_();
-  std::erase_if(Out, [this, Now](const std::string &Peer) {
-    const auto Silent = SilentUntil_.find(Peer);
-    return Silent != SilentUntil_.end() && Silent->second > Now;
-  });
+  std::vector<std::string> Out;
+  for (const auto &[Peer, Until] : GoodUntil_)
+    if (Until > Now)
+      Out.push_back(Peer);
   if (Out.empty())
     return Out;
   std::rotate(Out.begin(),
@@ -104,7 +138,7 @@
   Client_.send(std::move(Out), [this, Peer = Call.Peers.front(),
                                 Done = std::move(Done)](HttpResult Answer) {
     if (!Answer)
-      SilentUntil_[Peer] = Time_.now() + SilentPeerPause;
+      GoodUntil_.erase(Peer);
     Done(std::move(Answer));
   });
 }
--- a/packages/fleet/src/StoreMessages.h
+++ b/packages/fleet/src/StoreMessages.h
@@ -13,6 +13,8 @@
 namespace cuminroad {
 
 inline constexpr std::string_view StorePath = "/peer/store";
+/// Answered with 200 by a daemon that has lately reached the store.
+inline constexpr std::string_view ReachPath = "/peer/reach";
 
 struct CommitCall {
   RowTransaction Change;
