--- a/packages/pool/include/cuminroad/pool/TaskName.h
+++ b/packages/pool/include/cuminroad/pool/TaskName.h
@@ -1,8 +1,9 @@
 #ifndef CUMINROAD_POOL_TASKNAME_H
 #define CUMINROAD_POOL_TASKNAME_H
 
-#include <compare>
+#include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace cuminroad {
 
@@ -13,7 +14,11 @@
   int Occurrence = 0;
   int Step = 0;
 
-  auto operator<=>(const StepName &) const = default;
+  bool operator==(const StepName &) const = default;
+  friend bool operator<(const StepName &Left, const StepName &Right) {
+    return std::tie(Left.Job, Left.Occurrence, Left.Step) <
+           std::tie(Right.Job, Right.Occurrence, Right.Step);
+  }
 };
 
 /// Names one task of a step.
@@ -21,7 +26,10 @@
   StepName Step;
   int Index = 0;
 
-  auto operator<=>(const TaskName &) const = default;
+  bool operator==(const TaskName &) const = default;
+  friend bool operator<(const TaskName &Left, const TaskName &Right) {
+    return std::tie(Left.Step, Left.Index) < std::tie(Right.Step, Right.Index);
+  }
 };
 
 /// One run of a task. Runs are numbered from 1 and only rise, also over
@@ -30,7 +38,11 @@
   TaskName Task;
   std::int64_t Number = 0;
 
-  auto operator<=>(const TaskRun &) const = default;
+  bool operator==(const TaskRun &) const = default;
+  friend bool operator<(const TaskRun &Left, const TaskRun &Right) {
+    return std::tie(Left.Task, Left.Number) <
+           std::tie(Right.Task, Right.Number);
+  }
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -114,6 +114,7 @@
                  Options_.FirstAskedVms, MaxAskedVms);
   New.resize(std::min(New.size(), Most));
   std::vector<std::string> Vms;
+  Vms.reserve(New.size());
   for (const auto &[Less, Vm] : New)
     Vms.push_back(Vm->Vm.Id);
   ask(Step, std::move(Vms), false);
@@ -157,6 +158,7 @@
   if (!Stale)
     return;
   std::vector<std::string> Vms;
+  Vms.reserve(Best.size());
   for (const auto &[Less, Vm] : Best)
     Vms.push_back(Vm->Vm.Id);
   ask(Step, std::move(Vms), true);
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -343,6 +343,7 @@
     return;
   ++Reservations_;
   std::vector<std::pair<int, VmRecord *>> ByRoom;
+  ByRoom.reserve(Usable.size());
   for (VmRecord *Vm : Usable)
     ByRoom.emplace_back(-countFits(Step, *Vm, *At), Vm);
   std::stable_sort(ByRoom.begin(), ByRoom.end(),
--- a/packages/pool/tests/SchedulerTest.cpp
+++ b/packages/pool/tests/SchedulerTest.cpp
@@ -519,6 +519,7 @@
     accept(Start);
   const auto Tail = [&](double Ms) {
     std::vector<RunningTask> Rows;
+    Rows.reserve(Sent.size());
     for (const StartRun &Start : Sent)
       Rows.push_back(RunningTask{Start.Run, "", 100,
                                  Start.Run.Task.Step.Job == "s" ? Ms : 500});
