Serve metrics, and bound the log without blocking on it

Counters and histograms by prometheus-cpp on the second port of the range, also for submissions, store calls, starts, ends, advice and what a pool holds.

--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -80,7 +80,8 @@
     for (int Each = 0; Each < Steps; ++Each) {
       StepPlan Step;
       Step.Tasks = 2 + static_cast<int>(Random_() % 18);
-      Step.PerTask = Capacity{500 + static_cast<int>(Random_() % 4000), 2000, 0};
+      Step.PerTask =
+          Capacity{500 + static_cast<int>(Random_() % 4000), 2000, 0};
       Step.Estimate = milliseconds(700);
       if (Each > 0)
         Step.After = {Each - 1};
--- a/packages/base/include/cuminroad/base/EventLog.h
+++ b/packages/base/include/cuminroad/base/EventLog.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cuminroad/base/EventId.h"
+#include "cuminroad/base/LineBudget.h"
 #include "cuminroad/base/LogicalClock.h"
 
 namespace cuminroad {
@@ -26,7 +27,9 @@
 };
 
 /// Writes events to standard output, a JSON object a line, and keeps the last
-/// ones in memory for the time line. Safe to use from any thread.
+/// ones in memory for the time line. Safe to use from any thread. Lines are
+/// bounded by LineBudget, and one that the reader does not take at once is left
+/// out: a reader that stops costs lines, not service.
 class EventLog {
 public:
   /// \param Process name of this process on every line.
@@ -44,9 +47,17 @@
   const std::string &process() const { return Process_; }
 
 private:
+  /// Writes the line if the budget and the reader allow it.
+  void write(const std::string &Line);
+  void tellDrops(TimePoint Now);
+  std::string format(EventId Id, std::uint64_t Stamp, std::string_view Subject,
+                     std::string_view Detail) const;
+
   std::string Process_;
   std::size_t Capacity_;
   std::FILE *Out_;
+  LineBudget Budget_;
+  TimePoint DropsTold_{};
   LogicalClock Clock_;
   mutable std::mutex Mutex_;
   std::deque<Event> Events_;
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -112,6 +112,8 @@
               "A VM was told to let a run work at a share of its speed."},
     EventInfo{EventId::AdviceFailed, Severity::Warning, "advice_failed",
               "The placement advisor did not answer; it is asked again."},
+    EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
+              "The placement advisor named the VMs that may run a step."},
     EventInfo{
         EventId::PoolLoad, Severity::Info, "pool_load",
         "What a pool's owner holds; logged each second while it has work."},
@@ -122,8 +124,6 @@
     EventInfo{EventId::PeerMessageRejected, Severity::Warning,
               "peer_message_rejected",
               "A message between daemons could not be read."},
-    EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
-              "The placement advisor named the VMs that may run a step."},
     EventInfo{EventId::LinesDropped, Severity::Warning, "lines_dropped",
               "Log lines were left out to keep the volume bounded."},
 };
--- a/packages/fleet/include/cuminroad/fleet/FleetContext.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetContext.h
@@ -4,6 +4,7 @@
 #include "cuminroad/base/Clock.h"
 #include "cuminroad/base/EventLog.h"
 #include "cuminroad/fleet/DaemonIdentity.h"
+#include "cuminroad/fleet/FleetMetrics.h"
 #include "cuminroad/fleet/FleetSettings.h"
 #include "cuminroad/fleet/PeerCalls.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
@@ -30,6 +31,7 @@
   PeerCalls &Peers;
   const QueueBook &Queues;
   VmDirectory &Directory;
+  FleetMetrics &Metrics;
 };
 
 } // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -0,0 +1,54 @@
+#ifndef CUMINROAD_FLEET_FLEETMETRICS_H
+#define CUMINROAD_FLEET_FLEETMETRICS_H
+
+#include <map>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "cuminroad/base/Clock.h"
+#include "cuminroad/pool/PoolScheduler.h"
+
+namespace cuminroad {
+
+/// A fleet daemon's counters and histograms, by Prometheus's conventions. Runs
+/// on the control thread.
+class FleetMetrics {
+public:
+  FleetMetrics();
+
+  /// A caller's submission was answered.
+  void submitted(const std::string &Queue, std::string_view Outcome,
+                 milliseconds Took);
+  /// A call of the store ended.
+  void storeCalled(std::string_view Kind, std::string_view Outcome,
+                   milliseconds Took);
+  void runStarted(std::string_view Outcome);
+  void runEnded(std::string_view How);
+  void adviceCame(std::string_view Outcome);
+  /// What an owned pool holds; empty loads tell that the pool is not owned.
+  void poolLoad(const std::string &Service, const PoolLoad &Load);
+  /// \returns the text exposition of all metrics.
+  std::string render() const;
+
+private:
+  prometheus::Registry Registry_;
+  prometheus::Family<prometheus::Counter> &Submissions_;
+  prometheus::Family<prometheus::Histogram> &SubmissionSeconds_;
+  prometheus::Family<prometheus::Counter> &StoreCalls_;
+  prometheus::Family<prometheus::Histogram> &StoreSeconds_;
+  prometheus::Family<prometheus::Counter> &Starts_;
+  prometheus::Family<prometheus::Counter> &Ends_;
+  prometheus::Family<prometheus::Counter> &Advice_;
+  prometheus::Family<prometheus::Gauge> &PoolTasks_;
+  prometheus::Family<prometheus::Gauge> &PoolVms_;
+  prometheus::Family<prometheus::Gauge> &PoolCores_;
+};
+
+} // namespace cuminroad
+
+#endif
--- a/packages/fleet/include/cuminroad/fleet/JobDoor.h
+++ b/packages/fleet/include/cuminroad/fleet/JobDoor.h
@@ -75,6 +75,7 @@
 
   void write(std::shared_ptr<Submission> Open);
   void written(std::shared_ptr<Submission> Open, Result<RowCommit> Outcome);
+  void finish(const Submission &Open, const SubmitReply &Reply);
   /// Writes again when the store has answered any call since \p FailedAt.
   void writeWhenReachable(std::shared_ptr<Submission> Open, TimePoint FailedAt);
   void findForCancel(std::shared_ptr<Cancellation> Open);
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cuminroad/base/EventLog.h"
+#include "cuminroad/fleet/FleetMetrics.h"
 #include "cuminroad/net/HttpClient.h"
 #include "cuminroad/net/Loop.h"
 #include "cuminroad/store/RowStore.h"
@@ -30,7 +31,8 @@
   using PeerList = std::function<std::vector<std::string>()>;
 
   RelayedStore(RowStore &Direct, HttpClient &Client, Loop &Home,
-               const Clock &Time, EventLog &Events, PeerList Peers);
+               const Clock &Time, EventLog &Events, FleetMetrics &Metrics,
+               PeerList Peers);
 
   void commit(RowTransaction Change, milliseconds Timeout,
               CommitDone Done) override;
@@ -53,6 +55,10 @@
   void relayPage(Relayed Call, PageDone Done);
   void relayCommit(Relayed Call, CommitDone Done);
   void send(const Relayed &Call, HttpCallback Done);
+  /// \returns \p Done, which first counts the call.
+  template <typename T>
+  std::function<void(Result<T>)> counted(std::string_view Kind,
+                                         std::function<void(Result<T>)> Done);
   void noteRelayed(milliseconds StoreTime);
   std::vector<std::string> peersToTry();
   /// Asks peers whether they reach the store, for as long as this daemon is
@@ -65,6 +71,7 @@
   Loop &Home_;
   const Clock &Time_;
   EventLog &Events_;
+  FleetMetrics &Metrics_;
   PeerList Peers_;
   std::size_t NextPeer_ = 0;
   std::size_t NextProbe_ = 0;
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds DrainPoll{50};
 /// Kept back from the time that a stopping daemon has.
 constexpr milliseconds StopMargin{700};
+constexpr const char *MetricsType = "text/plain; version=0.0.4";
 constexpr milliseconds WriteTimeout{1500};
 constexpr milliseconds WriteRetry{300};
 
@@ -79,13 +80,14 @@
                                                 Parts_.Settings.CpuShare},
         Peers_(Parts_.Client),
         Store_(Parts_.Store, Parts_.Client, Parts_.Home, Parts_.Time,
-               Parts_.Events, [this] { return relayPeers(); }),
+               Parts_.Events, Metrics_, [this] { return relayPeers(); }),
         Directory_(Parts_.Formats, Parts_.Events),
         Config_([this] { configChanged(); }),
         Daemons_([this] { daemonsChanged(); }),
         Context_{Parts_.Settings, Self_,       Parts_.Time, Parts_.Wall,
                  Parts_.Events,   Parts_.Home, Store_,      Parts_.Vms,
-                 Parts_.Advisor,  Peers_,      Queues_,     Directory_},
+                 Parts_.Advisor,  Peers_,      Queues_,     Directory_,
+                 Metrics_},
         Door_(Context_, *this, *this) {}
 
   void start() override;
@@ -117,6 +119,7 @@
   FleetParts Parts_;
   FrontHandlerMaker MakeFront_;
   DaemonIdentity Self_;
+  FleetMetrics Metrics_;
   PeerCalls Peers_;
   RelayedStore Store_;
   QueueBook Queues_;
@@ -130,6 +133,7 @@
   std::unique_ptr<HttpServer> Front_;
   std::unique_ptr<HttpServer> Ready_;
   std::unique_ptr<HttpServer> PeerServer_;
+  std::unique_ptr<HttpServer> MetricsServer_;
   std::vector<std::shared_ptr<TableFollower>> Followers_;
   /// Only a pool's owner needs to know the VMs.
   std::shared_ptr<TableFollower> VmFollower_;
@@ -164,6 +168,11 @@
                   [this](const HttpRequest &, const HttpResponder &Respond) {
                     Respond(plain(ready() ? 200 : 503));
                   });
+  MetricsServer_ =
+      listen(Parts_.Settings.Metrics,
+             [this](const HttpRequest &, const HttpResponder &Respond) {
+               Respond(HttpResponse{200, {}, Metrics_.render(), MetricsType});
+             });
   Front_ = listen(Parts_.Settings.Front, MakeFront_(Queues_, Door_));
   Parts_.Events.record(EventId::DaemonStarted, Self_.Name, Self_.Incarnation);
   Followers_ = {follow(Parts_.Formats.configTable(), Config_),
--- /dev/null
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -0,0 +1,105 @@
+#include "cuminroad/fleet/FleetMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace cuminroad {
+
+namespace {
+
+constexpr double MillisPerSecond = 1000.0;
+
+const prometheus::Histogram::BucketBoundaries Seconds{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
+
+double toSeconds(milliseconds Span) {
+  return static_cast<double>(Span.count()) / MillisPerSecond;
+}
+
+prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+}
+
+prometheus::Family<prometheus::Histogram> &
+histograms(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildHistogram().Name(Name).Help(Help).Register(Registry);
+}
+
+prometheus::Family<prometheus::Gauge> &
+gauges(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry);
+}
+
+} // namespace
+
+FleetMetrics::FleetMetrics()
+    : Submissions_(counters(Registry_, "cuminroad_submissions_total",
+                            "Submissions answered, by queue and outcome.")),
+      SubmissionSeconds_(histograms(Registry_, "cuminroad_submission_seconds",
+                                    "Time until a submission was answered.")),
+      StoreCalls_(counters(Registry_, "cuminroad_store_calls_total",
+                           "Calls of the store, by kind and outcome.")),
+      StoreSeconds_(histograms(Registry_, "cuminroad_store_call_seconds",
+                               "Time until the store answered.")),
+      Starts_(counters(Registry_, "cuminroad_run_starts_total",
+                       "Starts of runs, by outcome.")),
+      Ends_(counters(Registry_, "cuminroad_run_ends_total",
+                     "Ends of runs, by how they ended.")),
+      Advice_(counters(Registry_, "cuminroad_advice_total",
+                       "Questions to the placement advisor, by outcome.")),
+      PoolTasks_(gauges(Registry_, "cuminroad_pool_tasks",
+                        "Tasks of an owned pool, by state.")),
+      PoolVms_(gauges(Registry_, "cuminroad_pool_vms",
+                      "VMs of an owned pool, listed and held.")),
+      PoolCores_(gauges(Registry_, "cuminroad_pool_cores",
+                        "Cores of an owned pool, in use and in all.")) {}
+
+void FleetMetrics::submitted(const std::string &Queue, std::string_view Outcome,
+                             milliseconds Took) {
+  Submissions_.Add({{"queue", Queue}, {"outcome", std::string(Outcome)}})
+      .Increment();
+  SubmissionSeconds_.Add({{"queue", Queue}}, Seconds).Observe(toSeconds(Took));
+}
+
+void FleetMetrics::storeCalled(std::string_view Kind, std::string_view Outcome,
+                               milliseconds Took) {
+  StoreCalls_
+      .Add({{"kind", std::string(Kind)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+  StoreSeconds_.Add({{"kind", std::string(Kind)}}, Seconds)
+      .Observe(toSeconds(Took));
+}
+
+void FleetMetrics::runStarted(std::string_view Outcome) {
+  Starts_.Add({{"outcome", std::string(Outcome)}}).Increment();
+}
+
+void FleetMetrics::runEnded(std::string_view How) {
+  Ends_.Add({{"how", std::string(How)}}).Increment();
+}
+
+void FleetMetrics::adviceCame(std::string_view Outcome) {
+  Advice_.Add({{"outcome", std::string(Outcome)}}).Increment();
+}
+
+void FleetMetrics::poolLoad(const std::string &Service, const PoolLoad &Load) {
+  const std::pair<const char *, int> Tasks[] = {{"waiting", Load.WaitingTasks},
+                                                {"placed", Load.Placed},
+                                                {"running", Load.Running},
+                                                {"stopping", Load.Stopping},
+                                                {"strange", Load.Strangers}};
+  for (const auto &[State, Count] : Tasks)
+    PoolTasks_.Add({{"pool", Service}, {"state", State}}).Set(Count);
+  PoolVms_.Add({{"pool", Service}, {"state", "listed"}}).Set(Load.Vms);
+  PoolVms_.Add({{"pool", Service}, {"state", "held"}}).Set(Load.HeldVms);
+  PoolCores_.Add({{"pool", Service}, {"state", "used"}})
+      .Set(static_cast<double>(Load.UsedCpu) / MillisPerSecond);
+  PoolCores_.Add({{"pool", Service}, {"state", "total"}})
+      .Set(static_cast<double>(Load.TotalCpu) / MillisPerSecond);
+}
+
+std::string FleetMetrics::render() const {
+  return prometheus::TextSerializer().Serialize(Registry_.Collect());
+}
+
+} // namespace cuminroad
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -44,6 +44,7 @@
 
 struct JobDoor::Submission {
   JobRequest Request;
+  TimePoint Began;
   /// The caller waits until then.
   TimePoint Until;
   /// A job that was certainly not accepted is refused after this.
@@ -69,6 +70,7 @@
   Open->Request = JobRequest{Queue.Name, Queue.Service,
                              Context_.Store.storeTime(), std::move(Plan)};
   const TimePoint Now = Context_.Time.now();
+  Open->Began = Now;
   Open->Until = Now + Patience - AnswerMargin;
   Open->HoldUntil =
       Now + milliseconds(static_cast<std::int64_t>(
@@ -98,7 +100,7 @@
     Context_.Events.record(Outcome->committed() ? EventId::JobAccepted
                                                 : EventId::JobReadBack,
                            Job, describe(Open->Request));
-    return Open->Done(SubmitReply{SubmitOutcome::Accepted});
+    return finish(*Open, SubmitReply{SubmitOutcome::Accepted});
   }
   Open->Uncertain =
       Open->Uncertain || Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
@@ -110,10 +112,19 @@
   if (Open->Uncertain) {
     Context_.Events.record(EventId::JobOutcomeUnknown, Job,
                            Outcome.error().text());
-    return Open->Done(SubmitReply{SubmitOutcome::Unknown});
+    return finish(*Open, SubmitReply{SubmitOutcome::Unknown});
   }
   Context_.Events.record(EventId::JobRefused, Job, Outcome.error().text());
-  Open->Done(SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
+  finish(*Open, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
+}
+
+void JobDoor::finish(const Submission &Open, const SubmitReply &Reply) {
+  constexpr std::string_view Names[] = {"accepted", "not_accepted", "unknown"};
+  Context_.Metrics.submitted(Open.Request.Queue,
+                             Names[static_cast<std::size_t>(Reply.Outcome)],
+                             std::chrono::duration_cast<milliseconds>(
+                                 Context_.Time.now() - Open.Began));
+  Open.Done(Reply);
 }
 
 void JobDoor::writeWhenReachable(std::shared_ptr<Submission> Open,
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -90,6 +90,7 @@
       Context_.Self.Name,
       [this](const StepName &Step) { return Scheduler_->wantsAdvice(Step); },
       [this](const StepName &Step, Result<AdviceDesk::Answer> Answer) {
+        Context_.Metrics.adviceCame(Answer ? "answered" : "failed");
         if (!Answer) {
           Context_.Events.record(EventId::AdviceFailed, Step.Job,
                                  Answer.error().text());
@@ -123,6 +124,7 @@
   if (Closed_)
     return;
   Closed_ = true;
+  Context_.Metrics.poolLoad(Term_.Service, PoolLoad{});
   if (DirectoryListener_ != 0)
     Context_.Directory.removeListener(DirectoryListener_);
   Writer_->close();
@@ -443,6 +445,7 @@
     return;
   LastLoad_ = Now;
   const PoolLoad Load = Scheduler_->load();
+  Context_.Metrics.poolLoad(Term_.Service, Load);
   if (Load.Jobs == 0)
     return;
   Context_.Events.record(
@@ -524,6 +527,7 @@
     // Ends are listed again until they are acknowledged.
     if (End.Number <= Seen.Last)
       continue;
+    Context_.Metrics.runEnded(endName(End.How));
     Context_.Events.record(EventId::RunEnded, runText(End.Run),
                            fmt::format("{} {}", Link.vm(), endName(End.How)));
     Scheduler_->taskEnded(Link.vm(), End);
@@ -563,6 +567,8 @@
 
 void PoolOwner::startAnswered(VmLink &Link, const TaskRun &Run,
                               StartOutcome Outcome, std::string_view Why) {
+  Context_.Metrics.runStarted(Outcome == StartOutcome::Accepted ? "accepted"
+                                                                : Why);
   if (Outcome == StartOutcome::Accepted)
     Context_.Events.record(EventId::RunStarted, runText(Run), Link.vm());
   else
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -42,9 +42,23 @@
 } // namespace
 
 RelayedStore::RelayedStore(RowStore &Direct, HttpClient &Client, Loop &Home,
-                           const Clock &Time, EventLog &Events, PeerList Peers)
+                           const Clock &Time, EventLog &Events,
+                           FleetMetrics &Metrics, PeerList Peers)
     : Direct_(Direct), Client_(Client), Home_(Home), Time_(Time),
-      Events_(Events), Peers_(std::move(Peers)) {}
+      Events_(Events), Metrics_(Metrics), Peers_(std::move(Peers)) {}
+
+template <typename T>
+std::function<void(Result<T>)>
+RelayedStore::counted(std::string_view Kind,
+                      std::function<void(Result<T>)> Done) {
+  return [this, Kind, Done = std::move(Done),
+          Begin = Time_.now()](Result<T> Outcome) {
+    Metrics_.storeCalled(
+        Kind, Outcome ? "answered" : errorInfo(Outcome.error().Code).Name,
+        std::chrono::duration_cast<milliseconds>(Time_.now() - Begin));
+    Done(std::move(Outcome));
+  };
+}
 
 bool RelayedStore::preferRelay() {
   if (DirectFailures_ < FailuresToRelay)
@@ -193,6 +207,7 @@
 
 void RelayedStore::commit(RowTransaction Change, milliseconds Timeout,
                           CommitDone Done) {
+  Done = counted("commit", std::move(Done));
   const auto Relay = [this, Timeout](const RowTransaction &What) {
     const milliseconds Each = std::min(Timeout, RelayTimeoutMax);
     return Relayed{encode(StoreCall(CommitCall{What, Each})), Each,
@@ -211,6 +226,7 @@
 }
 
 void RelayedStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
+  Done = counted("read", std::move(Done));
   const auto Relay = [this, Range, Timeout] {
     const milliseconds Each = std::min(Timeout, RelayTimeoutMax);
     return Relayed{encode(StoreCall(ReadCall{Range, Each})), Each,
@@ -228,6 +244,7 @@
 }
 
 void RelayedStore::changes(RowChanges Wanted, PageDone Done) {
+  Done = counted("changes", std::move(Done));
   const auto Relay = [this, Wanted] {
     RowChanges Short = Wanted;
     Short.Wait = std::min(Wanted.Wait, RelayedWaitMax);
--- a/packages/fleet/tests/PoolTrial.cpp
+++ b/packages/fleet/tests/PoolTrial.cpp
@@ -38,7 +38,8 @@
       Directory_(Formats_, Events_), Context_{Settings_, Self_,   Home.Time,
                                               Wall_,     Events_, Home,
                                               Store,     Calls,   Advisor_,
-                                              Peers_,    Queues_, Directory_} {
+                                              Peers_,    Queues_, Directory_,
+                                              Metrics_} {
   QueueConfig Config;
   Config.Version = 1;
   Config.Routes.push_back(QueueRoute{"h", "/q/", milliseconds(3000), Queue});
--- a/packages/fleet/tests/PoolTrial.h
+++ b/packages/fleet/tests/PoolTrial.h
@@ -85,6 +85,7 @@
   CountFormats Formats_;
   QueueBook Queues_;
   VmDirectory Directory_;
+  FleetMetrics Metrics_;
   FleetContext Context_;
   std::shared_ptr<PoolLease> Lease_;
   std::shared_ptr<PoolOwner> Owner_;
--- a/packages/fleet/tests/RelayedStoreTest.cpp
+++ b/packages/fleet/tests/RelayedStoreTest.cpp
@@ -62,7 +62,7 @@
   Fixture()
       : Direct(Rows, Home), OfPeer(Rows, Home), Events("t", 10, nullptr),
         Http(makePeerHandler(Pools, Advisor, OfPeer, Home.Time), Home),
-        Store(Direct, Http, Home, Home.Time, Events,
+        Store(Direct, Http, Home, Home.Time, Events, Metrics,
               [] { return std::vector<std::string>{"peer:1"}; }) {}
 
   /// Both daemons have made calls, so that the peer knows that it reaches the
@@ -91,6 +91,7 @@
   FakeRowStore Direct;
   FakeRowStore OfPeer;
   EventLog Events;
+  FleetMetrics Metrics;
   NoPools Pools;
   NoAdvisor Advisor;
   PeerHttp Http;
