--- a/packages/fleet/include/cuminroad/fleet/LeaseTimes.h
+++ b/packages/fleet/include/cuminroad/fleet/LeaseTimes.h
@@ -35,9 +35,9 @@
 inline constexpr milliseconds TaskLease{4000};
 /// An owner whose last renewal was sent this long ago lets the leases of its
 /// VMs end by then.
-inline constexpr milliseconds HoldLimit{6500};
+inline constexpr milliseconds HoldLimit{9000};
 /// How long a new owner waits for VMs that it can't reach.
-inline constexpr milliseconds InheritedWait{5800};
+inline constexpr milliseconds InheritedWait{8300};
 
 } // namespace cuminroad
 
--- a/programs/cuminroad/Command.h
+++ b/programs/cuminroad/Command.h
@@ -43,6 +43,7 @@
 std::vector<std::unique_ptr<Command>> makeContractCommands();
 std::vector<std::unique_ptr<Command>> makeWorkCommands();
 std::vector<std::unique_ptr<Command>> makeViewCommands();
+std::unique_ptr<Command> makeExplainCommand();
 
 /// Prints an answer as it is, or the failure. \returns the exit code.
 int report(const Result<Reply> &Answer);
--- a/programs/cuminroad/Report.cpp
+++ b/programs/cuminroad/Report.cpp
@@ -32,6 +32,7 @@
     auto More = Make();
     std::move(More.begin(), More.end(), std::back_inserter(Out));
   }
+  Out.push_back(makeExplainCommand());
   return Out;
 }
 
