Renew a gang's tickets only for the VMs that are kept for it

Every blocked gang renewed tickets of its best six VMs, mostly the same ones, all the time (25 to 35 answers a second, all that 38 daemons can get), so that tickets of the gang whose VMs were kept came too late, and the kept VMs stood idle. Ruled out: processor time, writes.

Gangs renew only for the VMs reserved for them, when these are expected to be free; renewals go before first questions of the same priority; a step that is stuck asks about all VMs left in one call.

--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -105,8 +105,10 @@
     return;
   std::stable_sort(Queue_.begin(), Queue_.end(),
                    [](const QuestionPtr &Left, const QuestionPtr &Right) {
-                     return std::tie(Left->Ask.Priority, Left->Ask.Renewal) <
-                            std::tie(Right->Ask.Priority, Right->Ask.Renewal);
+                     // Room waits for those whose tickets are renewed.
+                     return std::tuple(Left->Ask.Priority, !Left->Ask.Renewal) <
+                            std::tuple(Right->Ask.Priority,
+                                       !Right->Ask.Renewal);
                    });
   std::vector<QuestionPtr> Kept;
   std::vector<StepName> Unneeded;
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -98,9 +98,7 @@
         (Asked != Step.AskedVms.end() && Asked->second == Vm->Vm.Born))
       continue;
     const int Room = std::min(countFits(Vm->free(), Need), Step.Plan->Tasks);
-    // More are asked about only for their room.
-    if (Room > 0 || Step.AskedVms.empty())
-      New.emplace_back(-Room, Vm.get());
+    New.emplace_back(-Room, Vm.get());
   }
   if (New.empty())
     return;
@@ -108,9 +106,13 @@
                    [](const auto &Left, const auto &Right) {
                      return Left.first < Right.first;
                    });
+  // A call costs the advisor's decision whatever it names: a step that is stuck
+  // asks about all that is left at once.
   const std::size_t Most =
-      std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
-                 Options_.FirstAskedVms, MaxAskedVms);
+      Stuck
+          ? MaxAskedVms
+          : std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
+                       Options_.FirstAskedVms, MaxAskedVms);
   New.resize(std::min(New.size(), Most));
   std::vector<std::string> Vms;
   Vms.reserve(New.size());
@@ -119,17 +121,18 @@
   ask(Step, std::move(Vms), false);
 }
 
-void AdvicePlanner::renewTickets(StepRecord &Step) {
-  // The VMs that are expected to have room when the answer comes, those with
-  // room for most tasks first.
-  const Capacity Need = Step.Plan->reserved();
-  const bool Gang = Step.Plan->Gang;
-  const int Wanted = Gang ? static_cast<int>(Step.Tasks.size()) : 1;
+std::vector<VmRecord *> AdvicePlanner::nextVms(const StepRecord &Step) const {
   const TimePoint Then =
       Now_ +
       toMillis(
           expectedMs(Step, static_cast<std::size_t>(Options_.RenewedVms))) +
       Options_.RenewalLead;
+  // A gang waits for the VMs that are kept for it. To ask for others, while it
+  // has none, only takes the advisor's time from those that have.
+  if (Step.Plan->Gang)
+    return Step.ReservedAt <= Then ? Step.ReservedVms
+                                   : std::vector<VmRecord *>();
+  const Capacity Need = Step.Plan->reserved();
   std::vector<std::pair<int, VmRecord *>> Best;
   for (const auto &[Vm, Ticket] : Step.Good) {
     if (!usable(Step, *Vm) || Ticket.Born != Vm->Vm.Born)
@@ -139,26 +142,27 @@
       Best.emplace_back(-Room, Vm);
   }
   std::sort(Best.begin(), Best.end());
-  int Room = 0;
+  Best.resize(
+      std::min(Best.size(), static_cast<std::size_t>(Options_.RenewedVms)));
+  std::vector<VmRecord *> Out;
+  Out.reserve(Best.size());
   for (const auto &[Less, Vm] : Best)
-    Room -= std::max(Less, -Wanted);
-  if (Room < Wanted)
-    return;
-  const std::size_t Most =
-      std::max(static_cast<std::size_t>(Options_.RenewedVms),
-               Gang ? Step.Tasks.size() : 0);
-  Best.resize(std::min(Best.size(), Most));
-  const milliseconds Margin = Options_.TicketMargin + Options_.StartDelay +
-                              toMillis(expectedMs(Step, Best.size()));
-  const bool Stale =
-      std::any_of(Best.begin(), Best.end(), [&](const auto &Entry) {
-        return Step.Good[Entry.second].ValidUntil < Now_ + Margin;
-      });
+    Out.push_back(Vm);
+  return Out;
+}
+
+void AdvicePlanner::renewTickets(StepRecord &Step) {
+  const std::vector<VmRecord *> Next = nextVms(Step);
+  const TimePoint Needed = Now_ + Options_.TicketMargin + Options_.StartDelay +
+                           toMillis(expectedMs(Step, Next.size()));
+  const bool Stale = std::any_of(Next.begin(), Next.end(), [&](VmRecord *Vm) {
+    return Step.Good[Vm].ValidUntil < Needed;
+  });
   if (!Stale)
     return;
   std::vector<std::string> Vms;
-  Vms.reserve(Best.size());
-  for (const auto &[Less, Vm] : Best)
+  Vms.reserve(Next.size());
+  for (const VmRecord *Vm : Next)
     Vms.push_back(Vm->Vm.Id);
   ask(Step, std::move(Vms), true);
 }
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -26,6 +26,9 @@
   };
   void askAboutNewVms(StepRecord &Step);
   void renewTickets(StepRecord &Step);
+  /// The VMs that are expected to take the step's next tasks when an answer
+  /// comes.
+  std::vector<VmRecord *> nextVms(const StepRecord &Step) const;
   bool soonReady(const StepRecord &Step) const;
   void ask(StepRecord &Step, std::vector<std::string> Vms, bool Renewal);
   double expectedMs(const StepRecord &Step, std::size_t Vms) const;
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -89,6 +89,9 @@
   bool Asking = false;
   /// So late that it is of little value to its caller.
   bool Hopeless = false;
+  /// The VMs that the last pass kept for the step, and from when on.
+  std::vector<VmRecord *> ReservedVms;
+  TimePoint ReservedAt{};
   /// Set at each pass in which the step could not be placed whole.
   bool Blocked = false;
   /// Since when it has been so, and when that is to be logged next.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -77,6 +77,7 @@
                                        static_cast<double>(Objective.count())));
       for (StepRecord &Step : Occurrence->Steps) {
         Step.Blocked = false;
+        Step.ReservedVms.clear();
         Step.Hopeless = Hopeless;
         if (Step.Waiting > 0 && isReady(Step))
           Order_.push_back(Candidate{&Step, Hopeless, Job->Terms.Priority,
@@ -357,6 +358,7 @@
                      return Left.first < Right.first;
                    });
   int Open = Wanted;
+  Step.ReservedAt = *At;
   for (const auto &[Less, Vm] : ByRoom) {
     const int Here = std::min(-Less, Open);
     if (Here <= 0)
@@ -365,6 +367,7 @@
     Vm->Spare = freeAt(*Vm, *At, Now_) - Step.Plan->reserved() * Here;
     // What fits beside the step must also fit now.
     Vm->Spare = smaller(Vm->Spare, Vm->free());
+    Step.ReservedVms.push_back(Vm);
     Open -= Here;
   }
 }
