--- a/packages/fleet/src/JobRows.cpp
+++ b/packages/fleet/src/JobRows.cpp
@@ -4,7 +4,8 @@
 #include <charconv>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "cuminroad/base/MessagePack.h"
 
 namespace cuminroad {
 
@@ -64,31 +65,26 @@
 }
 
 std::string encodeRequest(const JobRequest &Request) {
-  const nlohmann::json Out{{"queue", Request.Queue},
-                           {"service", Request.Service},
-                           {"at", Request.AcceptedAt.count()},
-                           {"plan", toJson(Request.Plan)}};
-  std::string Bytes;
-  nlohmann::json::to_msgpack(Out, Bytes);
-  return Bytes;
+  return packMessage({{"queue", Request.Queue},
+                      {"service", Request.Service},
+                      {"at", Request.AcceptedAt.count()},
+                      {"plan", toJson(Request.Plan)}});
 }
 
 Result<JobRequest> decodeRequest(std::string_view Job, std::string_view Bytes) {
-  try {
-    const nlohmann::json Input = nlohmann::json::from_msgpack(Bytes);
-    JobRequest Out;
-    Out.Queue = Input.at("queue").get<std::string>();
-    Out.Service = Input.at("service").get<std::string>();
-    Out.AcceptedAt = milliseconds(Input.at("at").get<std::int64_t>());
-    auto Plan = jobPlanFromJson(Input.at("plan"));
-    if (!Plan)
-      return tl::unexpected(Plan.error());
-    Out.Plan = std::move(*Plan);
-    Out.Plan.Id = Job;
-    return Out;
-  } catch (const nlohmann::json::exception &Fault) {
-    return failure(ErrorCode::MalformedInput, Fault.what());
-  }
+  return unpackMessage<JobRequest>(
+      Bytes, [Job](const nlohmann::json &Input) -> Result<JobRequest> {
+        JobRequest Out;
+        Out.Queue = Input.at("queue").get<std::string>();
+        Out.Service = Input.at("service").get<std::string>();
+        Out.AcceptedAt = milliseconds(Input.at("at").get<std::int64_t>());
+        auto Plan = jobPlanFromJson(Input.at("plan"));
+        if (!Plan)
+          return tl::unexpected(Plan.error());
+        Out.Plan = std::move(*Plan);
+        Out.Plan.Id = Job;
+        return Out;
+      });
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/OwnerRow.cpp
+++ b/packages/fleet/src/OwnerRow.cpp
@@ -1,20 +1,17 @@
 #include "cuminroad/fleet/OwnerRow.h"
 
-#include <nlohmann/json.hpp>
+#include "cuminroad/base/MessagePack.h"
 
 namespace cuminroad {
 
 std::string encodeOwner(const OwnerRow &Row) {
-  const nlohmann::json Out{Row.Holder, Row.Incarnation, Row.Peer,
-                           Row.Epoch,  Row.Serial,      Row.Lapse.count()};
-  std::string Bytes;
-  nlohmann::json::to_msgpack(Out, Bytes);
-  return Bytes;
+  return packMessage(
+      nlohmann::json::array({Row.Holder, Row.Incarnation, Row.Peer, Row.Epoch,
+                             Row.Serial, Row.Lapse.count()}));
 }
 
 Result<OwnerRow> decodeOwner(std::string_view Bytes) {
-  try {
-    const nlohmann::json Input = nlohmann::json::from_msgpack(Bytes);
+  return unpackMessage<OwnerRow>(Bytes, [](const nlohmann::json &Input) {
     OwnerRow Out;
     Out.Holder = Input.at(0).get<std::string>();
     Out.Incarnation = Input.at(1).get<std::string>();
@@ -23,9 +20,7 @@
     Out.Serial = Input.at(4).get<std::int64_t>();
     Out.Lapse = milliseconds(Input.at(5).get<std::int64_t>());
     return Out;
-  } catch (const nlohmann::json::exception &Fault) {
-    return failure(ErrorCode::MalformedInput, Fault.what());
-  }
+  });
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "RunText.h"
 #include "cuminroad/fleet/LeaseTimes.h"
 
 namespace cuminroad {
@@ -42,18 +43,6 @@
   return Out;
 }
 
-std::string runText(const TaskRun &Run) {
-  return fmt::format("{}.{}.{}.{}#{}", Run.Task.Step.Job,
-                     Run.Task.Step.Occurrence, Run.Task.Step.Step,
-                     Run.Task.Index, Run.Number);
-}
-
-std::string_view endName(RunEnd How) {
-  constexpr std::string_view Names[] = {"done",   "failed", "stopped",
-                                        "lapsed", "broken", "alone"};
-  return Names[static_cast<std::size_t>(How)];
-}
-
 } // namespace
 
 PoolOwner::PoolOwner(const FleetContext &Context, PoolTerm Term)
@@ -290,54 +279,6 @@
   wake();
 }
 
-void PoolOwner::syncVms() {
-  if (Closed_ || !Context_.Directory.known())
-    return;
-  for (const auto &[Id, Entry] : Context_.Directory.entries()) {
-    if (Entry.Service != Term_.Service)
-      continue;
-    Scheduler_->vmListed(Entry.Vm);
-    std::shared_ptr<VmLink> &Link = Links_[Id];
-    if (Link) {
-      Link->update(Entry);
-      continue;
-    }
-    Link = std::make_shared<VmLink>(
-        Entry,
-        VmLink::Options{Term_.Epoch, Context_.Settings.MaxTaskLease,
-                        InheritedUntil_},
-        Context_.Vms, Context_.Home, Context_.Time, *this);
-    Link->start();
-  }
-  wake();
-}
-
-void PoolOwner::checkUnlistedVms() {
-  const TimePoint Now = Context_.Time.now();
-  const auto &Listed = Context_.Directory.entries();
-  for (auto Entry = Links_.begin(); Entry != Links_.end();) {
-    const auto Found = Listed.find(Entry->first);
-    const bool Here =
-        Found != Listed.end() && Found->second.Service == Term_.Service;
-    // A VM whose entry has expired may be alive: it goes when its leases have.
-    if (Here || !Entry->second->lapsedTold()) {
-      ++Entry;
-      continue;
-    }
-    Entry->second->close();
-    Scheduler_->vmRemoved(Entry->first);
-    SeenEnds_.erase(Entry->first);
-    Context_.Events.record(EventId::VmGone, Entry->first, Term_.Service);
-    Entry = Links_.erase(Entry);
-  }
-  // VMs of an earlier owner's records that never were listed since.
-  if (Now < InheritedUntil_)
-    return;
-  for (const std::string &Vm : Scheduler_->occupiedVms())
-    if (!Links_.contains(Vm))
-      Scheduler_->vmRemoved(Vm);
-}
-
 VmLink *PoolOwner::link(std::string_view Vm) const {
   const auto Found = Links_.find(Vm);
   return Found == Links_.end() ? nullptr : Found->second.get();
@@ -512,79 +453,4 @@
   return Scheduler_->pending(Queue);
 }
 
-TimePoint PoolOwner::leaseLimit() const {
-  return Writer_->renewedAt() + HoldLimit;
-}
-
-void PoolOwner::reported(VmLink &Link, const HoldAnswer &Answer,
-                         TimePoint AskedAt) {
-  SeenEnds &Seen = SeenEnds_[Link.vm()];
-  if (Seen.Born != Answer.Born)
-    Seen = SeenEnds{Answer.Born, 0};
-  std::int64_t Last = 0;
-  for (const TaskEnd &End : Answer.Ends) {
-    Last = std::max(Last, End.Number);
-    // Ends are listed again until they are acknowledged.
-    if (End.Number <= Seen.Last)
-      continue;
-    Context_.Metrics.runEnded(endName(End.How));
-    Context_.Events.record(EventId::RunEnded, runText(End.Run),
-                           fmt::format("{} {}", Link.vm(), endName(End.How)));
-    Scheduler_->taskEnded(Link.vm(), End);
-  }
-  Seen.Last = std::max(Seen.Last, Last);
-  Scheduler_->vmReported(Link.vm(), Answer.Born, Answer.Running, AskedAt);
-  if (Last > 0) {
-    recordChanges();
-    Writer_->whenCommitted(
-        [Self = shared_from_this(), Vm = Link.vm(), Born = Answer.Born, Last] {
-          VmLink *Target = Self->link(Vm);
-          if (!Self->Closed_ && Target != nullptr)
-            Target->acknowledge(Born, Last);
-        });
-  }
-  wake();
-}
-
-void PoolOwner::silent(VmLink &Link, std::string_view Why) {
-  Context_.Events.record(EventId::VmUnreachable, Link.vm(), Why);
-}
-
-void PoolOwner::unanswered(VmLink &Link) { Scheduler_->vmSilent(Link.vm()); }
-
-void PoolOwner::lapsed(VmLink &Link) {
-  Context_.Events.record(EventId::VmLeaseLapsed, Link.vm(), Term_.Service);
-  Scheduler_->vmEmptied(Link.vm());
-  wake();
-}
-
-void PoolOwner::fenced(VmLink &Link) {
-  Context_.Events.record(EventId::VmClaimRefused, Link.vm(),
-                         fmt::format("epoch {}", Term_.Epoch));
-  // Later, since the link that calls is ended by it.
-  Context_.Home.post([Self = shared_from_this()] { Self->replaced(); });
-}
-
-void PoolOwner::startAnswered(VmLink &Link, const TaskRun &Run,
-                              StartOutcome Outcome, std::string_view Why) {
-  Context_.Metrics.runStarted(Outcome == StartOutcome::Accepted ? "accepted"
-                                                                : Why);
-  if (Outcome == StartOutcome::Accepted)
-    Context_.Events.record(EventId::RunStarted, runText(Run), Link.vm());
-  else
-    Context_.Events.record(EventId::RunRefused, runText(Run),
-                           fmt::format("{} {}", Link.vm(), Why));
-  Scheduler_->startAnswered(Link.vm(), Run, Outcome);
-  if (Outcome != StartOutcome::Accepted)
-    wake();
-}
-
-void PoolOwner::stopAnswered(VmLink &Link, const TaskRun &Run) {
-  Scheduler_->stopAnswered(Link.vm(), Run);
-}
-
-bool PoolOwner::wanted(const VmLink &Link, const TaskRun &Run) const {
-  return Scheduler_->wants(Link.vm(), Run);
-}
-
 } // namespace cuminroad
--- /dev/null
+++ b/packages/fleet/src/RunText.cpp
@@ -0,0 +1,19 @@
+#include "RunText.h"
+
+#include <fmt/format.h>
+
+namespace cuminroad {
+
+std::string runText(const TaskRun &Run) {
+  return fmt::format("{}.{}.{}.{}#{}", Run.Task.Step.Job,
+                     Run.Task.Step.Occurrence, Run.Task.Step.Step,
+                     Run.Task.Index, Run.Number);
+}
+
+std::string_view endName(RunEnd How) {
+  constexpr std::string_view Names[] = {"done",   "failed", "stopped",
+                                        "lapsed", "broken", "alone"};
+  return Names[static_cast<std::size_t>(How)];
+}
+
+} // namespace cuminroad
--- a/packages/fleet/src/StoreMessages.cpp
+++ b/packages/fleet/src/StoreMessages.cpp
@@ -1,6 +1,6 @@
 #include "StoreMessages.h"
 
-#include <nlohmann/json.hpp>
+#include "cuminroad/base/MessagePack.h"
 
 namespace cuminroad {
 
@@ -17,12 +17,6 @@
   return std::string(Bytes.begin(), Bytes.end());
 }
 
-std::string pack(const json &Value) {
-  std::string Out;
-  json::to_msgpack(Value, Out);
-  return Out;
-}
-
 json nameToJson(const RowName &Name) {
   return json::array({Name.Table, Name.Partition, Name.Key});
 }
@@ -126,8 +120,7 @@
 template <typename T>
 Result<StoreAnswer<T>> decodeAnswer(std::string_view Bytes,
                                     T (*Decode)(const json &)) {
-  try {
-    const json Input = json::from_msgpack(Bytes);
+  return unpackMessage<StoreAnswer<T>>(Bytes, [Decode](const json &Input) {
     StoreAnswer<T> Out{T{}, millisAt(Input, "time_ms")};
     if (Input.contains("error"))
       Out.Value =
@@ -136,9 +129,7 @@
     else
       Out.Value = Decode(Input.at("value"));
     return Out;
-  } catch (const json::exception &Fault) {
-    return failure(ErrorCode::AnswerUnreadable, Fault.what());
-  }
+  });
 }
 
 json commitToJson(const RowCommit &Commit) {
@@ -161,33 +152,33 @@
 } // namespace
 
 std::string encode(const StoreCall &Call) {
-  return pack(std::visit([](const auto &Each) { return toJson(Each); }, Call));
+  return packMessage(
+      std::visit([](const auto &Each) { return toJson(Each); }, Call));
 }
 
 Result<StoreCall> decodeStoreCall(std::string_view Bytes) {
-  try {
-    const json Input = json::from_msgpack(Bytes);
-    const std::string Kind = Input.at("call").get<std::string>();
-    if (Kind == "commit")
-      return StoreCall(commitFromJson(Input));
-    if (Kind == "read")
-      return StoreCall(readFromJson(Input));
-    if (Kind == "changes")
-      return StoreCall(ChangesCall{RowChanges{
-          Input.at("table").get<std::string>(),
-          Input.at("after").get<std::int64_t>(), millisAt(Input, "wait_ms")}});
-    return failure(ErrorCode::MalformedInput, "call " + Kind);
-  } catch (const json::exception &Fault) {
-    return failure(ErrorCode::MalformedInput, Fault.what());
-  }
+  return unpackMessage<StoreCall>(
+      Bytes, [](const json &Input) -> Result<StoreCall> {
+        const std::string Kind = Input.at("call").get<std::string>();
+        if (Kind == "commit")
+          return StoreCall(commitFromJson(Input));
+        if (Kind == "read")
+          return StoreCall(readFromJson(Input));
+        if (Kind == "changes")
+          return StoreCall(
+              ChangesCall{RowChanges{Input.at("table").get<std::string>(),
+                                     Input.at("after").get<std::int64_t>(),
+                                     millisAt(Input, "wait_ms")}});
+        return failure(ErrorCode::MalformedInput, "call " + Kind);
+      });
 }
 
 std::string encode(const StoreAnswer<RowCommit> &Answer) {
-  return pack(answerToJson(Answer, commitToJson));
+  return packMessage(answerToJson(Answer, commitToJson));
 }
 
 std::string encode(const StoreAnswer<RowPage> &Answer) {
-  return pack(answerToJson(Answer, pageToJson));
+  return packMessage(answerToJson(Answer, pageToJson));
 }
 
 Result<StoreAnswer<RowCommit>> decodeCommitAnswer(std::string_view Bytes) {
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-#include <nlohmann/json.hpp>
+#include "cuminroad/base/MessagePack.h"
 
 namespace cuminroad {
 
@@ -57,6 +57,19 @@
   return Out;
 }
 
+OccurrenceProgress occurrenceFromJson(const nlohmann::json &Input) {
+  OccurrenceProgress Out;
+  if (Input.is_number()) {
+    Out.Number = Input.get<int>();
+    Out.Done = true;
+    return Out;
+  }
+  Out.Number = Input.at(0).get<int>();
+  for (const nlohmann::json &Step : Input.at(1))
+    Out.Steps.push_back(stepFromJson(Step));
+  return Out;
+}
+
 } // namespace
 
 std::string_view jobStageName(JobStage Stage) {
@@ -75,37 +88,22 @@
       Steps.push_back(stepToJson(Step));
     Occurrences.push_back({Entry.Number, std::move(Steps)});
   }
-  const nlohmann::json Out{static_cast<int>(Progress.Stage),
-                           std::move(Occurrences)};
-  std::string Bytes;
-  nlohmann::json::to_msgpack(Out, Bytes);
-  return Bytes;
+  return packMessage(nlohmann::json::array(
+      {static_cast<int>(Progress.Stage), std::move(Occurrences)}));
 }
 
 Result<JobProgress> decodeProgress(std::string_view Bytes) {
-  try {
-    const nlohmann::json Input = nlohmann::json::from_msgpack(Bytes);
-    JobProgress Out;
-    const auto Stage = Input.at(0).get<std::size_t>();
-    if (Stage >= StageNames.size())
-      return failure(ErrorCode::ValueOutOfRange, "stage");
-    Out.Stage = static_cast<JobStage>(Stage);
-    for (const nlohmann::json &Entry : Input.at(1)) {
-      OccurrenceProgress Occurrence;
-      if (Entry.is_number()) {
-        Occurrence.Number = Entry.get<int>();
-        Occurrence.Done = true;
-      } else {
-        Occurrence.Number = Entry.at(0).get<int>();
-        for (const nlohmann::json &Step : Entry.at(1))
-          Occurrence.Steps.push_back(stepFromJson(Step));
-      }
-      Out.Occurrences.push_back(std::move(Occurrence));
-    }
-    return Out;
-  } catch (const nlohmann::json::exception &Fault) {
-    return failure(ErrorCode::MalformedInput, Fault.what());
-  }
+  return unpackMessage<JobProgress>(
+      Bytes, [](const nlohmann::json &Input) -> Result<JobProgress> {
+        JobProgress Out;
+        const auto Stage = Input.at(0).get<std::size_t>();
+        if (Stage >= StageNames.size())
+          return failure(ErrorCode::ValueOutOfRange, "stage");
+        Out.Stage = static_cast<JobStage>(Stage);
+        for (const nlohmann::json &Entry : Input.at(1))
+          Out.Occurrences.push_back(occurrenceFromJson(Entry));
+        return Out;
+      });
 }
 
 } // namespace cuminroad
