Ask the advisor soon after a cut, and never drop a question

Ruled out: the step was known to the new owner, its contract had room and VMs were free all that time.

Change: the pause ends at 1.5 s. The queue is gone through by one call at a time; a call that failed at once put its question back and the outer call then overwrote it. No such call comes from the real network loop; the test's does.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDesk.h
@@ -63,6 +63,8 @@
   using QuestionPtr = std::shared_ptr<Question>;
 
   void pump();
+  void pumpOnce();
+  void enqueue(const QuestionPtr &Next);
   /// Daemons that answered last and have nothing to do.
   std::vector<std::string> freeCallers(bool Quick) const;
   /// A daemon that failed and may be tried again, or "".
@@ -84,6 +86,9 @@
   std::map<std::string, Caller> Callers_;
   std::vector<QuestionPtr> Queue_;
   std::size_t NextCaller_ = 0;
+  /// pump() is under way, and is to go through the queue once more.
+  bool Pumping_ = false;
+  bool PumpAgain_ = false;
   bool QuickWork_ = false;
   bool Closed_ = false;
 };
--- a/packages/fleet/src/AdviceDesk.cpp
+++ b/packages/fleet/src/AdviceDesk.cpp
@@ -17,9 +17,9 @@
 constexpr double QuickMs = 60;
 constexpr std::size_t QuickShare = 3;
 /// A daemon that did not answer is left alone this long; doubles up to the
-/// last.
+/// last, which bounds how long after a cut the first question is asked.
 constexpr milliseconds FailedCallerPause{300};
-constexpr milliseconds FailedCallerPauseMax{8000};
+constexpr milliseconds FailedCallerPauseMax{1500};
 /// Another daemon is asked as well when the answer is this late. Shorter than
 /// the time to find out that a daemon is gone.
 constexpr milliseconds HedgeAfter{150};
@@ -101,8 +101,17 @@
 }
 
 void AdviceDesk::pump() {
-  if (Closed_)
+  // A call may fail at once and come back here; the outer call goes on then.
+  PumpAgain_ = true;
+  if (Pumping_)
     return;
+  Pumping_ = true;
+  while (std::exchange(PumpAgain_, false) && !Closed_)
+    pumpOnce();
+  Pumping_ = false;
+}
+
+void AdviceDesk::pumpOnce() {
   std::stable_sort(Queue_.begin(), Queue_.end(),
                    [](const QuestionPtr &Left, const QuestionPtr &Right) {
                      // Room waits for those whose tickets are renewed.
@@ -112,7 +121,7 @@
                    });
   std::vector<QuestionPtr> Kept;
   std::vector<StepName> Unneeded;
-  for (QuestionPtr &Next : std::exchange(Queue_, {})) {
+  for (const QuestionPtr &Next : std::exchange(Queue_, {})) {
     if (Next->Answered)
       continue;
     if (Next->Open == 0 && !Needed_(Next->Ask.Step)) {
@@ -126,17 +135,23 @@
     if (!Suspect.empty())
       send(Suspect, Next);
     if (Free.empty())
-      Kept.push_back(std::move(Next));
+      Kept.push_back(Next);
     else
       send(Free[NextCaller_++ % Free.size()], Next);
   }
-  // Nothing is asked while the queue is gone through.
-  Queue_ = std::move(Kept);
+  // Calls that failed at once have put their questions back already.
+  for (const QuestionPtr &Next : Kept)
+    enqueue(Next);
   // The step may be asked about again later.
   for (const StepName &Step : Unneeded)
     Done_(Step, Answer{Step, {}, {}, Time_.now()});
 }
 
+void AdviceDesk::enqueue(const QuestionPtr &Next) {
+  if (std::find(Queue_.begin(), Queue_.end(), Next) == Queue_.end())
+    Queue_.push_back(Next);
+}
+
 void AdviceDesk::send(const std::string &Name, const QuestionPtr &Next) {
   Caller &To = Callers_[Name];
   ++To.Open;
@@ -162,7 +177,7 @@
 void AdviceDesk::hedge(const QuestionPtr &Sent) {
   if (Closed_ || Sent->Answered || Sent->Open == 0 || Sent->Tries >= MaxTries)
     return;
-  Queue_.push_back(Sent);
+  enqueue(Sent);
   pump();
 }
 
@@ -188,8 +203,7 @@
                         Result<std::vector<AdviceTicket>> Good) {
   const AskAdvice &Ask = Sent->Ask;
   if (!Good && Sent->Tries < MaxTries) {
-    if (std::find(Queue_.begin(), Queue_.end(), Sent) == Queue_.end())
-      Queue_.push_back(Sent);
+    enqueue(Sent);
     return;
   }
   Sent->Answered = true;
