--- a/packages/fleet/include/cuminroad/fleet/JobDoor.h
+++ b/packages/fleet/include/cuminroad/fleet/JobDoor.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "cuminroad/fleet/FleetContext.h"
 #include "cuminroad/fleet/JobRows.h"
@@ -35,6 +36,14 @@
 template <typename T> struct DoorAnswer {
   /// Nothing where the answer is not known at present.
   std::optional<T> Value;
+
+  static DoorAnswer known(T Answer) {
+    DoorAnswer Out;
+    // An answer that is itself empty would be taken for no answer otherwise.
+    Out.Value.emplace(std::move(Answer));
+    return Out;
+  }
+  static DoorAnswer unknown() { return {}; }
 };
 
 /// Whom to ask about a pool.
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -153,7 +153,7 @@
 
 void JobDoor::retryCancel(std::shared_ptr<Cancellation> Open) {
   if (left(Open->Until) <= RetryDelay)
-    return Open->Done(DoorAnswer<bool>{});
+    return Open->Done(DoorAnswer<bool>::unknown());
   Context_.Home.after(RetryDelay, [this, Open] { findForCancel(Open); });
 }
 
@@ -174,7 +174,7 @@
             Version = Each.Version;
         }
         if (Version == 0 || Cancelled)
-          return Open->Done(DoorAnswer<bool>{Version != 0});
+          return Open->Done(DoorAnswer<bool>::known(Version != 0));
         writeCancel(Open, Version);
       });
 }
@@ -191,7 +191,7 @@
                             return retryCancel(Open);
                           Context_.Events.record(EventId::JobCancelled,
                                                  Open->Job);
-                          Open->Done(DoorAnswer<bool>{true});
+                          Open->Done(DoorAnswer<bool>::known(true));
                         });
 }
 
@@ -202,7 +202,7 @@
   if (Owned_.owns(Queue.Service)) {
     const auto Stage = Owned_.stage(Queue.Service, Job);
     if (Stage)
-      return Done({std::optional<std::optional<JobStage>>(Stage)});
+      return Done(DoorAnswer<std::optional<JobStage>>::known(Stage));
     return readStage(Job, Until, std::move(Done));
   }
   const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
@@ -213,7 +213,7 @@
       [this, Job, Until,
        Done = std::move(Done)](Result<std::optional<JobStage>> Stage) {
         if (Stage && *Stage)
-          return Done({std::optional<std::optional<JobStage>>(*Stage)});
+          return Done(DoorAnswer<std::optional<JobStage>>::known(*Stage));
         // The owner may not have heard of it yet; the store decides.
         readStage(Job, Until, Done);
       });
@@ -228,19 +228,19 @@
       [this, Job, Until, Done = std::move(Done)](Result<RowPage> Page) {
         if (!Page) {
           if (left(Until) <= RetryDelay)
-            return Done({});
+            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
           Context_.Home.after(RetryDelay, [this, Job, Until, Done] {
             readStage(Job, Until, Done);
           });
           return;
         }
         if (Page->Rows.empty() || Page->Rows.front().Name.Key != Job)
-          return Done({std::optional<std::optional<JobStage>>(std::nullopt)});
+          return Done(DoorAnswer<std::optional<JobStage>>::known(std::nullopt));
         const auto Request = decodeRequest(Job, Page->Rows.front().Value);
         if (!Request) {
           Context_.Events.record(EventId::RowUnreadable, Job,
                                  Request.error().text());
-          return Done({});
+          return Done(DoorAnswer<std::optional<JobStage>>::unknown());
         }
         readProgress(Request->Service, Job, Until, Done);
       });
@@ -256,7 +256,7 @@
        Done = std::move(Done)](Result<RowPage> Page) {
         if (!Page) {
           if (left(Until) <= RetryDelay)
-            return Done({});
+            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
           Context_.Home.after(RetryDelay, [this, Service, Job, Until, Done] {
             readProgress(Service, Job, Until, Done);
           });
@@ -268,27 +268,28 @@
           if (!Progress) {
             Context_.Events.record(EventId::RowUnreadable, Job,
                                    Progress.error().text());
-            return Done({});
+            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
           }
           Stage = Progress->Stage;
         }
-        Done({std::optional<std::optional<JobStage>>(Stage)});
+        Done(DoorAnswer<std::optional<JobStage>>::known(Stage));
       });
 }
 
 void JobDoor::pending(const QueueTerms &Queue, milliseconds Patience,
                       CountDone Done) {
   if (Owned_.owns(Queue.Service))
-    return Done({Owned_.pending(Queue.Service, Queue.Name)});
+    return Done(
+        DoorAnswer<int>::known(Owned_.pending(Queue.Service, Queue.Name)));
   const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
   if (Owner == nullptr || Owner->Peer.empty())
-    return Done({});
-  Context_.Peers.pending(
-      Owner->Peer, Queue.Service, Queue.Name,
-      std::min(Patience - AnswerMargin, ReadTimeout),
-      [Done = std::move(Done)](const Result<int> &Count) {
-        Done({Count ? std::optional<int>(*Count) : std::nullopt});
-      });
+    return Done(DoorAnswer<int>::unknown());
+  Context_.Peers.pending(Owner->Peer, Queue.Service, Queue.Name,
+                         std::min(Patience - AnswerMargin, ReadTimeout),
+                         [Done = std::move(Done)](const Result<int> &Count) {
+                           Done(Count ? DoorAnswer<int>::known(*Count)
+                                      : DoorAnswer<int>::unknown());
+                         });
 }
 
 } // namespace cuminroad
