--- a/packages/fleet/tests/JobDoorTest.cpp
+++ b/packages/fleet/tests/JobDoorTest.cpp
@@ -15,16 +15,6 @@
 
 constexpr milliseconds Patience{3000};
 
-class NoPools final : public OwnedPools {
-public:
-  bool owns(std::string_view) const override { return false; }
-  std::optional<JobStage> stage(std::string_view,
-                                std::string_view) const override {
-    return std::nullopt;
-  }
-  int pending(std::string_view, std::string_view) const override { return 0; }
-};
-
 class OneOwner final : public OwnerFinder {
 public:
   const OwnerRow *ownerOf(std::string_view) const override {
--- a/packages/fleet/tests/PoolTrial.h
+++ b/packages/fleet/tests/PoolTrial.h
@@ -7,6 +7,7 @@
 
 #include "cuminroad/fakes/FakeRowStore.h"
 #include "cuminroad/fakes/FakeVms.h"
+#include "cuminroad/fleet/PeerService.h"
 #include "cuminroad/fleet/PoolLease.h"
 #include "cuminroad/fleet/PoolOwner.h"
 #include "cuminroad/pool/SystemWallClock.h"
@@ -22,6 +23,17 @@
   HttpTraffic traffic() const override { return {}; }
 };
 
+/// A daemon that owns no pool.
+class NoPools final : public OwnedPools {
+public:
+  bool owns(std::string_view) const override { return false; }
+  std::optional<JobStage> stage(std::string_view,
+                                std::string_view) const override {
+    return std::nullopt;
+  }
+  int pending(std::string_view, std::string_view) const override { return 0; }
+};
+
 /// Names every VM as good, after a while.
 class YesAdvisor final : public PlacementAdvisor {
 public:
--- a/packages/fleet/tests/RelayedStoreTest.cpp
+++ b/packages/fleet/tests/RelayedStoreTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../src/StoreMessages.h"
+#include "PoolTrial.h"
 #include "cuminroad/fakes/FakeRowStore.h"
 #include "cuminroad/fleet/PeerService.h"
 #include "cuminroad/fleet/RelayedStore.h"
@@ -11,16 +12,6 @@
 
 namespace {
 
-class NoPools final : public OwnedPools {
-public:
-  bool owns(std::string_view) const override { return false; }
-  std::optional<JobStage> stage(std::string_view,
-                                std::string_view) const override {
-    return std::nullopt;
-  }
-  int pending(std::string_view, std::string_view) const override { return 0; }
-};
-
 class NoAdvisor final : public PlacementAdvisor {
 public:
   void advise(const StepName &, std::span<const std::string>, milliseconds,
