Settle starts that are never answered for certain, and repeat stops

A start whose first try timed out is repeated until a certain answer, and a VM that answers each repeat as unhealthy never gives one. A stop was given up after six tries, and not asked for again while the VM went on listing the run.

Ruled out: the record's write (other starts of the step went out with it), the loss of the VM (it was held all the time), advice (there was some).

Change: a start is settled when the VM's clock has certainly passed the order's deadline, after which the VM can't accept it; the VM's lists then tell whether it runs. A run that is to stop is stopped again while the VM lists it.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,7 +70,8 @@
   bool lapsedTold() const { return LapsedTold_; }
 
   void startRun(const StartRun &Command, const std::string &Spec);
-  void stopRun(const TaskRun &Run);
+  /// \returns whether a stop is sent; not where one is under way.
+  bool stopRun(const TaskRun &Run);
   void paceRun(const TaskRun &Run, int Percent);
   /// The ends reported up to \p Number are recorded.
   void acknowledge(std::int64_t Born, std::int64_t Number);
@@ -84,7 +86,13 @@
   void tellLapsed();
   void noteClock(milliseconds VmClock);
   std::optional<milliseconds> leaseUntil();
+  /// \returns the time here at which the VM's clock has passed \p VmTime.
+  TimePoint certainlyPast(milliseconds VmTime) const;
   void sendStart(StartOrder Order, int Tries);
+  /// Settles the start once the VM can't accept it any more.
+  void expireStart(const StartOrder &Order);
+  void settleStart(const TaskRun &Run, StartOutcome Outcome,
+                   std::string_view Why);
   void startAnswered(const StartOrder &Order, int Tries,
                      const Result<OrderAnswer> &Answer);
   void repeatStart(const StartOrder &Order, int Tries);
@@ -111,6 +119,9 @@
   /// The VM's clock, and when it was read here at the latest.
   std::optional<milliseconds> VmClock_;
   TimePoint VmClockAt_{};
+  /// Starts that are neither answered for certain nor expired yet.
+  std::set<TaskRun> OpenStarts_;
+  std::set<TaskRun> OpenStops_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
   milliseconds LatestLease_{0};
 };
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -317,9 +317,9 @@
 void PoolOwner::execute(const StartRun &Do) { Starts_.push_back(Do); }
 
 void PoolOwner::execute(const StopRun &Do) {
-  Context_.Events.record(EventId::RunStopped, runText(Do.Run), Do.Vm);
-  if (VmLink *Link = link(Do.Vm))
-    Link->stopRun(Do.Run);
+  VmLink *Link = link(Do.Vm);
+  if (Link != nullptr && Link->stopRun(Do.Run))
+    Context_.Events.record(EventId::RunStopped, runText(Do.Run), Do.Vm);
 }
 
 void PoolOwner::execute(const PaceRun &Do) {
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -194,16 +194,19 @@
   if (Held_)
     LapsesAt = TimePoint{};
   if (VmClock_ && LatestLease_ > *VmClock_)
-    LapsesAt =
-        std::max(LapsesAt, VmClockAt_ +
-                               std::chrono::duration_cast<milliseconds>(
-                                   (LatestLease_ - *VmClock_) / SlowClock) +
-                               LapseMargin);
+    LapsesAt = std::max(LapsesAt, certainlyPast(LatestLease_));
   if (Now >= LapsesAt)
     return tellLapsed();
   Home_.after(LapseCheck, [Self = shared_from_this()] { Self->checkLapse(); });
 }
 
+TimePoint VmLink::certainlyPast(milliseconds VmTime) const {
+  return VmClockAt_ +
+         std::chrono::duration_cast<milliseconds>((VmTime - *VmClock_) /
+                                                  SlowClock) +
+         LapseMargin;
+}
+
 void VmLink::tellLapsed() {
   LapsedTold_ = true;
   Events_.lapsed(*this);
@@ -227,8 +230,13 @@
       return Events_.startAnswered(*this, Order.Run, StartOutcome::NotSent,
                                    "vm_not_held");
     Order.LeaseUntil = *Lease;
+    OpenStarts_.insert(Order.Run);
+    expireStart(Order);
+  } else if (!OpenStarts_.contains(Order.Run)) {
+    return;
   } else if (!Events_.wanted(*this, Order.Run)) {
     // The stop, or the lapse of the lease, settles it.
+    OpenStarts_.erase(Order.Run);
     return;
   }
   Calls_.start(target(Tries > 0), Order, OrderTimeout,
@@ -239,12 +247,28 @@
                });
 }
 
+void VmLink::expireStart(const StartOrder &Order) {
+  const auto Delay = std::chrono::duration_cast<milliseconds>(
+      certainlyPast(Order.LeaseUntil) - Time_.now());
+  Home_.after(Delay, [Self = shared_from_this(), Run = Order.Run] {
+    // The VM accepts it no more. If it did, its lists tell.
+    if (!Self->Closed_ && Self->OpenStarts_.contains(Run))
+      Self->settleStart(Run, StartOutcome::OldRun, "no_certain_answer");
+  });
+}
+
+void VmLink::settleStart(const TaskRun &Run, StartOutcome Outcome,
+                         std::string_view Why) {
+  if (OpenStarts_.erase(Run) > 0)
+    Events_.startAnswered(*this, Run, Outcome, Why);
+}
+
 void VmLink::startAnswered(const StartOrder &Order, int Tries,
                            const Result<OrderAnswer> &Answer) {
   if (!Answer) {
     if (Answer.error().Code == ErrorCode::ConnectFailed && Tries == 0)
-      return Events_.startAnswered(*this, Order.Run, StartOutcome::Refused,
-                                   errorInfo(Answer.error().Code).Name);
+      return settleStart(Order.Run, StartOutcome::Refused,
+                         errorInfo(Answer.error().Code).Name);
     // It may have been carried out, or may be later; the same run again is
     // harmless and settles it.
     return repeatStart(Order, Tries);
@@ -265,8 +289,7 @@
     if (Expired)
       Outcome = StartOutcome::OldRun;
   }
-  Events_.startAnswered(*this, Order.Run, Outcome,
-                        orderOutcomeName(Answer->Outcome));
+  settleStart(Order.Run, Outcome, orderOutcomeName(Answer->Outcome));
 }
 
 void VmLink::repeatStart(const StartOrder &Order, int Tries) {
@@ -275,7 +298,12 @@
   });
 }
 
-void VmLink::stopRun(const TaskRun &Run) { sendStop(Run, 0); }
+bool VmLink::stopRun(const TaskRun &Run) {
+  if (!OpenStops_.insert(Run).second)
+    return false;
+  sendStop(Run, 0);
+  return true;
+}
 
 void VmLink::sendStop(const TaskRun &Run, int Tries) {
   if (Closed_)
@@ -287,12 +315,18 @@
                   return;
                 if (Answer && Answer->Outcome == OrderOutcome::Fenced)
                   return Self->Events_.fenced(*Self);
-                if (Answer && Answer->Outcome != OrderOutcome::Unhealthy)
+                if (Answer && Answer->Outcome != OrderOutcome::Unhealthy) {
+                  Self->OpenStops_.erase(Run);
                   return Self->Events_.stopAnswered(*Self, Run);
-                if (Tries + 1 < StopTries)
-                  Self->Home_.after(OrderRetry, [Self, Run, Tries] {
-                    Self->sendStop(Run, Tries + 1);
-                  });
+                }
+                // Asked for again while the VM lists the run.
+                if (Tries + 1 >= StopTries) {
+                  Self->OpenStops_.erase(Run);
+                  return;
+                }
+                Self->Home_.after(OrderRetry, [Self, Run, Tries] {
+                  Self->sendStop(Run, Tries + 1);
+                });
               });
 }
 
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -46,7 +46,7 @@
                      std::string_view) override {
     Outcomes.push_back(Outcome);
   }
-  void stopAnswered(VmLink &, const TaskRun &) override {}
+  void stopAnswered(VmLink &, const TaskRun &) override { ++Stopped; }
   bool wanted(const VmLink &, const TaskRun &) const override { return true; }
   TimePoint leaseLimit() const override { return TimePoint::max(); }
 
@@ -55,6 +55,7 @@
   FakeVmCalls Calls;
   std::shared_ptr<VmLink> Link;
   int Reports = 0;
+  int Stopped = 0;
   HoldAnswer LastAnswer;
   bool Silent = false;
   bool Fenced = false;
@@ -141,3 +142,42 @@
   Home.runFor(milliseconds(3000));
   BOOST_CHECK_EQUAL(LastAnswer.Born, 7);
 }
+
+BOOST_FIXTURE_TEST_CASE(startThatIsNeverAnsweredForCertainExpires, Fixture) {
+  // Found as tasks that waited for 30 s: the first try timed out, and the VM
+  // refused each repeat as unhealthy.
+  connect();
+  Home.runFor(milliseconds(500));
+  bool First = true;
+  Calls.Decide = [&](const std::string &) {
+    return std::exchange(First, false) ? OrderFate{OrderFate::Lost, {}}
+                                       : OrderFate{};
+  };
+  Link->startRun(startOf(), "spec");
+  Calls.Unhealthy = true;
+  Home.runFor(TaskLease * 2);
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 1);
+  BOOST_CHECK(Outcomes[0] == StartOutcome::OldRun);
+  // Nothing arrives after that.
+  const int Sent = Calls.Starts;
+  Calls.Unhealthy = false;
+  Home.runFor(TaskLease * 2);
+  BOOST_CHECK_EQUAL(Calls.Starts, Sent);
+  BOOST_CHECK_EQUAL(Outcomes.size(), 1);
+  BOOST_CHECK(Vms.History.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(stopIsAskedForAgainAfterAnUnhealthyTime, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  Calls.Unhealthy = true;
+  Link->stopRun(Run);
+  // The same stop under way is not doubled.
+  Link->stopRun(Run);
+  Home.runFor(milliseconds(10000));
+  BOOST_CHECK_EQUAL(Stopped, 0);
+  Calls.Unhealthy = false;
+  Link->stopRun(Run);
+  Home.runFor(milliseconds(1000));
+  BOOST_CHECK_EQUAL(Stopped, 1);
+}
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -83,6 +83,9 @@
     return;
   }
   const TimePoint Now = Time_.now();
+  // An unhealthy VM may have refused the stop for as long as it was tried.
+  if (Task->Phase == TaskPhase::Stopping)
+    Tables_.Commands.push_back(StopRun{Vm.Vm.Id, Report.Run});
   if (Task->Phase == TaskPhase::Placed)
     Tables_.setPhase(*Task, TaskPhase::Running);
   if (!Task->ConfirmedAt)
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -94,6 +94,8 @@
 
   std::function<OrderFate(const std::string &Vm)> Decide;
   milliseconds Latency{4};
+  /// Starts and stops that arrive are refused with nothing done; holds work.
+  bool Unhealthy = false;
   int Starts = 0;
   int Holds = 0;
 
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -164,14 +164,22 @@
                         milliseconds Timeout, OrderDone Done) {
   ++Starts;
   send<OrderAnswer>(
-      Vm.Id, Timeout, [this, Vm, Order] { return Vms_.start(Vm, Order); },
+      Vm.Id, Timeout,
+      [this, Vm, Order] {
+        return Unhealthy ? OrderAnswer{OrderOutcome::Unhealthy, std::nullopt}
+                         : Vms_.start(Vm, Order);
+      },
       std::move(Done));
 }
 
 void FakeVmCalls::stop(const VmTarget &Vm, const TaskRun &Run,
                        milliseconds Timeout, OrderDone Done) {
   send<OrderAnswer>(
-      Vm.Id, Timeout, [this, Vm, Run] { return Vms_.stop(Vm, Run); },
+      Vm.Id, Timeout,
+      [this, Vm, Run] {
+        return Unhealthy ? OrderAnswer{OrderOutcome::Unhealthy, std::nullopt}
+                         : Vms_.stop(Vm, Run);
+      },
       std::move(Done));
 }
 
