--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -31,8 +31,6 @@
   ListenAddress Metrics;
   /// The part of a processor core that this VM may use.
   double CpuShare = 1.0;
-  /// How often a VM shows that it lives.
-  milliseconds Heartbeat{1500};
   /// Longest lease that a VM grants on what it runs.
   milliseconds MaxTaskLease{6000};
   /// How much longer work takes away from its data.
--- a/packages/fleet/include/cuminroad/fleet/PoolLease.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolLease.h
@@ -41,10 +41,8 @@
   void stop() { Stopped_ = true; }
   /// The owner stepped down; watch the row again.
   void lost();
-  bool mine() const { return Mine_; }
   /// The owner as last read.
   const OwnerRow &owner() const { return Owner_; }
-  const std::string &service() const { return Service_; }
 
   std::function<void(PoolTerm)> OnTaken;
   /// How many pools this daemon owns already.
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -38,7 +38,7 @@
   /// Stops all work at once; no order leaves after this.
   void close();
   /// Hands the pool over to a standby, and closes.
-  void release(std::function<void()> Done);
+  void release();
   /// Takes in changed contracts.
   void queuesChanged();
   void setPeers(const DaemonRows &Others);
@@ -47,7 +47,6 @@
   bool loaded() const { return Scheduler_ != nullptr; }
   std::optional<JobStage> stage(std::string_view Job) const;
   int pending(std::string_view Queue) const;
-  const std::string &service() const { return Term_.Service; }
   /// Called once when another daemon owns the pool.
   std::function<void()> OnReplaced;
 
--- a/packages/fleet/include/cuminroad/fleet/QueueBook.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueBook.h
@@ -1,9 +1,7 @@
 #ifndef CUMINROAD_FLEET_QUEUEBOOK_H
 #define CUMINROAD_FLEET_QUEUEBOOK_H
 
-#include <functional>
 #include <string_view>
-#include <vector>
 
 #include "cuminroad/fleet/QueueConfig.h"
 
@@ -21,12 +19,9 @@
   const QueueRoute *match(std::string_view Host, std::string_view Path) const;
   /// \returns the terms of a queue, or null.
   const QueueTerms *terms(std::string_view Queue) const;
-  /// Called after each change.
-  void onChange(std::function<void()> Listener);
 
 private:
   QueueConfig Config_;
-  std::vector<std::function<void()>> Listeners_;
 };
 
 } // namespace cuminroad
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -315,7 +315,7 @@
   for (const auto &[Service, Lease] : Leases_)
     Lease->stop();
   for (const auto &[Service, Owner] : Owners_)
-    Owner->release([] {});
+    Owner->release();
   RowTransaction Change;
   Change.Removals.push_back(RowName{std::string(DaemonTable), "", Self_.Name});
   Store_.commit(std::move(Change), WriteTimeout, [](const Result<RowCommit> &) {
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -123,13 +123,13 @@
     Link->close();
 }
 
-void PoolOwner::release(std::function<void()> Done) {
+void PoolOwner::release() {
   if (Closed_)
-    return Done();
+    return;
   for (const auto &[Id, Link] : Links_)
     Link->close();
   // What is recorded so far goes first; then the row becomes vacant.
-  Writer_->whenCommitted([Self = shared_from_this(), Done = std::move(Done)] {
+  Writer_->whenCommitted([Self = shared_from_this()] {
     RowTransaction Change;
     const RowName Row = ownerRow(Self->Term_.Service);
     Change.Checks.push_back(RowCheck{Row, Self->Writer_->headVersion()});
@@ -138,7 +138,10 @@
                                          milliseconds(0)})});
     Self->close();
     Self->Context_.Store.commit(std::move(Change), ReadTimeout,
-                                [Done](const Result<RowCommit> &) { Done(); });
+                                [](const Result<RowCommit> &) {
+                                  // Without an answer a standby waits for the
+                                  // lease.
+                                });
   });
 }
 
--- a/packages/fleet/src/QueueBook.cpp
+++ b/packages/fleet/src/QueueBook.cpp
@@ -6,8 +6,6 @@
   if (Config.Version <= Config_.Version)
     return false;
   Config_ = std::move(Config);
-  for (const std::function<void()> &Listener : Listeners_)
-    Listener();
   return true;
 }
 
@@ -29,8 +27,4 @@
   return nullptr;
 }
 
-void QueueBook::onChange(std::function<void()> Listener) {
-  Listeners_.push_back(std::move(Listener));
-}
-
 } // namespace cuminroad
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -48,9 +48,6 @@
   milliseconds RefusalDelay{150};
   /// A job is of little value to its caller this many objectives late.
   double LateFactor = 3.0;
-  /// Fillers are paced down when a serving task beside them is over its target
-  /// in this many reports in a row.
-  int ReportsOverTarget = 1;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -115,7 +115,6 @@
 
 void PoolSchedulerImpl::finishOccurrence(OccurrenceRecord &Occurrence) {
   JobRecord &Job = *Occurrence.Job;
-  Occurrence.Done = true;
   Job.DoneOccurrences.insert(Occurrence.Number);
   const int All = std::max(Job.Plan.Occurrences, 1);
   if (static_cast<int>(Job.DoneOccurrences.size()) == All)
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -106,7 +106,6 @@
   int Number = 0;
   TimePoint Due{};
   std::vector<StepRecord> Steps;
-  bool Done = false;
 };
 
 struct JobRecord {
@@ -151,7 +150,6 @@
   /// Fillers are held back at least until then.
   TimePoint PacedUntil{};
   milliseconds PaceTime{0};
-  int ReportsOverTarget = 0;
 
   Capacity free() const { return Vm.Total - Used; }
 };
--- a/packages/store/include/cuminroad/store/TableFollower.h
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -1,9 +1,7 @@
 #ifndef CUMINROAD_STORE_TABLEFOLLOWER_H
 #define CUMINROAD_STORE_TABLEFOLLOWER_H
 
-#include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -45,10 +43,6 @@
   void start();
   /// Ends the follower; nothing is called back after this.
   void close() { Closed_ = true; }
-  /// Whether the table has been read whole.
-  bool loaded() const { return Loaded_; }
-  /// Version up to which changes are known.
-  std::int64_t version() const { return Version_; }
 
 private:
   void readAll();
@@ -68,9 +62,9 @@
   std::int64_t ReadVersion_ = 0;
   std::size_t OpenReads_ = 0;
   int ReadNumber_ = 0;
+  /// Changes up to it are known.
   std::int64_t Version_ = 0;
   milliseconds Delay_;
-  bool Loaded_ = false;
   bool Closed_ = false;
 };
 
--- a/packages/store/src/TableFollower.cpp
+++ b/packages/store/src/TableFollower.cpp
@@ -62,7 +62,6 @@
     return;
   Delay_ = RetryDelayMin;
   Version_ = ReadVersion_;
-  Loaded_ = true;
   Sink_.tableRead(std::exchange(Reading_, {}));
   if (!Closed_)
     follow();
