Say once which VM takes work, which suits a step, and how strangers go

Found by reading the whole change: the pass and the advice planner each had the rule for a VM that may get work, and the one for a VM that suits a step; the room of unknown runs was given back in two places. One copy of each now. The pace of fillers tested the same bound twice, and a refused start the same outcome twice. The advice planner still ignores quarantine, as before.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -74,13 +74,6 @@
          Terms.EachMs * static_cast<double>(Vms);
 }
 
-bool AdvicePlanner::usable(const StepRecord &Step, const VmRecord &Vm) const {
-  const StepPlan &Plan = *Step.Plan;
-  return Vm.Listed && Vm.Claimed && !Vm.Vm.Leaving &&
-         Plan.reserved().fitsIn(Vm.Vm.Total) &&
-         (Plan.RequiredLabel.empty() || Vm.Vm.hasLabel(Plan.RequiredLabel));
-}
-
 void AdvicePlanner::askAboutNewVms(StepRecord &Step) {
   const bool Stuck =
       Step.BlockedSince && Now_ - *Step.BlockedSince > Options_.AskMoreAfter;
@@ -94,7 +87,7 @@
   std::vector<std::pair<int, VmRecord *>> New;
   for (const auto &[Id, Vm] : Tables_.Vms) {
     const auto Asked = Step.AskedVms.find(Vm.get());
-    if (!usable(Step, *Vm) ||
+    if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
         (Asked != Step.AskedVms.end() && Asked->second == Vm->Vm.Born))
       continue;
     const int Room = std::min(countFits(Vm->free(), Need), Step.Plan->Tasks);
@@ -135,7 +128,8 @@
   const Capacity Need = Step.Plan->reserved();
   std::vector<std::pair<int, VmRecord *>> Best;
   for (const auto &[Vm, Ticket] : Step.Good) {
-    if (!usable(Step, *Vm) || Ticket.Born != Vm->Vm.Born)
+    if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
+        Ticket.Born != Vm->Vm.Born)
       continue;
     const int Room = countFits(freeAt(*Vm, Then, Now_), Need);
     if (Room > 0)
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -32,7 +32,6 @@
   bool soonReady(const StepRecord &Step) const;
   void ask(StepRecord &Step, std::vector<std::string> Vms, bool Renewal);
   double expectedMs(const StepRecord &Step, std::size_t Vms) const;
-  bool usable(const StepRecord &Step, const VmRecord &Vm) const;
 
   PoolTables &Tables_;
   const PoolOptions &Options_;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -153,12 +153,12 @@
     return;
   if (Outcome == StartOutcome::Refused)
     countFailure(*Vm);
-  if (Outcome != StartOutcome::TicketExpired)
-    Task->NotBefore = Time_.now() + Options_.RefusalDelay;
   if (Outcome == StartOutcome::TicketExpired) {
     Task->Step->Good.erase(Vm);
     Task->Step->AskedVms.erase(Vm);
     Task->Step->VmsVersion = -1;
+  } else {
+    Task->NotBefore = Time_.now() + Options_.RefusalDelay;
   }
   lose(*Task, "start_refused");
 }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -20,6 +20,12 @@
 /// A task this close to its end is left to end on a VM that leaves.
 constexpr milliseconds WorthMoving{1500};
 
+void dropStrangers(VmRecord &Vm) {
+  for (const auto &[Run, Size] : Vm.Strangers)
+    Vm.Used -= Size;
+  Vm.Strangers.clear();
+}
+
 } // namespace
 
 void PoolSchedulerImpl::vmListed(const PoolVm &Listed) {
@@ -60,9 +66,7 @@
   if (!Vm->Claimed)
     ++Tables_.VmsVersion;
   Vm->Claimed = true;
-  for (auto &[Run, Size] : Vm->Strangers)
-    Vm->Used -= Size;
-  Vm->Strangers.clear();
+  dropStrangers(*Vm);
   for (const RunningTask &Report : Running)
     reportRunning(*Vm, Report);
   dropMissing(*Vm, Running, AskedAt);
@@ -141,13 +145,12 @@
       Vm.PaceTime = std::clamp(Vm.PaceTime * 2, PaceTimeMin, PaceTimeMax);
     Vm.PacedUntil = Now + Vm.PaceTime;
   }
-  const bool HoldBack = Now < Vm.PacedUntil || !Below;
   for (TaskRecord *Task : Vm.Tasks) {
     if (!Task->Step->Plan->Fills || Task->Phase != TaskPhase::Running)
       continue;
     if (Now < Vm.PacedUntil)
       setPace(*Task, HeldBack);
-    else if (!HoldBack)
+    else if (Below)
       setPace(*Task, FullPace);
   }
 }
@@ -187,9 +190,7 @@
 
 void PoolSchedulerImpl::emptyVm(VmRecord &Vm, std::string_view Reason) {
   Vm.Claimed = false;
-  for (auto &[Run, Size] : Vm.Strangers)
-    Vm.Used -= Size;
-  Vm.Strangers.clear();
+  dropStrangers(Vm);
   const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
   for (TaskRecord *Task : Tasks)
     lose(*Task, Reason);
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -152,8 +152,16 @@
   milliseconds PaceTime{0};
 
   Capacity free() const { return Vm.Total - Used; }
+  /// Whether it may get new work, quarantine aside.
+  bool takesWork() const { return Claimed && Listed && !Vm.Leaving; }
 };
 
+/// Whether the VM, when empty, could hold a task of the step.
+inline bool suits(const StepPlan &Plan, const VmRecord &Vm) {
+  return Plan.reserved().fitsIn(Vm.Vm.Total) &&
+         (Plan.RequiredLabel.empty() || Vm.Vm.hasLabel(Plan.RequiredLabel));
+}
+
 } // namespace cuminroad
 
 #endif
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -49,8 +49,7 @@
 void SchedulingPass::run() {
   for (auto &[Id, Vm] : Tables_.Vms) {
     Vm->ReservedUntil.reset();
-    if (Vm->Claimed && Vm->Listed && !Vm->Vm.Leaving &&
-        Vm->QuarantinedUntil <= Now_)
+    if (Vm->takesWork() && Vm->QuarantinedUntil <= Now_)
       Open_.push_back(Vm.get());
   }
   gather();
@@ -256,10 +255,7 @@
 
 bool SchedulingPass::eligible(const StepRecord &Step,
                               const VmRecord &Vm) const {
-  const StepPlan &Plan = *Step.Plan;
-  return Vm.Claimed && Vm.Listed && !Vm.Vm.Leaving &&
-         Vm.QuarantinedUntil <= Now_ && Plan.reserved().fitsIn(Vm.Vm.Total) &&
-         (Plan.RequiredLabel.empty() || Vm.Vm.hasLabel(Plan.RequiredLabel));
+  return Vm.takesWork() && Vm.QuarantinedUntil <= Now_ && suits(*Step.Plan, Vm);
 }
 
 bool SchedulingPass::reservationAllows(const StepRecord &Step,
--- a/packages/pool/tests/SchedulerTest.cpp
+++ b/packages/pool/tests/SchedulerTest.cpp
@@ -336,6 +336,26 @@
   BOOST_CHECK(Scheduler->stage("j") == JobStage::Cancelled);
 }
 
+BOOST_FIXTURE_TEST_CASE(stopIsRepeatedWhileTheVmListsTheRun, Fixture) {
+  addVm(makeVm("a", Big));
+  Scheduler->addJob(makeJob("j", {makeStep(1, Small)}), makeQueue(),
+                    Time.now());
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  const StartRun Started = Starts[0];
+  accept(Started);
+  Scheduler->cancelJob("j");
+  pass();
+  BOOST_CHECK_EQUAL(Stops.size(), 1);
+  report("a", {RunningTask{Started.Run, "", 50, 0}});
+  pass();
+  BOOST_REQUIRE_EQUAL(Stops.size(), 1);
+  BOOST_CHECK(Stops[0].Run == Started.Run);
+  report("a", {});
+  pass();
+  BOOST_CHECK(Stops.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(cancelledBeforeItWasSentGivesItsRoomBack, Fixture) {
   addVm(makeVm("a", Small));
   Scheduler->addJob(makeJob("j", {makeStep(1, Small)}), makeQueue(),
