Give the job door one way to read, and name other repeats once

Found by reading the whole change: three callbacks of JobDoor read a range again until the caller's time is over, each in its own words, and the range of a job's rows was built twice: readUntil() and requestRange() serve all.

--- a/packages/fleet/include/cuminroad/fleet/JobDoor.h
+++ b/packages/fleet/include/cuminroad/fleet/JobDoor.h
@@ -91,9 +91,13 @@
   void writeCancel(std::shared_ptr<Cancellation> Open,
                    std::int64_t RequestVersion);
   void retryCancel(std::shared_ptr<Cancellation> Open);
+  /// Nothing where the store gave no answer until then.
+  using ReadDone = std::function<void(std::optional<RowPage>)>;
+
+  void readUntil(RowRange Range, TimePoint Until, ReadDone Done);
   void readStage(std::string Job, TimePoint Until, StageDone Done);
-  void readProgress(std::string Service, std::string Job, TimePoint Until,
-                    StageDone Done);
+  void readProgress(std::string_view Service, const std::string &Job,
+                    TimePoint Until, StageDone Done);
   milliseconds left(TimePoint Until) const;
 
   FleetContext Context_;
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -66,6 +66,8 @@
   void rowsChanged(std::vector<StoredRow> Rows) override;
 
 private:
+  void adviceAnswered(const StepName &Step,
+                      const Result<AdviceDesk::Answer> &Answer);
   void readProgress(std::string From);
   void progressRead(Result<RowPage> Page);
   void loadWhenRead();
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-/// How long the store holds a call without a change; short, since a connection
-/// that has gone silent shows only when this has passed.
-constexpr milliseconds FollowWait{1500};
 /// A daemon that has not reached the store for this long can't accept jobs; the
 /// balancer sends callers to others.
 constexpr milliseconds StoreAwayUnready{2500};
@@ -155,7 +152,9 @@
 FleetDaemonImpl::follow(std::string Table, RowSink &Sink, milliseconds Gather) {
   auto Out = std::make_shared<TableFollower>(
       Store_, Parts_.Home,
-      FollowOptions{std::move(Table), {""}, FollowWait, Gather}, Sink);
+      FollowOptions{
+          .Table = std::move(Table), .Partitions = {""}, .Gather = Gather},
+      Sink);
   Out->start();
   return Out;
 }
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-constexpr double MillisPerSecond = 1000.0;
+/// Milliseconds of a second, thousandths of a core.
+constexpr double ThousandthsOfUnit = 1000.0;
 
 const prometheus::Histogram::BucketBoundaries Seconds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
 
 double toSeconds(milliseconds Span) {
-  return static_cast<double>(Span.count()) / MillisPerSecond;
+  return static_cast<double>(Span.count()) / ThousandthsOfUnit;
 }
 
 prometheus::Family<prometheus::Counter> &
@@ -93,9 +94,9 @@
   PoolVms_.Add({{"pool", Service}, {"state", "listed"}}).Set(Load.Vms);
   PoolVms_.Add({{"pool", Service}, {"state", "held"}}).Set(Load.HeldVms);
   PoolCores_.Add({{"pool", Service}, {"state", "used"}})
-      .Set(static_cast<double>(Load.UsedCpu) / MillisPerSecond);
+      .Set(static_cast<double>(Load.UsedCpu) / ThousandthsOfUnit);
   PoolCores_.Add({{"pool", Service}, {"state", "total"}})
-      .Set(static_cast<double>(Load.TotalCpu) / MillisPerSecond);
+      .Set(static_cast<double>(Load.TotalCpu) / ThousandthsOfUnit);
 }
 
 std::string FleetMetrics::render() const {
--- a/packages/fleet/src/JobDoor.cpp
+++ b/packages/fleet/src/JobDoor.cpp
@@ -40,6 +40,13 @@
   return Out;
 }
 
+/// The rows of a job's request and of its cancellation.
+RowRange requestRange(std::string_view Job) {
+  const RowName Row = requestRow(Job);
+  return RowRange{Row.Table, Row.Partition, Row.Key,
+                  keyAfter(cancelRow(Job).Key), 2};
+}
+
 } // namespace
 
 struct JobDoor::Submission {
@@ -158,25 +165,22 @@
 }
 
 void JobDoor::findForCancel(std::shared_ptr<Cancellation> Open) {
-  const RowName Row = requestRow(Open->Job);
-  const RowName End = cancelRow(Open->Job);
-  Context_.Store.read(
-      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(End.Key), 2},
-      std::clamp(left(Open->Until), RetryDelay, ReadTimeout),
-      [this, Open, Job = Row.Key, Cancel = End.Key](Result<RowPage> Page) {
-        if (!Page)
-          return retryCancel(Open);
-        std::int64_t Version = 0;
-        bool Cancelled = false;
-        for (const StoredRow &Each : Page->Rows) {
-          Cancelled = Cancelled || Each.Name.Key == Cancel;
-          if (Each.Name.Key == Job)
-            Version = Each.Version;
-        }
-        if (Version == 0 || Cancelled)
-          return Open->Done(DoorAnswer<bool>::known(Version != 0));
-        writeCancel(Open, Version);
-      });
+  const TimePoint Until = Open->Until;
+  readUntil(requestRange(Open->Job), Until,
+            [this, Open](const std::optional<RowPage> &Page) {
+              if (!Page)
+                return Open->Done(DoorAnswer<bool>::unknown());
+              std::int64_t Version = 0;
+              bool Cancelled = false;
+              for (const StoredRow &Each : Page->Rows) {
+                Cancelled = Cancelled || !cancelledJob(Each.Name.Key).empty();
+                if (Each.Name.Key == Open->Job)
+                  Version = Each.Version;
+              }
+              if (Version == 0 || Cancelled)
+                return Open->Done(DoorAnswer<bool>::known(Version != 0));
+              writeCancel(Open, Version);
+            });
 }
 
 void JobDoor::writeCancel(std::shared_ptr<Cancellation> Open,
@@ -219,60 +223,58 @@
       });
 }
 
-void JobDoor::readStage(std::string Job, TimePoint Until, StageDone Done) {
-  const RowName Row = requestRow(Job);
-  const RowName End = cancelRow(Job);
+void JobDoor::readUntil(RowRange Range, TimePoint Until, ReadDone Done) {
   Context_.Store.read(
-      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(End.Key), 2},
-      std::clamp(left(Until), RetryDelay, ReadTimeout),
-      [this, Job, Until, Done = std::move(Done)](Result<RowPage> Page) {
-        if (!Page) {
-          if (left(Until) <= RetryDelay)
-            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
-          Context_.Home.after(RetryDelay, [this, Job, Until, Done] {
-            readStage(Job, Until, Done);
-          });
-          return;
-        }
-        if (Page->Rows.empty() || Page->Rows.front().Name.Key != Job)
-          return Done(DoorAnswer<std::optional<JobStage>>::known(std::nullopt));
-        const auto Request = decodeRequest(Job, Page->Rows.front().Value);
-        if (!Request) {
-          Context_.Events.record(EventId::RowUnreadable, Job,
-                                 Request.error().text());
-          return Done(DoorAnswer<std::optional<JobStage>>::unknown());
-        }
-        readProgress(Request->Service, Job, Until, Done);
+      Range, std::clamp(left(Until), RetryDelay, ReadTimeout),
+      [this, Range, Until, Done = std::move(Done)](Result<RowPage> Page) {
+        if (Page)
+          return Done(std::move(*Page));
+        if (left(Until) <= RetryDelay)
+          return Done(std::nullopt);
+        Context_.Home.after(RetryDelay, [this, Range, Until, Done] {
+          readUntil(Range, Until, Done);
+        });
       });
 }
 
-void JobDoor::readProgress(std::string Service, std::string Job,
+void JobDoor::readStage(std::string Job, TimePoint Until, StageDone Done) {
+  using Answer = DoorAnswer<std::optional<JobStage>>;
+  RowRange Range = requestRange(Job);
+  readUntil(std::move(Range), Until,
+            [this, Job = std::move(Job), Until,
+             Done = std::move(Done)](const std::optional<RowPage> &Page) {
+              if (!Page)
+                return Done(Answer::unknown());
+              if (Page->Rows.empty() || Page->Rows.front().Name.Key != Job)
+                return Done(Answer::known(std::nullopt));
+              const auto Request = decodeRequest(Job, Page->Rows.front().Value);
+              if (!Request) {
+                Context_.Events.record(EventId::RowUnreadable, Job,
+                                       Request.error().text());
+                return Done(Answer::unknown());
+              }
+              readProgress(Request->Service, Job, Until, Done);
+            });
+}
+
+void JobDoor::readProgress(std::string_view Service, const std::string &Job,
                            TimePoint Until, StageDone Done) {
+  using Answer = DoorAnswer<std::optional<JobStage>>;
   const RowName Row = progressRow(Service, Job);
-  Context_.Store.read(
-      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(Row.Key), 1},
-      std::clamp(left(Until), RetryDelay, ReadTimeout),
-      [this, Service, Job, Until,
-       Done = std::move(Done)](Result<RowPage> Page) {
-        if (!Page) {
-          if (left(Until) <= RetryDelay)
-            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
-          Context_.Home.after(RetryDelay, [this, Service, Job, Until, Done] {
-            readProgress(Service, Job, Until, Done);
-          });
-          return;
-        }
-        std::optional<JobStage> Stage = JobStage::Queued;
-        if (!Page->Rows.empty()) {
-          const auto Progress = decodeProgress(Page->Rows.front().Value);
-          if (!Progress) {
-            Context_.Events.record(EventId::RowUnreadable, Job,
-                                   Progress.error().text());
-            return Done(DoorAnswer<std::optional<JobStage>>::unknown());
-          }
-          Stage = Progress->Stage;
+  readUntil(
+      RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(Row.Key), 1}, Until,
+      [this, Job, Done = std::move(Done)](const std::optional<RowPage> &Page) {
+        if (!Page)
+          return Done(Answer::unknown());
+        if (Page->Rows.empty())
+          return Done(Answer::known(JobStage::Queued));
+        const auto Progress = decodeProgress(Page->Rows.front().Value);
+        if (!Progress) {
+          Context_.Events.record(EventId::RowUnreadable, Job,
+                                 Progress.error().text());
+          return Done(Answer::unknown());
         }
-        Done(DoorAnswer<std::optional<JobStage>>::known(Stage));
+        Done(Answer::known(Progress->Stage));
       });
 }
 
--- a/packages/fleet/src/PeerService.cpp
+++ b/packages/fleet/src/PeerService.cpp
@@ -22,6 +22,10 @@
   return HttpResponse{Status, {}, std::move(Body), "text/plain"};
 }
 
+HttpResponse packed(std::string Body) {
+  return HttpResponse{200, {}, std::move(Body), "application/msgpack"};
+}
+
 void advise(PlacementAdvisor &Advisor, const HttpRequest &Request,
             HttpResponder Respond) {
   const auto Message = decodeAdviseRequest(Request.Body);
@@ -33,14 +37,10 @@
            std::move(Respond)](const Result<std::vector<AdviceTicket>> &Good) {
         if (!Good)
           return Respond(plain(StatusAdvisorFailed, Good.error().text()));
-        Respond(HttpResponse{200, {}, encode(*Good), "application/msgpack"});
+        Respond(packed(encode(*Good)));
       });
 }
 
-HttpResponse packed(std::string Body) {
-  return HttpResponse{200, {}, std::move(Body), "application/msgpack"};
-}
-
 /// Makes a call of the store for a daemon that the store turns away.
 void relay(RowStore &Store, const HttpRequest &Request, HttpResponder Respond) {
   const auto Call = decodeStoreCall(Request.Body);
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -21,9 +21,6 @@
 constexpr milliseconds IdlePass{150};
 /// Pause between reads of new jobs, so that several come in one.
 constexpr milliseconds GatherRequests{15};
-/// How long the store holds a call without a change; short, since a connection
-/// that has gone silent shows only when this has passed.
-constexpr milliseconds FollowWait{1500};
 constexpr milliseconds ReadTimeout{1500};
 /// While nothing could be recorded for this long, nothing is placed: it would
 /// wait all the same, and its ticket would expire.
@@ -78,37 +75,43 @@
       Context_.Advisor, Context_.Peers, Context_.Home, Context_.Time,
       Context_.Self.Name,
       [this](const StepName &Step) { return Scheduler_->wantsAdvice(Step); },
-      [this](const StepName &Step, Result<AdviceDesk::Answer> Answer) {
-        Context_.Metrics.adviceCame(Answer ? "answered" : "failed");
-        if (!Answer) {
-          Context_.Events.record(EventId::AdviceFailed, Step.Job,
-                                 Answer.error().text());
-          return Scheduler_->adviceFailed(Step);
-        }
-        if (!Answer->Asked.empty())
-          Context_.Events.record(
-              EventId::AdviceCame, Step.Job,
-              fmt::format("{}.{} good {} of {}", Step.Occurrence, Step.Step,
-                          Answer->Good.size(), Answer->Asked.size()));
-        const QueueTerms *Terms = Scheduler_->terms(Step.Job);
-        const milliseconds ValidFor = Terms != nullptr && Terms->Advice
-                                          ? Terms->Advice->ValidFor
-                                          : milliseconds(0);
-        Scheduler_->adviceCame(Step, Answer->Asked, Answer->Good,
-                               Answer->At + ValidFor);
-        wake();
+      [this](const StepName &Step, const Result<AdviceDesk::Answer> &Answer) {
+        adviceAnswered(Step, Answer);
       });
   Advice_->setQueues(Context_.Queues.config().Routes);
   Requests_ = std::make_shared<TableFollower>(
       Context_.Store, Context_.Home,
-      FollowOptions{std::string(RequestTable), requestPartitions(), FollowWait,
-                    GatherRequests},
+      FollowOptions{.Table = std::string(RequestTable),
+                    .Partitions = requestPartitions(),
+                    .Gather = GatherRequests},
       *this);
   Requests_->start();
   readProgress("");
   renewRegularly();
 }
 
+void PoolOwner::adviceAnswered(const StepName &Step,
+                               const Result<AdviceDesk::Answer> &Answer) {
+  Context_.Metrics.adviceCame(Answer ? "answered" : "failed");
+  if (!Answer) {
+    Context_.Events.record(EventId::AdviceFailed, Step.Job,
+                           Answer.error().text());
+    return Scheduler_->adviceFailed(Step);
+  }
+  if (!Answer->Asked.empty())
+    Context_.Events.record(EventId::AdviceCame, Step.Job,
+                           fmt::format("{}.{} good {} of {}", Step.Occurrence,
+                                       Step.Step, Answer->Good.size(),
+                                       Answer->Asked.size()));
+  const QueueTerms *Terms = Scheduler_->terms(Step.Job);
+  const milliseconds ValidFor = Terms != nullptr && Terms->Advice
+                                    ? Terms->Advice->ValidFor
+                                    : milliseconds(0);
+  Scheduler_->adviceCame(Step, Answer->Asked, Answer->Good,
+                         Answer->At + ValidFor);
+  wake();
+}
+
 void PoolOwner::close() {
   if (Closed_)
     return;
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -167,7 +167,7 @@
        [this, Call, Done = std::move(Done)](const HttpResult &Answer) mutable {
          if (!Answer && Answer.error().Code != ErrorCode::ConnectFailed)
            return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
-         auto Decoded = Answer && Answer->Status == 200
+         auto Decoded = Answer && Answer->Status == StatusOk
                             ? decodeCommitAnswer(Answer->Body)
                             : failure(ErrorCode::PlatformUnavailable, "relay");
          const bool Certain =
@@ -191,7 +191,7 @@
     return Done(failure(ErrorCode::PlatformUnavailable, "no peer"));
   send(Call, [this, Call,
               Done = std::move(Done)](const HttpResult &Answer) mutable {
-    auto Decoded = Answer && Answer->Status == 200
+    auto Decoded = Answer && Answer->Status == StatusOk
                        ? decodePageAnswer(Answer->Body)
                        : failure(ErrorCode::PlatformUnavailable, "relay");
     if (!Decoded || (!Decoded->Value && turnedAway(Decoded->Value.error()))) {
--- a/packages/store/include/cuminroad/store/TableFollower.h
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -16,8 +16,9 @@
   /// The partitions that are read in full at the start, and again when the
   /// store has dropped its history.
   std::vector<std::string> Partitions;
-  /// How long the store holds a call without a change.
-  milliseconds Wait{10000};
+  /// How long the store holds a call without a change; short, since a
+  /// connection that has gone silent shows only when this has passed.
+  milliseconds Wait{1500};
   /// Pause after an answer, so that many changes come in one.
   milliseconds Gather{0};
 };
