Split the pool scheduler's tests by area

SchedulerTest.cpp held four jobs in one file: placement and order, runs and how they end, advice, and invariants over random events. Each has its file now, with the common fixture in SchedulerTrial.h.

--- /dev/null
+++ b/packages/pool/tests/InvariantsTest.cpp
@@ -0,0 +1,55 @@
+// What must hold whatever comes.
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "SchedulerTrial.h"
+
+using namespace cuminroad;
+
+BOOST_AUTO_TEST_CASE(invariantsHoldOverRandomEvents) {
+  for (unsigned Seed = 1; Seed <= 40; ++Seed) {
+    std::mt19937 Random(Seed);
+    SchedulerTrial Each;
+    std::map<std::string, std::vector<StartRun>> OnVm;
+    for (int Number = 0; Number < 5; ++Number)
+      Each.addVm(makeVm("v" + std::to_string(Number), Big));
+    for (int Step = 0; Step < 400; ++Step) {
+      if (Random() % 4 == 0)
+        Each.Scheduler->addJob(
+            makeJob(
+                "j" + std::to_string(Step),
+                {makeStep(1 + static_cast<int>(Random() % 6),
+                          {500 + static_cast<int>(Random() % 3000), 100, 0})}),
+            makeQueue(static_cast<int>(Random() % 3)), Each.Time.now());
+      if (Random() % 15 == 0)
+        Each.Scheduler->cancelJob("j" + std::to_string(Random() % 400));
+      Each.Time.advance(milliseconds(Random() % 100));
+      Each.pass();
+      for (const StartRun &Start : Each.Starts) {
+        Each.accept(Start);
+        OnVm[Start.Vm].push_back(Start);
+      }
+      for (auto &[Vm, Runs] : OnVm) {
+        std::set<TaskName> Names;
+        std::int64_t Cores = 0;
+        for (const StartRun &Run : Runs) {
+          BOOST_CHECK(Names.insert(Run.Run.Task).second);
+          if (const JobPlan *Plan = Each.Scheduler->plan(Run.Run.Task.Step.Job))
+            Cores += Plan->Steps[0].PerTask.MilliCores;
+        }
+        BOOST_CHECK_LE(Cores, Big.MilliCores);
+        while (!Runs.empty() && Random() % 3 == 0) {
+          constexpr RunEnd Ends[] = {RunEnd::Done, RunEnd::Done, RunEnd::Failed,
+                                     RunEnd::Stopped};
+          Each.end(Runs.back(), Ends[Random() % 4]);
+          Runs.pop_back();
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/pool/tests/SchedulerTrial.h
@@ -0,0 +1,110 @@
+#ifndef CUMINROAD_POOL_TESTS_SCHEDULERTRIAL_H
+#define CUMINROAD_POOL_TESTS_SCHEDULERTRIAL_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminroad/base/ManualClock.h"
+#include "cuminroad/pool/PoolScheduler.h"
+#include "cuminroad/pool/WallClock.h"
+
+namespace cuminroad {
+
+class ManualWall final : public WallClock {
+public:
+  milliseconds sinceEpoch() const override { return Now; }
+  milliseconds Now{1000000};
+};
+
+inline PoolVm makeVm(const std::string &Id, Capacity Total,
+                     std::vector<std::string> Labels = {}) {
+  PoolVm Out;
+  Out.Id = Id;
+  Out.Total = Total;
+  Out.Labels = std::move(Labels);
+  Out.Born = 1;
+  return Out;
+}
+
+inline StepPlan makeStep(int Tasks, Capacity Size, int EstimateMs = 1000) {
+  StepPlan Out;
+  Out.Tasks = Tasks;
+  Out.PerTask = Size;
+  Out.Estimate = milliseconds(EstimateMs);
+  return Out;
+}
+
+inline JobPlan makeJob(const std::string &Id, std::vector<StepPlan> Steps) {
+  JobPlan Out;
+  Out.Id = Id;
+  Out.Steps = std::move(Steps);
+  return Out;
+}
+
+inline QueueTerms makeQueue(int Priority = 0) {
+  QueueTerms Out;
+  Out.Name = "q" + std::to_string(Priority);
+  Out.Service = "s";
+  Out.Priority = Priority;
+  Out.Attempts = 2;
+  Out.Stretch = 2;
+  Out.LatencyTarget = milliseconds(1000);
+  return Out;
+}
+
+/// A scheduler with its clocks, and what its commands asked for.
+struct SchedulerTrial {
+  SchedulerTrial() : Scheduler(makePoolScheduler(Time, Wall, Options)) {}
+
+  void addVm(const PoolVm &Vm) {
+    Scheduler->vmListed(Vm);
+    Scheduler->vmReported(Vm.Id, Vm.Born, {}, Time.now());
+  }
+  /// Runs a pass and sorts its commands.
+  void pass() {
+    Starts.clear();
+    Stops.clear();
+    Paces.clear();
+    Asks.clear();
+    Scheduler->schedule();
+    for (const PoolCommand &Command : Scheduler->takeCommands()) {
+      if (const auto *Start = std::get_if<StartRun>(&Command))
+        Starts.push_back(*Start);
+      else if (const auto *Stop = std::get_if<StopRun>(&Command))
+        Stops.push_back(*Stop);
+      else if (const auto *Pace = std::get_if<PaceRun>(&Command))
+        Paces.push_back(*Pace);
+      else
+        Asks.push_back(std::get<AskAdvice>(Command));
+    }
+  }
+  void accept(const StartRun &Start) {
+    Scheduler->startAnswered(Start.Vm, Start.Run, StartOutcome::Accepted);
+  }
+  void end(const StartRun &Start, RunEnd How, const std::string &Saved = "") {
+    Scheduler->taskEnded(Start.Vm, TaskEnd{++EndNumber, Start.Run, How, Saved});
+  }
+  /// A report of the VM that lists these runs.
+  void report(const std::string &Vm, std::vector<RunningTask> Running) {
+    Time.advance(milliseconds(1));
+    Scheduler->vmReported(Vm, 1, Running, Time.now());
+  }
+
+  ManualClock Time;
+  ManualWall Wall;
+  PoolOptions Options;
+  std::unique_ptr<PoolScheduler> Scheduler;
+  std::vector<StartRun> Starts;
+  std::vector<StopRun> Stops;
+  std::vector<PaceRun> Paces;
+  std::vector<AskAdvice> Asks;
+  std::int64_t EndNumber = 0;
+};
+
+inline constexpr Capacity Small{1000, 100, 0};
+inline constexpr Capacity Big{4000, 1000, 0};
+
+} // namespace cuminroad
+
+#endif
