Let blocked steps try VMs in quarantine, and ask about those last

Cause: a VM that failed three starts or runs in a row gets nothing for 3 s, then 6 s up to 30 s, whatever else there is: a step that only such VMs may run waits out the longest time though they are well again.

Now a step that has been blocked for 1 s (2 s with a task's last attempt) may start one task on a VM in quarantine, once a second for each VM; VMs out of quarantine are chosen first, in placing and in asking.

Ruled out: a lower maximum alone. A bad VM would then draw more attempts from steps that have other VMs.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -42,6 +42,12 @@
   int FailuresToQuarantine = 3;
   milliseconds QuarantineMin{3000};
   milliseconds QuarantineMax{30000};
+  /// A step that is blocked for this long may try a VM in quarantine, with a
+  /// task's last attempt after twice as long. It is below the 3 s within which
+  /// work that could run must start.
+  milliseconds ProbeAfter{1000};
+  /// Least time between two such tries of a VM: each may cost an attempt.
+  milliseconds ProbeGap{1000};
   /// A task whose progress stands still this long is stopped and run elsewhere.
   milliseconds StuckAfter{3000};
   /// Delay before a task whose start was refused is placed again.
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -1,6 +1,7 @@
 #include "AdvicePlanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "Forecast.h"
 
@@ -11,6 +12,19 @@
 /// Most VMs that one call may name.
 constexpr std::size_t MaxAskedVms = 100;
 
+/// A VM to ask about. Nothing runs on VMs in quarantine, so that by room alone
+/// they would always come first.
+struct Choice {
+  bool InQuarantine;
+  int LessRoom;
+  VmRecord *Vm;
+};
+
+bool better(const Choice &Left, const Choice &Right) {
+  return std::tie(Left.InQuarantine, Left.LessRoom, Left.Vm->Vm.Id) <
+         std::tie(Right.InQuarantine, Right.LessRoom, Right.Vm->Vm.Id);
+}
+
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -84,21 +98,18 @@
   if (!Step.AskedVms.empty() && !Stuck)
     return;
   const Capacity Need = Step.Plan->reserved();
-  std::vector<std::pair<int, VmRecord *>> New;
+  std::vector<Choice> New;
   for (const auto &[Id, Vm] : Tables_.Vms) {
     const auto Asked = Step.AskedVms.find(Vm.get());
     if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
         (Asked != Step.AskedVms.end() && Asked->second == Vm->Vm.Born))
       continue;
     const int Room = std::min(countFits(Vm->free(), Need), Step.Plan->Tasks);
-    New.emplace_back(-Room, Vm.get());
+    New.push_back(Choice{Vm->inQuarantine(Now_), -Room, Vm.get()});
   }
   if (New.empty())
     return;
-  std::stable_sort(New.begin(), New.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return Left.first < Right.first;
-                   });
+  std::sort(New.begin(), New.end(), better);
   // A call costs the advisor's decision whatever it names: a step that is stuck
   // asks about all that is left at once.
   const std::size_t Most =
@@ -109,8 +120,8 @@
   New.resize(std::min(New.size(), Most));
   std::vector<std::string> Vms;
   Vms.reserve(New.size());
-  for (const auto &[Less, Vm] : New)
-    Vms.push_back(Vm->Vm.Id);
+  for (const Choice &Each : New)
+    Vms.push_back(Each.Vm->Vm.Id);
   ask(Step, std::move(Vms), false);
 }
 
@@ -126,22 +137,22 @@
     return Step.ReservedAt <= Then ? Step.ReservedVms
                                    : std::vector<VmRecord *>();
   const Capacity Need = Step.Plan->reserved();
-  std::vector<std::pair<int, VmRecord *>> Best;
+  std::vector<Choice> Best;
   for (const auto &[Vm, Ticket] : Step.Good) {
     if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
         Ticket.Born != Vm->Vm.Born)
       continue;
     const int Room = countFits(freeAt(*Vm, Then, Now_), Need);
     if (Room > 0)
-      Best.emplace_back(-Room, Vm);
+      Best.push_back(Choice{Vm->inQuarantine(Now_), -Room, Vm});
   }
-  std::sort(Best.begin(), Best.end());
+  std::sort(Best.begin(), Best.end(), better);
   Best.resize(
       std::min(Best.size(), static_cast<std::size_t>(Options_.RenewedVms)));
   std::vector<VmRecord *> Out;
   Out.reserve(Best.size());
-  for (const auto &[Less, Vm] : Best)
-    Out.push_back(Vm);
+  for (const Choice &Each : Best)
+    Out.push_back(Each.Vm);
   return Out;
 }
 
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -140,6 +140,8 @@
   int FailuresInARow = 0;
   TimePoint QuarantinedUntil{};
   milliseconds Quarantine{0};
+  /// Not tried before, while in quarantine.
+  TimePoint NextProbe{};
   /// Measured run time against the estimate, smoothed; 1 is as estimated.
   double Slowness = 1.0;
   /// Within a pass: kept for a blocked step until then, but for work that ends
@@ -154,6 +156,7 @@
   Capacity free() const { return Vm.Total - Used; }
   /// Whether it may get new work, quarantine aside.
   bool takesWork() const { return Claimed && Listed && !Vm.Leaving; }
+  bool inQuarantine(TimePoint Now) const { return Now < QuarantinedUntil; }
 };
 
 /// Whether the VM, when empty, could hold a task of the step.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -19,6 +19,8 @@
 constexpr double ConflictWeight = 10.0;
 /// Tasks of a long-running step are spread, so that one VM's end hits few.
 constexpr double SpreadWeight = 0.5;
+/// A VM in quarantine is tried only where no other VM would do.
+constexpr double QuarantineWeight = 100.0;
 /// A step that is blocked for this long is logged; then at each doubling.
 constexpr milliseconds FirstBlockedReport{1000};
 /// Estimates are often too low; reserved VMs are not used by work that may
@@ -49,7 +51,7 @@
 void SchedulingPass::run() {
   for (auto &[Id, Vm] : Tables_.Vms) {
     Vm->ReservedUntil.reset();
-    if (Vm->takesWork() && Vm->QuarantinedUntil <= Now_)
+    if (Vm->takesWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
       Open_.push_back(Vm.get());
   }
   gather();
@@ -190,7 +192,7 @@
       return;
     }
     start(Task, *Best->Vm, Task.Run + 1);
-    if (takes(Step, *Best->Vm))
+    if (eligible(Step, *Best->Vm) && takes(Step, *Best->Vm))
       Best->Score = score(Step, *Best->Vm);
     else
       Fitting.erase(Best);
@@ -255,7 +257,23 @@
 
 bool SchedulingPass::eligible(const StepRecord &Step,
                               const VmRecord &Vm) const {
-  return Vm.takesWork() && Vm.QuarantinedUntil <= Now_ && suits(*Step.Plan, Vm);
+  return Vm.takesWork() && suits(*Step.Plan, Vm) &&
+         (!Vm.inQuarantine(Now_) || mayProbe(Step, Vm));
+}
+
+bool SchedulingPass::mayProbe(const StepRecord &Step,
+                              const VmRecord &Vm) const {
+  if (!Step.BlockedSince || Now_ < Vm.NextProbe)
+    return false;
+  const int Attempts = Step.Occurrence->Job->Terms.Attempts;
+  const bool LastAttempt = !Step.Plan->LongRunning &&
+                           (Step.GangFailures + 1 >= Attempts ||
+                            std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                        [Attempts](const TaskRecord &Task) {
+                                          return Task.Failures + 1 >= Attempts;
+                                        }));
+  return Now_ - *Step.BlockedSince >=
+         Options_.ProbeAfter * (LastAttempt ? 2 : 1);
 }
 
 bool SchedulingPass::reservationAllows(const StepRecord &Step,
@@ -286,6 +304,8 @@
     Out += RemoteWeight * (Options_.RemoteFactor - 1.0);
   if (conflicts(Step, Vm))
     Out += ConflictWeight;
+  if (Vm.inQuarantine(Now_))
+    Out += QuarantineWeight;
   if (Plan.LongRunning)
     Out += SpreadWeight * tasksOnVm(Step, Vm);
   return Out;
@@ -295,6 +315,8 @@
   StepRecord &Step = *Task.Step;
   if (Vm.ReservedUntil)
     Vm.Spare -= Step.Plan->reserved();
+  if (Vm.inQuarantine(Now_))
+    Vm.NextProbe = Now_ + Options_.ProbeGap;
   Tables_.place(Task, Vm, Run, Now_);
   LargestKnown_ = false;
   JobRecord &Job = *Step.Occurrence->Job;
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -49,6 +49,8 @@
   /// Whether the VM may run tasks of the step at all, room aside.
   bool eligible(const StepRecord &Step, const VmRecord &Vm) const;
   /// Whether work of this length may use a reserved VM.
+  /// Whether the step may try the VM though it is in quarantine.
+  bool mayProbe(const StepRecord &Step, const VmRecord &Vm) const;
   bool reservationAllows(const StepRecord &Step, const VmRecord &Vm) const;
   double score(const StepRecord &Step, const VmRecord &Vm) const;
   void start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
