Close connections opened for one call, and reuse those that answer

While a VM answered holds as unhealthy, each repeat asked for a connection of its own, and libcurl kept every one of them idle, up to 1024.

A connection that is opened for one call is now closed after it, and a VM gets one only if the last order to it went unanswered; a refusal is an answer.

Ruled out: closing a VM's idle connections (libcurl offers no call for it); a cap per host in libcurl, which would also queue calls to the store.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -97,7 +97,11 @@
                      const Result<OrderAnswer> &Answer);
   void repeatStart(const StartOrder &Order, int Tries);
   void sendStop(const TaskRun &Run, int Tries);
-  VmTarget target(bool Fresh) const;
+  VmTarget target() const;
+  /// Notes whether an order was answered at all.
+  template <typename T> void noteAnswer(const Result<T> &Answer) {
+    Unanswered_ = !Answer;
+  }
 
   VmEntry Entry_;
   Options Options_;
@@ -111,6 +115,8 @@
   bool LapsedTold_ = false;
   bool Holding_ = false;
   bool HoldPlanned_ = false;
+  /// The last order got no answer: its connection may have gone silent.
+  bool Unanswered_ = false;
   int Failures_ = 0;
   std::int64_t Born_ = 0;
   std::int64_t Acknowledged_ = 0;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -62,8 +62,9 @@
 
 void VmLink::update(const VmEntry &Entry) { Entry_ = Entry; }
 
-VmTarget VmLink::target(bool Fresh) const {
-  return VmTarget{Entry_.Vm.Id, Entry_.Address, Options_.FencingToken, Fresh};
+VmTarget VmLink::target() const {
+  return VmTarget{Entry_.Vm.Id, Entry_.Address, Options_.FencingToken,
+                  Unanswered_};
 }
 
 void VmLink::noteClock(milliseconds VmClock) {
@@ -101,10 +102,11 @@
     if (LastEnd_ == Acknowledged_)
       Order.Wait = HoldWait;
   }
-  Calls_.hold(target(Failures_ > 0), Order, Order.Wait + AnswerTime,
+  Calls_.hold(target(), Order, Order.Wait + AnswerTime,
               [Self = shared_from_this(),
                SentAt = LastHold_](Result<HoldAnswer> Answer) {
                 Self->Holding_ = false;
+                Self->noteAnswer(Answer);
                 if (!Self->Closed_)
                   Self->holdAnswered(SentAt, std::move(Answer));
               });
@@ -239,9 +241,10 @@
     OpenStarts_.erase(Order.Run);
     return;
   }
-  Calls_.start(target(Tries > 0), Order, OrderTimeout,
+  Calls_.start(target(), Order, OrderTimeout,
                [Self = shared_from_this(), Order,
                 Tries](const Result<OrderAnswer> &Answer) {
+                 Self->noteAnswer(Answer);
                  if (!Self->Closed_)
                    Self->startAnswered(Order, Tries, Answer);
                });
@@ -308,11 +311,12 @@
 void VmLink::sendStop(const TaskRun &Run, int Tries) {
   if (Closed_)
     return;
-  Calls_.stop(target(Tries > 0), Run, OrderTimeout,
+  Calls_.stop(target(), Run, OrderTimeout,
               [Self = shared_from_this(), Run,
                Tries](const Result<OrderAnswer> &Answer) {
                 if (Self->Closed_)
                   return;
+                Self->noteAnswer(Answer);
                 if (Answer && Answer->Outcome == OrderOutcome::Fenced)
                   return Self->Events_.fenced(*Self);
                 if (Answer && Answer->Outcome != OrderOutcome::Unhealthy) {
@@ -331,7 +335,7 @@
 }
 
 void VmLink::paceRun(const TaskRun &Run, int Percent) {
-  Calls_.pace(target(false), Run, Percent, OrderTimeout,
+  Calls_.pace(target(), Run, Percent, OrderTimeout,
               [Self = shared_from_this()](const Result<OrderAnswer> &Answer) {
                 if (!Self->Closed_ && Answer &&
                     Answer->Outcome == OrderOutcome::Fenced)
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -36,7 +36,9 @@
     ++Reports;
     LastAnswer = Answer;
     for (const TaskEnd &End : Answer.Ends)
-      Link->acknowledge(Answer.Born, End.Number);
+      Home.after(RecordTime, [this, Born = Answer.Born, Number = End.Number] {
+        Link->acknowledge(Born, Number);
+      });
   }
   void unanswered(VmLink &) override {}
   void silent(VmLink &, std::string_view) override { Silent = true; }
@@ -51,6 +53,8 @@
   TimePoint leaseLimit() const override { return TimePoint::max(); }
 
   FakeLoop Home;
+  /// How long it takes to record an end.
+  milliseconds RecordTime{0};
   FakeVms Vms;
   FakeVmCalls Calls;
   std::shared_ptr<VmLink> Link;
@@ -181,3 +185,19 @@
   Home.runFor(milliseconds(1000));
   BOOST_CHECK_EQUAL(Stopped, 1);
 }
+
+BOOST_FIXTURE_TEST_CASE(unhealthyVmIsAskedOnTheSameConnection, Fixture) {
+  // Found as VMs that took no more connections: each repeat left one open.
+  connect();
+  Home.runFor(milliseconds(500));
+  Calls.HoldsUnhealthy = true;
+  Home.runFor(milliseconds(10000));
+  BOOST_CHECK_EQUAL(Calls.FreshHolds, 0);
+  // A connection that has gone silent is not used again.
+  Calls.HoldsUnhealthy = false;
+  Calls.Decide = [](const std::string &) {
+    return OrderFate{OrderFate::Lost, {}};
+  };
+  Home.runFor(milliseconds(10000));
+  BOOST_CHECK_GE(Calls.FreshHolds, 3);
+}
--- a/packages/net/include/cuminroad/net/HttpClient.h
+++ b/packages/net/include/cuminroad/net/HttpClient.h
@@ -21,8 +21,8 @@
   milliseconds ConnectTimeout{1000};
   milliseconds Timeout{5000};
   /// The bytes must not reach a server twice. Such a call opens a connection
-  /// of its own: libcurl silently resends a request when a reused connection
-  /// closes before the first byte of the answer.
+  /// of its own, which is closed after it: libcurl silently resends a request
+  /// when a reused connection closes before the first byte of the answer.
   bool NeverResend = false;
   /// The id that the answer's X-Request-Id must repeat; "" checks nothing.
   std::string RequestId;
--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -81,7 +81,11 @@
   curl_easy_setopt(Handle, CURLOPT_PROXY, "");
   curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
   curl_easy_setopt(Handle, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, Call_.NeverResend ? 1L : 0L);
+  // libcurl keeps idle connections by the hundred, and a server may take only
+  // so many: one that is opened for a call is closed after it.
+  const long OwnConnection = Call_.NeverResend ? 1 : 0;
+  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, OwnConnection);
+  curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, OwnConnection);
 }
 
 HttpResult CurlTransfer::finish(CURL *Handle, CURLcode Code, HttpTraffic &Use) {
--- a/packages/net/tests/HttpClientTest.cpp
+++ b/packages/net/tests/HttpClientTest.cpp
@@ -46,6 +46,8 @@
            std::to_string(Acceptor_.local_endpoint().port()) + "/";
   }
   int requests() const { return Requests_; }
+  /// Connections that neither side has closed.
+  int open() const { return Opened_ - Closed_; }
 
 private:
   void run() {
@@ -53,9 +55,13 @@
       tcp::socket Connection(Context_);
       asio::error_code Fault;
       Acceptor_.accept(Connection, Fault);
+      Opened_ += !Stopping_;
       if (!Stopping_)
         Connections_.emplace_back(
-            [this, Open = std::move(Connection)]() mutable { serve(Open); });
+            [this, Open = std::move(Connection)]() mutable {
+              serve(Open);
+              ++Closed_;
+            });
     }
   }
 
@@ -80,6 +86,8 @@
   tcp::acceptor Acceptor_;
   std::atomic<bool> Stopping_{false};
   std::atomic<int> Requests_{0};
+  std::atomic<int> Opened_{0};
+  std::atomic<int> Closed_{0};
   std::vector<std::thread> Connections_;
   std::thread Thread_;
 };
@@ -115,6 +123,18 @@
   BOOST_CHECK_EQUAL(Server.requests(), 2);
 }
 
+// A server may take only so many connections.
+BOOST_AUTO_TEST_CASE(neverResendLeavesNoConnectionOpen) {
+  RawServer Server({Whole, Whole});
+  const auto Client = makeHttpClient();
+  for (int Each = 0; Each < 5; ++Each)
+    BOOST_REQUIRE(call(*Client, post(Server.url(), true)));
+  const auto Limit = std::chrono::steady_clock::now() + milliseconds(5000);
+  while (Server.open() > 0 && std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(milliseconds(5));
+  BOOST_CHECK_EQUAL(Server.open(), 0);
+}
+
 BOOST_AUTO_TEST_CASE(lostAnswerIsNeitherDoneNorNotRun) {
   RawServer Server({""});
   const auto Client = makeHttpClient();
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -96,8 +96,12 @@
   milliseconds Latency{4};
   /// Starts and stops that arrive are refused with nothing done; holds work.
   bool Unhealthy = false;
+  /// So are holds.
+  bool HoldsUnhealthy = false;
   int Starts = 0;
   int Holds = 0;
+  /// Holds that asked for a connection of their own.
+  int FreshHolds = 0;
 
 private:
   /// Carries \p Do out, now or late, and answers as the fate says.
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -191,10 +191,16 @@
 void FakeVmCalls::hold(const VmTarget &Vm, const HoldOrder &Order,
                        milliseconds Timeout, HoldDone Done) {
   ++Holds;
+  FreshHolds += Vm.FreshConnection;
   const milliseconds Wait = std::min(Order.Wait, HoldStep);
   Home_.after(Wait, [this, Vm, Order, Timeout, Done] {
     send<HoldAnswer>(
-        Vm.Id, Timeout, [this, Vm, Order] { return Vms_.hold(Vm, Order); },
+        Vm.Id, Timeout,
+        [this, Vm, Order] {
+          HoldAnswer Refusal;
+          Refusal.Outcome = OrderOutcome::Unhealthy;
+          return HoldsUnhealthy ? Refusal : Vms_.hold(Vm, Order);
+        },
         Done);
   });
 }
