Ask a VM that fails at one pace

Cause: an end that is recorded while a hold is planned plans the hold anew, but the earlier timer went on. While holds fail at once, each timer found a planned hold and kept a chain of its own, so that a failing VM was asked twice as often or more (8 holds a second in the log where 4 are meant). A timer now counts only for the plan it was made for (failedHoldsAreRepeatedAtOnePace: 78 holds in 10 s before, 40 at most now).

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -115,6 +115,8 @@
   bool LapsedTold_ = false;
   bool Holding_ = false;
   bool HoldPlanned_ = false;
+  /// Counts planned holds, so that only the last one comes about.
+  std::int64_t HoldPlan_ = 0;
   /// The last order got no answer: its connection may have gone silent.
   bool Unanswered_ = false;
   int Failures_ = 0;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -169,8 +169,8 @@
   if (HoldPlanned_ || Holding_ || Closed_)
     return;
   HoldPlanned_ = true;
-  Home_.after(Delay, [Self = shared_from_this()] {
-    if (Self->HoldPlanned_)
+  Home_.after(Delay, [Self = shared_from_this(), Plan = ++HoldPlan_] {
+    if (Self->HoldPlanned_ && Self->HoldPlan_ == Plan)
       Self->hold();
   });
 }
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -201,3 +201,23 @@
   Home.runFor(milliseconds(10000));
   BOOST_CHECK_GE(Calls.FreshHolds, 3);
 }
+
+BOOST_FIXTURE_TEST_CASE(failedHoldsAreRepeatedAtOnePace, Fixture) {
+  // An end that was acknowledged while a hold was planned left a timer more,
+  // and each of them went on asking the VM.
+  RecordTime = milliseconds(40);
+  connect();
+  Home.runFor(milliseconds(500));
+  Link->startRun(startOf(), "spec");
+  const auto Ended = [this] { return !LastAnswer.Ends.empty(); };
+  while (!Ended())
+    Home.runFor(milliseconds(10));
+  Home.runFor(RecordTime);
+  Calls.HoldsUnhealthy = true;
+  Home.runFor(milliseconds(3000));
+  const int Before = Calls.Holds;
+  Home.runFor(milliseconds(10000));
+  // Every 250 ms.
+  BOOST_CHECK_LE(Calls.Holds - Before, 40);
+  BOOST_CHECK_GE(Calls.Holds - Before, 30);
+}
