Count one trouble of a VM once, and end its quarantine with a good run

Cause: a VM that hangs fails all that it runs at about the same time, and each failure after the third doubled the quarantine: 40 tasks that were stopped as stuck gave 30 s, the longest there is, for a first trouble. And a task that a VM in quarantine ran well reset the next quarantine, but not the present one.

Failures of runs that were placed before the quarantine began no longer count, and a run placed since then that ends well ends it. Two cases in QuarantineTest, which failed on the earlier code (0 starts where 40 and 3 are possible).

--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -67,14 +67,15 @@
   void dropMissing(VmRecord &Vm, std::span<const RunningTask> Running,
                    TimePoint AskedAt);
   void noteCheckpoint(TaskRecord &Task, const std::string &Checkpoint);
-  void countFailure(VmRecord &Vm);
+  /// Counts the failure of a task that is on its VM against the VM.
+  void countFailure(const TaskRecord &Task);
   void stopTasksOfLeavingVm(VmRecord &Vm);
   void paceFillers(VmRecord &Vm);
   void setPace(TaskRecord &Task, int Percent);
 
   void ended(TaskRecord &Task, const TaskEnd &End, VmRecord &Vm);
   void endedDone(TaskRecord &Task, VmRecord &Vm);
-  void endedFailed(TaskRecord &Task, VmRecord &Vm);
+  void endedFailed(TaskRecord &Task);
   void noteRunTime(const TaskRecord &Task, VmRecord &Vm) const;
   void finishOccurrence(OccurrenceRecord &Occurrence);
   void finishJob(JobRecord &Job, JobStage Stage);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -71,7 +71,7 @@
   case RunEnd::Done:
     return endedDone(Task, Vm);
   case RunEnd::Failed:
-    return endedFailed(Task, Vm);
+    return endedFailed(Task);
   case RunEnd::Stopped:
   case RunEnd::Broken:
     return Tables_.release(Task);
@@ -101,6 +101,8 @@
   StepRecord &Step = *Task.Step;
   Vm.FailuresInARow = 0;
   Vm.Quarantine = milliseconds(0);
+  if (Task.PlacedAt >= Vm.QuarantinedAt)
+    Vm.QuarantinedUntil = TimePoint{};
   if (Step.Plan->LongRunning)
     return Tables_.release(Task);
   noteRunTime(Task, Vm);
@@ -121,10 +123,10 @@
   settleJob(Job);
 }
 
-void PoolSchedulerImpl::endedFailed(TaskRecord &Task, VmRecord &Vm) {
+void PoolSchedulerImpl::endedFailed(TaskRecord &Task) {
   StepRecord &Step = *Task.Step;
   JobRecord &Job = *Step.Occurrence->Job;
-  countFailure(Vm);
+  countFailure(Task);
   Tables_.release(Task);
   if (Step.Plan->LongRunning)
     return;
@@ -152,7 +154,7 @@
   if (Task->Phase != TaskPhase::Placed && Task->Phase != TaskPhase::Stopping)
     return;
   if (Outcome == StartOutcome::Refused)
-    countFailure(*Vm);
+    countFailure(*Task);
   if (Outcome == StartOutcome::TicketExpired) {
     Task->Step->Good.erase(Vm);
     Task->Step->AskedVms.erase(Vm);
@@ -222,7 +224,7 @@
       if (Task->Phase != TaskPhase::Running || Plan.Fills || Plan.Gang ||
           AtWork || Now - Task->MovedAt < Options_.StuckAfter)
         continue;
-      countFailure(*Vm);
+      countFailure(*Task);
       stopTask(*Task);
     }
   }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -210,12 +210,18 @@
   settleJob(Job);
 }
 
-void PoolSchedulerImpl::countFailure(VmRecord &Vm) {
+void PoolSchedulerImpl::countFailure(const TaskRecord &Task) {
+  VmRecord &Vm = *Task.Vm;
+  const TimePoint Now = Time_.now();
+  // A VM that hangs fails all that it ran: that is one trouble, not many.
+  if (Vm.inQuarantine(Now) && Task.PlacedAt < Vm.QuarantinedAt)
+    return;
   if (++Vm.FailuresInARow < Options_.FailuresToQuarantine)
     return;
   Vm.Quarantine = std::clamp(Vm.Quarantine * 2, Options_.QuarantineMin,
                              Options_.QuarantineMax);
-  Vm.QuarantinedUntil = Time_.now() + Vm.Quarantine;
+  Vm.QuarantinedAt = Now;
+  Vm.QuarantinedUntil = Now + Vm.Quarantine;
   // One failure more after it sends the VM back at once.
   Vm.FailuresInARow = Options_.FailuresToQuarantine - 1;
 }
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -138,6 +138,7 @@
   /// Runs on the VM that belong to no unfinished task; they are being stopped.
   std::map<TaskRun, Capacity> Strangers;
   int FailuresInARow = 0;
+  TimePoint QuarantinedAt{};
   TimePoint QuarantinedUntil{};
   milliseconds Quarantine{0};
   /// Not tried before, while in quarantine.
--- a/packages/pool/tests/QuarantineTest.cpp
+++ b/packages/pool/tests/QuarantineTest.cpp
@@ -66,6 +66,39 @@
   BOOST_CHECK_EQUAL(Starts.size(), 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(failuresOfOneMomentCountOnce, SchedulerTrial) {
+  // A VM that hangs fails all it runs at once; that is one trouble, not many.
+  addVm(makeVm("a", Big));
+  QueueTerms Queue = makeQueue();
+  Queue.Attempts = 100;
+  Scheduler->addJob(makeJob("j", {makeStep(40, {100, 10, 0})}), Queue,
+                    Time.now());
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 40);
+  const auto First = Starts;
+  Time.advance(milliseconds(100));
+  for (const StartRun &Start : First)
+    end(Start, RunEnd::Failed);
+  Time.advance(Options.QuarantineMin);
+  pass();
+  BOOST_CHECK_EQUAL(Starts.size(), 40);
+}
+
+BOOST_FIXTURE_TEST_CASE(probeThatEndsWellEndsTheQuarantine, QuarantineTrial) {
+  addVm(makeVm("a", Big));
+  quarantineAll(1, Big);
+  Scheduler->addJob(makeJob("j", {makeStep(4, Small)}), makeQueue(),
+                    Time.now());
+  pass();
+  Time.advance(Options.ProbeAfter);
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  accept(Starts[0]);
+  end(Starts[0], RunEnd::Done);
+  pass();
+  BOOST_CHECK_EQUAL(Starts.size(), 3);
+}
+
 BOOST_FIXTURE_TEST_CASE(blockedStepProbesABadVm, QuarantineTrial) {
   // The VM may be well long before its quarantine ends.
   addVm(makeVm("a", Big));
