Drop a cancelled job that has nothing on VMs at once

Cause: only the end of a run led to settling a final job, so that a job cancelled while it waited stayed in the tables, and was looked at by each pass, until the owner changed (cancelledJobThatWaitsIsDropped, failed first).

--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -103,8 +103,10 @@
 
 void PoolSchedulerImpl::cancelJob(std::string_view Id) {
   JobRecord *Job = Tables_.job(Id);
-  if (Job != nullptr && !isFinal(Job->Stage))
-    finishJob(*Job, JobStage::Cancelled);
+  if (Job == nullptr || isFinal(Job->Stage))
+    return;
+  finishJob(*Job, JobStage::Cancelled);
+  settleJob(*Job);
 }
 
 void PoolSchedulerImpl::forgetJob(std::string_view Id) {
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -283,3 +283,15 @@
   BOOST_REQUIRE_EQUAL(Paces.size(), 1);
   BOOST_CHECK_EQUAL(Paces[0].Percent, 100);
 }
+
+BOOST_FIXTURE_TEST_CASE(cancelledJobThatWaitsIsDropped, SchedulerTrial) {
+  // Kept for ever, it cost each pass a look.
+  Scheduler->addJob(makeJob("j", {makeStep(1, Small)}), makeQueue(),
+                    Time.now());
+  Scheduler->cancelJob("j");
+  BOOST_CHECK(Scheduler->stage("j") == JobStage::Cancelled);
+  BOOST_CHECK_EQUAL(Scheduler->load().Jobs, 0);
+  BOOST_CHECK_EQUAL(Scheduler->takeChangedJobs().size(), 1);
+  Scheduler->forgetJob("j");
+  BOOST_CHECK(!Scheduler->stage("j"));
+}
