Log quarantines, VMs that answer again, and how long they were silent

vm_quarantined tells each quarantine with its length, vm_claimed that a VM answers (again), vm_unreachable comes again when the number of tries has doubled and names it, and step_blocked separates held from usable. The scheduler hands all that is to be logged over in one value, PoolNotes.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -53,7 +53,8 @@
   void reported(VmLink &Link, const HoldAnswer &Answer,
                 TimePoint AskedAt) override;
   void unanswered(VmLink &Link) override;
-  void silent(VmLink &Link, std::string_view Why) override;
+  void silent(VmLink &Link, std::string_view Why, int Tries) override;
+  void answering(VmLink &Link) override;
   void lapsed(VmLink &Link) override;
   void fenced(VmLink &Link) override;
   void startAnswered(VmLink &Link, const TaskRun &Run, StartOutcome Outcome,
@@ -83,8 +84,7 @@
   void execute(const PaceRun &Do);
   void execute(const AskAdvice &Do);
   void recordChanges();
-  void tellLosses();
-  void tellBlocked();
+  void tellNotes();
   void tellLoad();
   void renewRegularly();
   void forgetOldJobs();
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -28,8 +28,11 @@
                         TimePoint AskedAt) = 0;
   /// A hold was not answered; it is repeated.
   virtual void unanswered(VmLink &Link) = 0;
-  /// The VM does not answer.
-  virtual void silent(VmLink &Link, std::string_view Why) = 0;
+  /// The VM does not answer, or refuses; told again each time that the number
+  /// of failed tries has doubled.
+  virtual void silent(VmLink &Link, std::string_view Why, int Tries) = 0;
+  /// The VM answered for the first time, or again.
+  virtual void answering(VmLink &Link) = 0;
   /// The leases on all that ran on the VM have ended.
   virtual void lapsed(VmLink &Link) = 0;
   /// The VM obeys a newer owner.
@@ -111,7 +114,6 @@
   VmLinkEvents &Events_;
   bool Closed_ = false;
   bool Held_ = false;
-  bool SilentTold_ = false;
   bool LapsedTold_ = false;
   bool Holding_ = false;
   bool HoldPlanned_ = false;
@@ -120,6 +122,8 @@
   /// The last order got no answer: its connection may have gone silent.
   bool Unanswered_ = false;
   int Failures_ = 0;
+  /// Failures after which the VM counts as silent, or is told of again.
+  int NextSilent_ = 0;
   std::int64_t Born_ = 0;
   std::int64_t Acknowledged_ = 0;
   std::int64_t LastEnd_ = 0;
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -313,8 +313,7 @@
     Scheduler_->schedule();
   for (const PoolCommand &Command : Scheduler_->takeCommands())
     std::visit([this](const auto &Do) { execute(Do); }, Command);
-  tellLosses();
-  tellBlocked();
+  tellNotes();
   recordChanges();
   PassTook_ =
       std::chrono::duration_cast<milliseconds>(Context_.Time.now() - LastPass_);
@@ -337,21 +336,22 @@
 
 void PoolOwner::execute(const AskAdvice &Do) { Advice_->ask(Do); }
 
-void PoolOwner::tellLosses() {
-  for (const RunLoss &Loss : Scheduler_->takeLosses())
+void PoolOwner::tellNotes() {
+  const PoolNotes Notes = Scheduler_->takeNotes();
+  for (const RunLoss &Loss : Notes.Losses)
     Context_.Events.record(EventId::RunLost, runText(Loss.Run),
                            fmt::format("{} {}", Loss.Vm, Loss.Reason));
-}
-
-void PoolOwner::tellBlocked() {
-  for (const BlockedStep &Each : Scheduler_->takeBlocked())
+  for (const VmQuarantine &Each : Notes.Quarantines)
+    Context_.Events.record(EventId::VmQuarantined, Each.Vm,
+                           fmt::format("for_ms {}", Each.Length.count()));
+  for (const BlockedStep &Each : Notes.Blocked)
     Context_.Events.record(
         EventId::StepBlocked, Each.Step.Job,
-        fmt::format("{}.{} waited_ms {} tasks {} vms good {} usable {} "
+        fmt::format("{}.{} waited_ms {} tasks {} vms good {} held {} usable {} "
                     "ticket {} room {}",
                     Each.Step.Occurrence, Each.Step.Step, Each.Waited.count(),
-                    Each.Waiting, Each.Good, Each.Usable, Each.Ticketed,
-                    Each.Roomy));
+                    Each.Waiting, Each.Good, Each.Held, Each.Usable,
+                    Each.Ticketed, Each.Roomy));
 }
 
 void PoolOwner::recordChanges() {
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -92,8 +92,13 @@
   wake();
 }
 
-void PoolOwner::silent(VmLink &Link, std::string_view Why) {
-  Context_.Events.record(EventId::VmUnreachable, Link.vm(), Why);
+void PoolOwner::silent(VmLink &Link, std::string_view Why, int Tries) {
+  Context_.Events.record(EventId::VmUnreachable, Link.vm(),
+                         fmt::format("{} tries {}", Why, Tries));
+}
+
+void PoolOwner::answering(VmLink &Link) {
+  Context_.Events.record(EventId::VmClaimed, Link.vm(), Term_.Service);
 }
 
 void PoolOwner::unanswered(VmLink &Link) { Scheduler_->vmSilent(Link.vm()); }
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -140,9 +140,10 @@
     LatestLease_ = milliseconds(0);
   }
   const bool First = !Held_ || Failures_ > 0;
+  if (!Held_ || Failures_ >= SilentAfter)
+    Events_.answering(*this);
   Held_ = true;
   Failures_ = 0;
-  SilentTold_ = false;
   LapsedTold_ = false;
   for (const TaskEnd &End : Answer.Ends)
     LastEnd_ = std::max(LastEnd_, End.Number);
@@ -177,13 +178,16 @@
 
 void VmLink::holdFailed(std::string_view Why) {
   // Nothing new is placed there until it answers.
-  if (++Failures_ == 1)
+  if (++Failures_ == 1) {
+    NextSilent_ = SilentAfter;
     Events_.unanswered(*this);
-  if (Failures_ >= SilentAfter && !SilentTold_) {
-    SilentTold_ = true;
-    Events_.silent(*this, Why);
-    checkLapse();
   }
+  if (Failures_ == NextSilent_) {
+    NextSilent_ *= 2;
+    Events_.silent(*this, Why, Failures_);
+  }
+  if (Failures_ == SilentAfter)
+    checkLapse();
   if (!Closed_)
     holdLater(Failures_ == 1 ? milliseconds(0) : RetryPause);
 }
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -41,7 +41,10 @@
       });
   }
   void unanswered(VmLink &) override {}
-  void silent(VmLink &, std::string_view) override { Silent = true; }
+  void silent(VmLink &, std::string_view, int Tries) override {
+    SilentTries.push_back(Tries);
+  }
+  void answering(VmLink &) override { ++Answering; }
   void lapsed(VmLink &) override { LapsedAt = Home.Time.now(); }
   void fenced(VmLink &) override { Fenced = true; }
   void startAnswered(VmLink &, const TaskRun &, StartOutcome Outcome,
@@ -61,7 +64,8 @@
   int Reports = 0;
   int Stopped = 0;
   HoldAnswer LastAnswer;
-  bool Silent = false;
+  std::vector<int> SilentTries;
+  int Answering = 0;
   bool Fenced = false;
   std::optional<TimePoint> LapsedAt;
   std::vector<StartOutcome> Outcomes;
@@ -98,7 +102,7 @@
     return OrderFate{OrderFate::Lost, {}};
   };
   Home.runFor(TaskLease * 3);
-  BOOST_CHECK(Silent);
+  BOOST_CHECK(!SilentTries.empty());
   BOOST_REQUIRE(LapsedAt);
   // The VM ended the run by itself, before the link counted it as ended.
   const RunEvent &End = Vms.History.back();
@@ -202,6 +206,21 @@
   BOOST_CHECK_GE(Calls.FreshHolds, 3);
 }
 
+BOOST_FIXTURE_TEST_CASE(silenceIsToldAtDoublingsAndItsEndOnce, Fixture) {
+  // One line at its begin does not show that a VM is silent to the end.
+  connect();
+  Home.runFor(milliseconds(500));
+  BOOST_CHECK_EQUAL(Answering, 1);
+  Calls.HoldsUnhealthy = true;
+  Home.runFor(milliseconds(10000));
+  const std::vector<int> Expected{2, 4, 8, 16, 32};
+  BOOST_CHECK_EQUAL_COLLECTIONS(SilentTries.begin(), SilentTries.end(),
+                                Expected.begin(), Expected.end());
+  Calls.HoldsUnhealthy = false;
+  Home.runFor(milliseconds(3000));
+  BOOST_CHECK_EQUAL(Answering, 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(failedHoldsAreRepeatedAtOnePace, Fixture) {
   // An end that was acknowledged while a hold was planned left a timer more,
   // and each of them went on asking the VM.
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -12,6 +12,7 @@
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobProgress.h"
 #include "cuminroad/pool/PoolCommand.h"
+#include "cuminroad/pool/PoolNotes.h"
 #include "cuminroad/pool/PoolOptions.h"
 #include "cuminroad/pool/PoolVm.h"
 #include "cuminroad/pool/QueueTerms.h"
@@ -19,27 +20,6 @@
 
 namespace cuminroad {
 
-/// Why a run that was placed did not go on; for logs.
-struct RunLoss {
-  TaskRun Run;
-  std::string Vm;
-  std::string_view Reason;
-};
-
-/// Why a step has waited for long; for logs.
-struct BlockedStep {
-  StepName Step;
-  milliseconds Waited{0};
-  int Waiting = 0;
-  /// VMs that the advisor allows, or all where none is asked; of these, those
-  /// that take work, those with a ticket that holds, and those with room for a
-  /// task.
-  int Good = 0;
-  int Usable = 0;
-  int Ticketed = 0;
-  int Roomy = 0;
-};
-
 /// What a pool holds; for logs and metrics.
 struct PoolLoad {
   int Vms = 0;
@@ -114,8 +94,8 @@
   virtual std::vector<PoolCommand> takeCommands() = 0;
   /// \returns the jobs whose progress changed since the last call.
   virtual std::vector<std::string> takeChangedJobs() = 0;
-  virtual std::vector<RunLoss> takeLosses() = 0;
-  virtual std::vector<BlockedStep> takeBlocked() = 0;
+  /// \returns what is to be logged since the last call.
+  virtual PoolNotes takeNotes() = 0;
 
   virtual std::optional<JobStage> stage(std::string_view Job) const = 0;
   virtual JobProgress progress(std::string_view Job) const = 0;
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -42,8 +42,7 @@
   void schedule() override;
   std::vector<PoolCommand> takeCommands() override;
   std::vector<std::string> takeChangedJobs() override;
-  std::vector<RunLoss> takeLosses() override;
-  std::vector<BlockedStep> takeBlocked() override;
+  PoolNotes takeNotes() override;
 
   std::optional<JobStage> stage(std::string_view Job) const override;
   JobProgress progress(std::string_view Job) const override;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -248,12 +248,8 @@
   return Out;
 }
 
-std::vector<RunLoss> PoolSchedulerImpl::takeLosses() {
-  return std::exchange(Tables_.Losses, {});
-}
-
-std::vector<BlockedStep> PoolSchedulerImpl::takeBlocked() {
-  return std::exchange(Tables_.BlockedSteps, {});
+PoolNotes PoolSchedulerImpl::takeNotes() {
+  return std::exchange(Tables_.Notes, {});
 }
 
 std::unique_ptr<PoolScheduler> makePoolScheduler(const Clock &Time,
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -197,7 +197,7 @@
 }
 
 void PoolSchedulerImpl::lose(TaskRecord &Task, std::string_view Reason) {
-  Tables_.Losses.push_back(
+  Tables_.Notes.Losses.push_back(
       RunLoss{TaskRun{nameOf(Task), Task.Run}, Task.Vm->Vm.Id, Reason});
   JobRecord &Job = *Task.Step->Occurrence->Job;
   StepRecord &Step = *Task.Step;
@@ -222,6 +222,7 @@
                              Options_.QuarantineMax);
   Vm.QuarantinedAt = Now;
   Vm.QuarantinedUntil = Now + Vm.Quarantine;
+  Tables_.Notes.Quarantines.push_back(VmQuarantine{Vm.Vm.Id, Vm.Quarantine});
   // One failure more after it sends the VM back at once.
   Vm.FailuresInARow = Options_.FailuresToQuarantine - 1;
 }
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -50,8 +50,7 @@
   std::int64_t VmsVersion = 0;
   std::set<std::string> Changed;
   std::vector<PoolCommand> Commands;
-  std::vector<RunLoss> Losses;
-  std::vector<BlockedStep> BlockedSteps;
+  PoolNotes Notes;
 };
 
 /// \returns the task's name for messages.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -120,17 +120,22 @@
   if (Waited < Step.NextReport)
     return;
   Step.NextReport *= 2;
-  BlockedStep Report{nameOf(Step), Waited, Step.Waiting, 0, 0, 0, 0};
+  BlockedStep Report;
+  Report.Step = nameOf(Step);
+  Report.Waited = Waited;
+  Report.Waiting = Step.Waiting;
   const bool Advised = Step.Occurrence->Job->Terms.Advice.has_value();
   for (const auto &[Id, Vm] : Tables_.Vms) {
     if (Advised && !Step.Good.contains(Vm.get()))
       continue;
     ++Report.Good;
-    Report.Usable += eligible(Step, *Vm);
+    Report.Held += Vm->takesWork();
+    Report.Usable +=
+        Vm->takesWork() && suits(*Step.Plan, *Vm) && !Vm->inQuarantine(Now_);
     Report.Roomy += Step.Plan->reserved().fitsIn(Vm->free());
   }
   forEachOpen(Step, [&Report](const VmRecord &) { ++Report.Ticketed; });
-  Tables_.BlockedSteps.push_back(std::move(Report));
+  Tables_.Notes.Blocked.push_back(std::move(Report));
 }
 
 const Capacity &SchedulingPass::largestRoom() {
--- a/packages/pool/tests/QuarantineTest.cpp
+++ b/packages/pool/tests/QuarantineTest.cpp
@@ -61,6 +61,10 @@
   }
   pass();
   BOOST_CHECK(Starts.empty());
+  const PoolNotes Notes = Scheduler->takeNotes();
+  BOOST_REQUIRE_EQUAL(Notes.Quarantines.size(), 1);
+  BOOST_CHECK_EQUAL(Notes.Quarantines[0].Vm, "a");
+  BOOST_CHECK(Notes.Quarantines[0].Length == Options.QuarantineMin);
   Time.advance(Options.QuarantineMin);
   pass();
   BOOST_CHECK_EQUAL(Starts.size(), 1);
