Renew the tickets of the tightest VMs that hold a step's tasks

Pattern: tasks of one accelerator beside gangs that need VMs whole. The advice planner renewed the tickets of the six VMs with the most room, so that the small tasks could only go to the emptiest VMs, and the gangs behind them found none whole. It now renews the six with the least room that together hold the waiting tasks; placement among ticketed VMs was best fit already.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -25,6 +25,27 @@
          std::tie(Right.InQuarantine, Right.LessRoom, Right.Vm->Vm.Id);
 }
 
+/// Keeps the \p Most VMs with the least room that together hold all \p Tasks,
+/// or those with the most. Whole VMs are left to steps that need them.
+void keepTightest(std::vector<Choice> &Sorted, int Tasks, std::size_t Most) {
+  const std::size_t Size = std::min(Sorted.size(), Most);
+  int Room = 0;
+  std::size_t First = 0;
+  for (std::size_t Index = 0; Index < Size; ++Index)
+    Room -= Sorted[Index].LessRoom;
+  while (First + Size < Sorted.size()) {
+    const Choice &Next = Sorted[First + Size];
+    const int Then = Room + Sorted[First].LessRoom - Next.LessRoom;
+    if (Then < Tasks || Next.InQuarantine)
+      break;
+    Room = Then;
+    ++First;
+  }
+  Sorted.erase(Sorted.begin(),
+               Sorted.begin() + static_cast<std::ptrdiff_t>(First));
+  Sorted.resize(Size);
+}
+
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -148,8 +169,8 @@
       Best.push_back(Choice{Vm->inQuarantine(Now_), -Room, Vm});
   }
   std::sort(Best.begin(), Best.end(), better);
-  Best.resize(
-      std::min(Best.size(), static_cast<std::size_t>(Options_.RenewedVms)));
+  keepTightest(Best, Step.Waiting,
+               static_cast<std::size_t>(Options_.RenewedVms));
   std::vector<VmRecord *> Out;
   Out.reserve(Best.size());
   for (const Choice &Each : Best)
--- a/packages/pool/tests/AdviceTest.cpp
+++ b/packages/pool/tests/AdviceTest.cpp
@@ -97,3 +97,36 @@
   }
   BOOST_CHECK_EQUAL(Started, Vms);
 }
+
+BOOST_FIXTURE_TEST_CASE(ticketsOfTheTightestVmsAreRenewed, SchedulerTrial) {
+  // Small tasks on empty VMs would keep those from gangs that need them whole.
+  Options.RenewedVms = 2;
+  Scheduler = makePoolScheduler(Time, Wall, Options);
+  addVm(makeVm("tight1", Big));
+  addVm(makeVm("tight2", Big));
+  StepPlan First = makeStep(6, Small, 10000);
+  First.MaxPerVm = 3;
+  Scheduler->addJob(makeJob("first", {First}), makeQueue(), Time.now());
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 6);
+  addVm(makeVm("empty1", Big));
+  addVm(makeVm("empty2", Big));
+  QueueTerms Queue = makeQueue();
+  Queue.Advice = AdviceTerms{milliseconds(100), 1.0, milliseconds(1500)};
+  Scheduler->addJob(makeJob("j", {makeStep(2, Small)}), Queue, Time.now());
+  const auto AskedWith = [&](milliseconds ValidFor) {
+    pass();
+    BOOST_REQUIRE_EQUAL(Asks.size(), 1);
+    std::vector<AdviceTicket> Good;
+    for (const std::string &Vm : Asks[0].Vms)
+      Good.push_back({Vm, "t"});
+    Scheduler->adviceCame(Asks[0].Step, Asks[0].Vms, Good,
+                          Time.now() + ValidFor);
+    return Asks[0].Vms;
+  };
+  BOOST_CHECK_EQUAL(AskedWith(milliseconds(10)).size(), 4);
+  const std::vector<std::string> Renewed = AskedWith(milliseconds(1500));
+  const std::vector<std::string> Tight{"tight1", "tight2"};
+  BOOST_CHECK_EQUAL_COLLECTIONS(Renewed.begin(), Renewed.end(), Tight.begin(),
+                                Tight.end());
+}
