--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -33,8 +33,6 @@
   double CpuShare = 1.0;
   /// Longest lease that a VM grants on what it runs.
   milliseconds MaxTaskLease{6000};
-  /// How long a VM may take to stop a run.
-  milliseconds StopTime{900};
   /// How much longer work takes away from its data.
   double RemoteFactor = 1.0;
   /// How long the state of a finished job can be asked for.
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -37,7 +37,6 @@
 PoolOptions poolOptions(const FleetSettings &Settings) {
   PoolOptions Out;
   Out.RemoteFactor = Settings.RemoteFactor;
-  Out.StopTime = Settings.StopTime;
   return Out;
 }
 
@@ -345,10 +344,6 @@
   for (const VmQuarantine &Each : Notes.Quarantines)
     Context_.Events.record(EventId::VmQuarantined, Each.Vm,
                            fmt::format("for_ms {}", Each.Length.count()));
-  for (const Preemption &Each : Notes.Preemptions)
-    Context_.Events.record(EventId::TaskPreempted, runText(Each.Run),
-                           fmt::format("{} for {}.{}.{}", Each.Vm, Each.For.Job,
-                                       Each.For.Occurrence, Each.For.Step));
   for (const BlockedStep &Each : Notes.Blocked)
     Context_.Events.record(
         EventId::StepBlocked, Each.Step.Job,
--- a/packages/pool/include/cuminroad/pool/PoolNotes.h
+++ b/packages/pool/include/cuminroad/pool/PoolNotes.h
@@ -40,19 +40,11 @@
   milliseconds Length{0};
 };
 
-/// A run that is stopped to make room for an urgent step.
-struct Preemption {
-  TaskRun Run;
-  std::string Vm;
-  StepName For;
-};
-
 /// What a pool scheduler has to say for logs; it decides nothing.
 struct PoolNotes {
   std::vector<RunLoss> Losses;
   std::vector<BlockedStep> Blocked;
   std::vector<VmQuarantine> Quarantines;
-  std::vector<Preemption> Preemptions;
 };
 
 } // namespace cuminroad
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -48,16 +48,6 @@
   milliseconds ProbeAfter{1000};
   /// Least time between two such tries of a VM: each may cost an attempt.
   milliseconds ProbeGap{1000};
-  /// How long a VM may take to stop a run; the platform states it.
-  milliseconds StopTime{900};
-  /// A step is blocked for this long before it preempts: most room comes from
-  /// runs that end by themselves.
-  milliseconds PreemptAfter{200};
-  /// A task runs for this long before it can be preempted, so that it saves at
-  /// least once.
-  milliseconds LeastRun{1000};
-  /// Tasks preempted in one pass at most.
-  int PreemptionsAPass = 64;
   /// A task whose progress stands still this long is stopped and run elsewhere.
   milliseconds StuckAfter{3000};
   /// Delay before a task whose start was refused is placed again.
--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -28,8 +28,6 @@
 
 TimePoint expectedEnd(const TaskRecord &Task, TimePoint Now) {
   const StepPlan &Plan = *Task.Step->Plan;
-  if (Task.Phase == TaskPhase::Stopping)
-    return std::max(Task.StopBy, Now + LeastRemaining);
   if (Plan.LongRunning)
     return TimePoint::max();
   const TimePoint End =
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -39,7 +39,11 @@
 }
 
 void PoolSchedulerImpl::stopTask(TaskRecord &Task) {
-  Tables_.stop(Task, Time_.now() + Options_.StopTime);
+  if (Task.Phase == TaskPhase::Stopping)
+    return;
+  Tables_.setPhase(Task, TaskPhase::Stopping);
+  Tables_.Commands.push_back(
+      StopRun{Task.Vm->Vm.Id, TaskRun{nameOf(Task), Task.Run}});
 }
 
 void PoolSchedulerImpl::taskEnded(std::string_view Id, const TaskEnd &End) {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -85,14 +85,6 @@
   Step.Done += Phase == TaskPhase::Done;
 }
 
-void PoolTables::stop(TaskRecord &Task, TimePoint By) {
-  if (Task.Phase == TaskPhase::Stopping)
-    return;
-  setPhase(Task, TaskPhase::Stopping);
-  Task.StopBy = By;
-  Commands.push_back(StopRun{Task.Vm->Vm.Id, TaskRun{nameOf(Task), Task.Run}});
-}
-
 void PoolTables::place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run,
                        TimePoint Now) {
   Task.Run = Run;
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -39,8 +39,6 @@
   /// The task is done; gives its room back, if it has any.
   void finish(TaskRecord &Task);
   void setPhase(TaskRecord &Task, TaskPhase Phase);
-  /// Asks for the end of the task's run, which is expected by \p By.
-  void stop(TaskRecord &Task, TimePoint By);
 
   void changed(const JobRecord &Job) { Changed.insert(Job.Plan.Id); }
 
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -48,8 +48,6 @@
   VmRecord *Vm = nullptr;
   std::string Checkpoint;
   TimePoint PlacedAt{};
-  /// In the phase Stopping: when the run has ended at the latest.
-  TimePoint StopBy{};
   /// When the VM first confirmed the run, or that it will never come. The
   /// earliest time for a run that an earlier owner started.
   std::optional<TimePoint> ConfirmedAt;
@@ -150,9 +148,6 @@
   std::optional<TimePoint> ReservedUntil;
   /// Room at that time beside the blocked step.
   Capacity Spare;
-  /// Within a pass: room, also of tasks that are being stopped, that is meant
-  /// for blocked steps.
-  Capacity Promised;
   /// Fillers are held back at least until then.
   TimePoint PacedUntil{};
   milliseconds PaceTime{0};
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -51,14 +51,13 @@
 void SchedulingPass::run() {
   for (auto &[Id, Vm] : Tables_.Vms) {
     Vm->ReservedUntil.reset();
-    Vm->Promised = Capacity{};
     if (Vm->takesWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
       Open_.push_back(Vm.get());
   }
   gather();
   int Blocked = 0;
   for (const Candidate &Entry : Order_) {
-    placeStep(Entry);
+    placeStep(*Entry.Step);
     Blocked += Entry.Step->Blocked;
     if (Blocked >= Options_.BlockedLimit)
       return;
@@ -85,8 +84,7 @@
                    });
 }
 
-void SchedulingPass::placeStep(const Candidate &Entry) {
-  StepRecord &Step = *Entry.Step;
+void SchedulingPass::placeStep(StepRecord &Step) {
   if (Step.Plan->Gang)
     placeGang(Step);
   else
@@ -96,9 +94,6 @@
     return;
   }
   reportBlocked(Step);
-  // Late work is worth no more than what it would stop.
-  if (!Entry.Order.Hopeless && !Entry.Order.Late)
-    preemptFor(Step);
   if (Reservations_ < Options_.ReservedSteps)
     reserve(Step);
 }
@@ -329,68 +324,6 @@
   Tables_.Commands.push_back(std::move(Command));
 }
 
-bool SchedulingPass::mayPreempt(const StepRecord &Step,
-                                const TaskRecord &Task) const {
-  const StepPlan &Plan = *Task.Step->Plan;
-  const int Priority = Step.Occurrence->Job->Terms.Priority;
-  return Task.Phase == TaskPhase::Running && Plan.Checkpointing && !Plan.Gang &&
-         !Plan.LongRunning && !Plan.Fills &&
-         Task.Step->Occurrence->Job->Terms.Priority > Priority &&
-         Now_ - Task.PlacedAt >= Options_.LeastRun &&
-         expectedEnd(Task, Now_) > Now_ + Options_.StopTime;
-}
-
-bool SchedulingPass::preemptOne(const StepRecord &Step, VmRecord &Vm) {
-  TaskRecord *Victim = nullptr;
-  for (TaskRecord *Task : Vm.Tasks)
-    if (mayPreempt(Step, *Task) &&
-        (Victim == nullptr ||
-         expectedEnd(*Task, Now_) > expectedEnd(*Victim, Now_)))
-      Victim = Task;
-  if (Victim == nullptr)
-    return false;
-  Tables_.stop(*Victim, Now_ + Options_.StopTime);
-  Tables_.Notes.Preemptions.push_back(Preemption{
-      TaskRun{nameOf(*Victim), Victim->Run}, Vm.Vm.Id, nameOf(Step)});
-  ++Preemptions_;
-  return true;
-}
-
-void SchedulingPass::preemptFor(StepRecord &Step) {
-  if (Step.Plan->Gang || !Step.BlockedSince ||
-      Now_ - *Step.BlockedSince < Options_.PreemptAfter)
-    return;
-  const Capacity Need = Step.Plan->reserved();
-  int Missing = Step.Waiting;
-  const auto TakeComing = [&](VmRecord &Vm) {
-    const Capacity Coming =
-        freeAt(Vm, Now_ + Options_.StopTime, Now_) - Vm.Promised;
-    const int Fits = std::min(cuminroad::countFits(Coming, Need), Missing);
-    Vm.Promised += Need * Fits;
-    Missing -= Fits;
-  };
-  std::vector<VmRecord *> Usable;
-  forEachOpen(Step, [&](VmRecord &Vm) {
-    if (!eligible(Step, Vm))
-      return;
-    TakeComing(Vm);
-    Usable.push_back(&Vm);
-  });
-  for (VmRecord *Vm : Usable) {
-    Capacity Possible = freeAt(*Vm, Now_ + Options_.StopTime, Now_);
-    for (const TaskRecord *Task : Vm->Tasks)
-      if (mayPreempt(Step, *Task))
-        Possible += Task->Step->Plan->reserved();
-    int Fits = cuminroad::countFits(Possible - Vm->Promised, Need);
-    while (Fits-- > 0 && Missing > 0 &&
-           Preemptions_ < Options_.PreemptionsAPass) {
-      const int Before = Missing;
-      while (Missing == Before && preemptOne(Step, *Vm))
-        TakeComing(*Vm);
-    }
-  }
-}
-
 int SchedulingPass::countFits(const StepRecord &Step, const VmRecord &Vm,
                               TimePoint When) const {
   int Out = cuminroad::countFits(freeAt(Vm, When, Now_), Step.Plan->reserved());
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -30,7 +30,7 @@
   };
 
   void gather();
-  void placeStep(const Candidate &Entry);
+  void placeStep(StepRecord &Step);
   void placeTasks(StepRecord &Step);
   void placeGang(StepRecord &Step);
   bool spreadGang(StepRecord &Step, std::string_view Rack,
@@ -50,12 +50,6 @@
   bool reservationAllows(const StepRecord &Step, const VmRecord &Vm) const;
   double score(const StepRecord &Step, const VmRecord &Vm) const;
   void start(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
-  /// Stops less urgent tasks that save their work where the step's tasks could
-  /// then run.
-  void preemptFor(StepRecord &Step);
-  /// Stops the task on the VM that loses least; \returns whether there is one.
-  bool preemptOne(const StepRecord &Step, VmRecord &Vm);
-  bool mayPreempt(const StepRecord &Step, const TaskRecord &Task) const;
   void reserve(StepRecord &Step);
   void reportBlocked(StepRecord &Step);
   int countFits(const StepRecord &Step, const VmRecord &Vm,
@@ -70,7 +64,6 @@
   Capacity Largest_;
   bool LargestKnown_ = false;
   int Reservations_ = 0;
-  int Preemptions_ = 0;
 };
 
 } // namespace cuminroad
