Add a fault soak of the fleet, and mend three faults that it found

Faults come from outside, by seed, in series and overlapping: loopback relays on every link cut, delay, reset or silence it one way or both; daemons are killed, stopped, frozen, rolled, all at once; the store is busy, slow, loses answers or its history; VMs crash, hang, refuse, or carry orders out late. Checked: one run at a time, none after its end was recorded, room, order of steps, labels, and what callers were told.

A VM restarted under its id; a start sent before that was known was accepted by the new life, and the first report of the new life counted all tasks as lost though it listed that run.

In restartedVmHasNothingOfBefore the report is now asked for 1 ms after the start was confirmed, where both were the same instant: a report asked for then may be from before the start, and must not end it.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -84,6 +84,8 @@
   void holdAnswered(TimePoint SentAt, Result<HoldAnswer> Answer);
   void holdSucceeded(TimePoint SentAt, const HoldAnswer &Answer);
   void holdFailed(std::string_view Why);
+  /// Settles what was sent to the VM's earlier life.
+  void noteRestart();
   void holdLater(milliseconds Delay);
   void checkLapse();
   void tellLapsed();
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -1,6 +1,7 @@
 #include "cuminroad/fleet/VmLink.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cuminroad/fleet/LeaseTimes.h"
 
@@ -138,6 +139,8 @@
     Acknowledged_ = 0;
     LastEnd_ = 0;
     LatestLease_ = milliseconds(0);
+    if (Held_)
+      noteRestart();
   }
   const bool First = !Held_ || Failures_ > 0;
   if (!Held_ || Failures_ >= SilentAfter)
@@ -156,6 +159,14 @@
   holdLater(LastEnd_ > Acknowledged_ ? UnrecordedPause : HoldPause);
 }
 
+void VmLink::noteRestart() {
+  // Orders for the earlier life may reach this one, whose clock has just begun,
+  // so that no lease in them is over.
+  LatestLease_ = *VmClock_ + Options_.MaxLease;
+  for (const TaskRun &Run : std::exchange(OpenStarts_, {}))
+    stopRun(Run);
+}
+
 void VmLink::acknowledge(std::int64_t Born, std::int64_t Number) {
   if (Closed_ || Born != Born_ || Number <= Acknowledged_)
     return;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -240,3 +240,34 @@
   BOOST_CHECK_LE(Calls.Holds - Before, 40);
   BOOST_CHECK_GE(Calls.Holds - Before, 30);
 }
+
+BOOST_FIXTURE_TEST_CASE(openStartIsStoppedInTheNewLifeOfAVm, Fixture) {
+  // Found by the soak: an order meant for the earlier life may be carried out
+  // in the new one, whose clock has just begun, seconds later.
+  connect();
+  Home.runFor(milliseconds(500));
+  Calls.Decide = [](const std::string &) {
+    return OrderFate{OrderFate::Late, milliseconds(3000)};
+  };
+  Link->startRun(startOf(), "spec");
+  Calls.Decide = nullptr;
+  Vms.restart("a", 7);
+  Home.runFor(milliseconds(10000));
+  BOOST_CHECK_EQUAL(Stopped, 1);
+  BOOST_CHECK(Vms.History.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(restartedVmMayHoldTheLongestLease, Fixture) {
+  connect();
+  Home.runFor(milliseconds(500));
+  Vms.restart("a", 7);
+  while (LastAnswer.Born != 7)
+    Home.runFor(milliseconds(1));
+  const TimePoint Restarted = Home.Time.now();
+  Calls.Decide = [](const std::string &) {
+    return OrderFate{OrderFate::Lost, {}};
+  };
+  Home.runFor(milliseconds(20000));
+  BOOST_REQUIRE(LapsedAt);
+  BOOST_CHECK(*LapsedAt - Restarted >= VmLink::Options{}.MaxLease);
+}
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -64,7 +64,7 @@
   void stopTask(TaskRecord &Task);
   void reportRunning(VmRecord &Vm, const RunningTask &Report);
   void dropMissing(VmRecord &Vm, std::span<const RunningTask> Running,
-                   TimePoint AskedAt);
+                   TimePoint AskedAt, std::string_view Reason);
   void noteCheckpoint(TaskRecord &Task, const std::string &Checkpoint);
   /// Counts the failure of a task that is on its VM against the VM.
   void countFailure(const TaskRecord &Task);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -127,8 +127,15 @@
   StepRecord &Step = *Task.Step;
   JobRecord &Job = *Step.Occurrence->Job;
   countFailure(Task);
+  // The members fail together; the first end stands for all.
+  const bool Counted =
+      Step.Plan->Gang && std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                     [&Task](const TaskRecord &Member) {
+                                       return Member.Run == Task.Run &&
+                                              !Member.onVm();
+                                     });
   Tables_.release(Task);
-  if (Step.Plan->LongRunning)
+  if (Step.Plan->LongRunning || Counted)
     return;
   const int Failures = Step.Plan->Gang ? ++Step.GangFailures : ++Task.Failures;
   if (Failures >= Job.Terms.Attempts) {
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -30,8 +30,10 @@
 
 void PoolSchedulerImpl::vmListed(const PoolVm &Listed) {
   VmRecord &Vm = Tables_.makeVm(Listed.Id);
+  // What runs in a new life is known from its first report: a start may have
+  // reached it.
   if (Vm.Vm.Born != 0 && Vm.Vm.Born != Listed.Born)
-    emptyVm(Vm, "vm_restarted");
+    Vm.Claimed = false;
   const bool WasLeaving = Vm.Vm.Leaving;
   Vm.Vm = Listed;
   Vm.Listed = true;
@@ -59,17 +61,16 @@
   VmRecord *Vm = Tables_.vm(Id);
   if (Vm == nullptr)
     return;
-  if (Vm->Vm.Born != Born) {
-    emptyVm(*Vm, "vm_restarted");
-    Vm->Vm.Born = Born;
-  }
+  const bool Restarted = Vm->ReportedBorn != 0 && Vm->ReportedBorn != Born;
+  Vm->ReportedBorn = Born;
+  Vm->Vm.Born = Born;
   if (!Vm->Claimed)
     ++Tables_.VmsVersion;
   Vm->Claimed = true;
   dropStrangers(*Vm);
   for (const RunningTask &Report : Running)
     reportRunning(*Vm, Report);
-  dropMissing(*Vm, Running, AskedAt);
+  dropMissing(*Vm, Running, AskedAt, Restarted ? "vm_restarted" : "not_on_vm");
   paceFillers(*Vm);
 }
 
@@ -115,7 +116,8 @@
 
 void PoolSchedulerImpl::dropMissing(VmRecord &Vm,
                                     std::span<const RunningTask> Running,
-                                    TimePoint AskedAt) {
+                                    TimePoint AskedAt,
+                                    std::string_view Reason) {
   std::set<const TaskRecord *> Seen;
   for (const RunningTask &Report : Running)
     Seen.insert(current(&Vm, Report.Run));
@@ -124,7 +126,7 @@
     // A start that was not answered yet may still be on its way.
     const bool Settled = Task->ConfirmedAt && *Task->ConfirmedAt < AskedAt;
     if (Settled && !Seen.contains(Task))
-      lose(*Task, "not_on_vm");
+      lose(*Task, Reason);
   }
 }
 
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -131,6 +131,8 @@
   /// Its lease is held, and all that runs on it is known.
   bool Claimed = false;
   bool Listed = true;
+  /// The life that the last report was of; 0 before the first.
+  std::int64_t ReportedBorn = 0;
   Capacity Used;
   std::set<TaskRecord *> Tasks;
   /// Runs on the VM that belong to no unfinished task; they are being stopped.
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -208,6 +208,8 @@
                     Time.now());
   pass();
   accept(Starts.at(0));
+  // A report asked for at this very moment may be from before the start.
+  Time.advance(milliseconds(1));
   Scheduler->vmReported("a", 2, {}, Time.now());
   pass();
   BOOST_REQUIRE_EQUAL(Starts.size(), 1);
@@ -295,3 +297,69 @@
   Scheduler->forgetJob("j");
   BOOST_CHECK(!Scheduler->stage("j"));
 }
+
+BOOST_FIXTURE_TEST_CASE(restartedVmKeepsWhatItsNewLifeRuns, SchedulerTrial) {
+  // A start that was sent before the restart was known reached the new life;
+  // elsewhere it would be a second run.
+  addVm(makeVm("a", Big));
+  addVm(makeVm("b", Big));
+  Scheduler->addJob(makeJob("j", {makeStep(2, Small)}), makeQueue(),
+                    Time.now());
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 2);
+  const auto Runs = Starts;
+  for (const StartRun &Start : Runs)
+    accept(Start);
+  Time.advance(milliseconds(10));
+  PoolVm Restarted = makeVm(Runs[0].Vm, Big);
+  Restarted.Born = 2;
+  Scheduler->vmListed(Restarted);
+  Scheduler->vmReported(Runs[0].Vm, 2,
+                        std::vector{RunningTask{Runs[0].Run, "", 10, 0}},
+                        Time.now());
+  BOOST_CHECK(Scheduler->wants(Runs[0].Vm, Runs[0].Run));
+  // The other one is not there.
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  BOOST_CHECK(Starts[0].Run.Task == Runs[1].Run.Task);
+  BOOST_CHECK_EQUAL(Scheduler->takeNotes().Losses[0].Reason, "vm_restarted");
+}
+
+BOOST_FIXTURE_TEST_CASE(startOnItsWayToARestartedVmIsNotPlacedElsewhere,
+                        SchedulerTrial) {
+  addVm(makeVm("a", Big));
+  Scheduler->addJob(makeJob("j", {makeStep(1, Small)}), makeQueue(),
+                    Time.now());
+  pass();
+  const StartRun First = Starts.at(0);
+  addVm(makeVm("b", Big));
+  Scheduler->vmReported("a", 2, {}, Time.now());
+  pass();
+  BOOST_CHECK(Starts.empty());
+  // The new life took the stop: the run can't begin there any more.
+  Scheduler->stopAnswered("a", First.Run);
+  Time.advance(milliseconds(10));
+  Scheduler->vmReported("a", 2, {}, Time.now());
+  pass();
+  BOOST_CHECK_EQUAL(Starts.size(), 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(gangThatFailsOnAllItsVmsHasFailedOnce, SchedulerTrial) {
+  addVm(makeVm("a", Small));
+  addVm(makeVm("b", Small));
+  StepPlan Gang = makeStep(2, Small);
+  Gang.Gang = true;
+  QueueTerms Queue = makeQueue();
+  Queue.Attempts = 2;
+  Scheduler->addJob(makeJob("g", {Gang}), Queue, Time.now());
+  for (int Round = 0; Round < 2; ++Round) {
+    BOOST_CHECK(Scheduler->stage("g") != JobStage::Failed);
+    pass();
+    BOOST_REQUIRE_EQUAL(Starts.size(), 2);
+    const auto Members = Starts;
+    for (const StartRun &Start : Members)
+      end(Start, RunEnd::Failed);
+    Time.advance(milliseconds(500));
+  }
+  BOOST_CHECK(Scheduler->stage("g") == JobStage::Failed);
+}
--- /dev/null
+++ b/tests/support/fleet_faults.py
@@ -0,0 +1,182 @@
+"""Faults of a fleet trial: functions of the trial and a length in seconds."""
+
+import random
+import signal
+import time
+
+
+def owner_or_any(trial):
+    """The daemon that acted last, as a rule the pool's owner."""
+    return random.choice(trial.daemons)
+
+
+def kill_daemon(trial, seconds):
+    daemon = owner_or_any(trial)
+    trial.kill(daemon)
+    time.sleep(seconds)
+    trial.start(daemon)
+
+
+def stop_daemon(trial, seconds):
+    daemon = owner_or_any(trial)
+    trial.kill(daemon, signal.SIGTERM)
+    time.sleep(seconds / 4)
+    trial.start(daemon)
+
+
+def roll_daemons(trial, seconds):
+    for daemon in trial.daemons:
+        trial.kill(daemon, signal.SIGTERM)
+        trial.start(daemon)
+        time.sleep(seconds / len(trial.daemons))
+
+
+def freeze_daemon(trial, seconds):
+    daemon = owner_or_any(trial)
+    trial.signal(daemon, signal.SIGSTOP)
+    time.sleep(seconds)
+    trial.signal(daemon, signal.SIGCONT)
+
+
+def power_off_all(trial, seconds):
+    for daemon in trial.daemons:
+        trial.kill(daemon)
+    time.sleep(seconds / 4)
+    for daemon in trial.daemons:
+        trial.start(daemon)
+
+
+def hang_up(trial, seconds):
+    for daemon in trial.daemons:
+        trial.signal(daemon, signal.SIGHUP)
+        time.sleep(seconds / len(trial.daemons))
+
+
+def cut_links(trial, pairs, seconds, directions=("forth", "back")):
+    for source, target in pairs:
+        trial.network.cut(source, target, directions)
+    time.sleep(seconds)
+    for source, target in pairs:
+        for link in trial.network.between(source, target):
+            link.heal()
+
+
+def cut_daemon_from_store(trial, seconds):
+    cut_links(trial, [(owner_or_any(trial).name, "store")], seconds)
+
+
+def cut_daemon_one_way(trial, seconds):
+    cut_links(trial, [(owner_or_any(trial).name, None)], seconds,
+              random.choice((("forth",), ("back",))))
+
+
+def cut_daemon_from_vms(trial, seconds):
+    name = owner_or_any(trial).name
+    cut_links(trial, [(name, vm.name) for vm in trial.vms], seconds)
+
+
+def cut_vm(trial, seconds):
+    cut_links(trial, [(None, random.choice(trial.vms).name)], seconds)
+
+
+def cut_zone(trial, seconds):
+    zone = random.choice(trial.zones)
+    inside = {each.name for each in trial.daemons + trial.vms
+              if each.zone == zone}
+    pairs = [(daemon.name, target.name)
+             for daemon in trial.daemons for target in trial.daemons + trial.vms
+             if (daemon.name in inside) != (target.name in inside)]
+    pairs += [(daemon.name, platform) for daemon in trial.daemons
+              if daemon.name in inside for platform in ("store", "advisor")]
+    cut_links(trial, pairs, seconds)
+
+
+def delay_links(trial, seconds):
+    name = owner_or_any(trial).name
+    trial.network.delay(name, None, 0.2)
+    time.sleep(seconds)
+    trial.network.delay(name, None, 0)
+
+
+def reset_links(trial, seconds):
+    """Healing a cut link closes what was open on it."""
+    for _ in range(3):
+        cut_links(trial, [(None, None)], 0.02)
+        time.sleep(seconds / 3)
+
+
+def cut_advisor(trial, seconds):
+    cut_links(trial, [(None, "advisor")], seconds)
+
+
+def store_busy(trial, seconds):
+    trial.store.busy = True
+    time.sleep(seconds)
+    trial.store.busy = False
+
+
+def store_silent(trial, seconds):
+    cut_links(trial, [(None, "store")], seconds)
+
+
+def store_slow(trial, seconds):
+    trial.store.slow_s = 0.15
+    time.sleep(seconds)
+    trial.store.slow_s = 0
+
+
+def store_loses_answers(trial, seconds):
+    trial.store.lose_share = 0.3
+    time.sleep(seconds)
+    trial.store.lose_share = 0
+
+
+def store_forgets(trial, seconds):
+    for _ in range(3):
+        trial.store.forget_history()
+        time.sleep(seconds / 3)
+
+
+def crash_vm(trial, seconds):
+    random.choice(trial.vms).restart()
+    time.sleep(seconds)
+
+
+def set_on_some(trial, seconds, field, value, normal):
+    some = random.sample(trial.vms, 2)
+    for vm in some:
+        setattr(vm, field, value)
+    time.sleep(seconds)
+    for vm in some:
+        setattr(vm, field, normal)
+
+
+def vms_unhealthy(trial, seconds):
+    set_on_some(trial, seconds, "unhealthy", True, False)
+
+
+def tasks_stand_still(trial, seconds):
+    set_on_some(trial, seconds, "hangs", True, False)
+
+
+def orders_late(trial, seconds):
+    set_on_some(trial, seconds, "late_share", 0.5, 0)
+
+
+def change_config(trial, seconds):
+    for _ in range(4):
+        trial.write_config()
+        time.sleep(seconds / 4)
+
+
+ALL = [kill_daemon, stop_daemon, roll_daemons, freeze_daemon, power_off_all,
+       hang_up, cut_daemon_from_store, cut_daemon_one_way, cut_daemon_from_vms,
+       cut_vm, cut_zone, delay_links, reset_links, cut_advisor, store_busy,
+       store_silent, store_slow, store_loses_answers, store_forgets, crash_vm,
+       vms_unhealthy, tasks_stand_still, orders_late, change_config]
+
+
+def draw(rng, count, seconds):
+    """Faults that come in series and overlap."""
+    return [(rng.uniform(1, seconds), rng.choice(ALL), rng.uniform(0.5, 5))
+            for _ in range(count)]
--- /dev/null
+++ b/tests/support/fleet_load.py
@@ -0,0 +1,108 @@
+"""Callers of the fleet: they hand jobs in and ask for them until they end."""
+
+import http.client
+import json
+import threading
+import time
+
+import cluster
+
+VISIBLE_S = 3
+PAUSE_S = 0.25
+
+
+class Load:
+    def __init__(self, trial, rng):
+        self.trial, self.rng = trial, rng
+        self.calls = []
+        self.threads = []
+        self.stopped = False
+
+    def make_job(self):
+        steps = []
+        for number in range(self.rng.randint(1, 3)):
+            step = {"count": self.rng.randint(1, 6),
+                    "cpu": self.rng.choice((500, 1000, 2000, 4000)),
+                    "mem_mb": 200, "estimate_ms": self.rng.randint(50, 900)}
+            if number:
+                step["after"] = [number - 1]
+            if self.rng.random() < 0.15:
+                step.update(gang=True, count=2)
+            elif self.rng.random() < 0.2:
+                step["anti_affinity"] = 2
+            if self.rng.random() < 0.2:
+                step["requires"] = self.rng.choice(self.trial.zones)
+            steps.append(step)
+        spec = json.dumps({"fails": self.rng.choice((0, 0, 0.1))})
+        return {"spec": spec, "steps": steps}
+
+    def run(self, seconds, per_second):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            job = "%016x" % self.rng.getrandbits(64)
+            body = self.make_job()
+            self.trial.world.jobs[job] = body
+            queue = self.rng.choice(list(self.trial.queues))
+            call = {"job": job, "queue": queue, "state": None, "problems": [],
+                    "accepted": None, "refused": False, "cancelled": False,
+                    "attempts": self.trial.queues[queue]["attempts"]}
+            self.calls.append(call)
+            cancels = self.rng.random() < 0.05
+            thread = threading.Thread(target=self.follow, daemon=True,
+                                      args=(call, body, cancels))
+            thread.start()
+            self.threads.append(thread)
+            time.sleep(self.rng.expovariate(per_second))
+
+    def ask(self, method, call, body=None):
+        """Returns (status, body), or (None, None) where nothing is known."""
+        daemon = self.trial.rng_daemon()
+        path = self.trial.queues[call["queue"]]["path_prefix"] + call["job"]
+        headers = {"Host": "h", "Deadline-Ms": "3000",
+                   "Content-Type": "application/json"}
+        try:
+            status, _, text = cluster.call(daemon.front, method, path, body,
+                                           headers, timeout=3.5)
+            return status, json.loads(text) if text else {}
+        except (OSError, http.client.HTTPException, ValueError):
+            return None, None
+
+    def follow(self, call, body, cancels):
+        self.submit(call, body)
+        if call["refused"]:
+            return
+        while not self.stopped and call["state"] is None:
+            time.sleep(PAUSE_S)
+            if cancels and not call["cancelled"]:
+                # It may have been carried out whatever the answer is.
+                call["cancelled"] = True
+                self.ask("DELETE", call)
+            asked = time.monotonic()
+            status, answer = self.ask("GET", call)
+            if status == 200 and answer["state"] in ("completed", "failed",
+                                                     "cancelled"):
+                call["state"] = answer["state"]
+            known_for = asked - (call["accepted"] or asked)
+            if status == 410 and known_for > VISIBLE_S:
+                call["problems"].append("410 %.1f s after it was accepted" %
+                                        known_for)
+                return
+            if status == 410 and call["accepted"] is None:
+                return
+
+    def submit(self, call, body):
+        unknown = False
+        for _ in range(20):
+            status, _ = self.ask("POST", call, body)
+            if status == 200:
+                call["accepted"] = time.monotonic()
+                return
+            if status in (429, 503):
+                # True of this try; one before may have been carried out.
+                call["refused"] = not unknown
+                return
+            if status not in (None, 502, 504):
+                call["problems"].append("POST was answered %s" % status)
+                return
+            unknown = True
+            time.sleep(PAUSE_S)
