Count a run that ended before it was given up

The owner had given the run up and started another; it took note of the end, but as of a run that nobody waits for, so that the platform, which counts an end that is acknowledged, expected the next step to start while the owner waited 12 s for the second run.

Such an end now finishes the task, and the newer run is stopped; its room stays taken until it has ended. Tests that failed first: two in RunsTest.

Ruled out: advice (asked and answered for the next step), quarantine and holds (35 of 35 VMs held).

--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -57,6 +57,31 @@
   }
   if (TaskRecord *Task = current(Vm, End.Run))
     ended(*Task, End, *Vm);
+  else if (End.How == RunEnd::Done)
+    endedEarlier(End.Run);
+}
+
+void PoolSchedulerImpl::endedEarlier(const TaskRun &Run) {
+  TaskRecord *Task = Tables_.task(Run.Task);
+  if (Task == nullptr || Task->Phase == TaskPhase::Done ||
+      Run.Number > Task->Run || Task->Step->Plan->LongRunning ||
+      isFinal(Task->Step->Occurrence->Job->Stage))
+    return;
+  if (Task->Step->Plan->Gang)
+    for (TaskRecord &Member : Task->Step->Tasks)
+      disown(Member);
+  else
+    disown(*Task);
+  finishTask(*Task);
+}
+
+void PoolSchedulerImpl::disown(TaskRecord &Task) {
+  if (!Task.onVm())
+    return;
+  VmRecord &Vm = *Task.Vm;
+  const TaskRun Run{nameOf(Task), Task.Run};
+  Tables_.release(Task);
+  stopStranger(Vm, Run, Task.Step->Plan->reserved());
 }
 
 void PoolSchedulerImpl::ended(TaskRecord &Task, const TaskEnd &End,
@@ -106,6 +131,11 @@
   if (Step.Plan->LongRunning)
     return Tables_.release(Task);
   noteRunTime(Task, Vm);
+  finishTask(Task);
+}
+
+void PoolSchedulerImpl::finishTask(TaskRecord &Task) {
+  StepRecord &Step = *Task.Step;
   Tables_.finish(Task);
   // The members of a gang end together; one end stands for all.
   if (Step.Plan->Gang)
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -80,11 +80,8 @@
     // Nobody waits for this run, for instance since its job was cancelled
     // under an earlier owner. It takes room until it is gone.
     const StepRecord *Step = Tables_.step(Report.Run.Task.Step);
-    const Capacity Size =
-        Step != nullptr ? Step->Plan->reserved() : Vm.Vm.Total;
-    if (Vm.Strangers.emplace(Report.Run, Size).second)
-      Vm.Used += Size;
-    Tables_.Commands.push_back(StopRun{Vm.Vm.Id, Report.Run});
+    stopStranger(Vm, Report.Run,
+                 Step != nullptr ? Step->Plan->reserved() : Vm.Vm.Total);
     return;
   }
   const TimePoint Now = Time_.now();
@@ -103,6 +100,13 @@
   noteCheckpoint(*Task, Report.Checkpoint);
 }
 
+void PoolSchedulerImpl::stopStranger(VmRecord &Vm, const TaskRun &Run,
+                                     const Capacity &Size) {
+  if (Vm.Strangers.emplace(Run, Size).second)
+    Vm.Used += Size;
+  Tables_.Commands.push_back(StopRun{Vm.Vm.Id, Run});
+}
+
 void PoolSchedulerImpl::noteCheckpoint(TaskRecord &Task,
                                        const std::string &Checkpoint) {
   if (Checkpoint.empty() || Checkpoint == Task.Checkpoint)
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -363,3 +363,58 @@
   }
   BOOST_CHECK(Scheduler->stage("g") == JobStage::Failed);
 }
+
+BOOST_FIXTURE_TEST_CASE(runThatEndedBeforeItWasGivenUpCounts, SchedulerTrial) {
+  // Pattern: a VM that is cut off ends a run in time, and tells of it after its
+  // lease has lapsed. The platform counts that end, so that a second run is
+  // wasted and the steps behind wait for it.
+  addVm(makeVm("a", Small));
+  StepPlan Second = makeStep(1, Small);
+  Second.After = {0};
+  Scheduler->addJob(makeJob("j", {makeStep(1, Small), Second}), makeQueue(),
+                    Time.now());
+  pass();
+  const StartRun First = Starts.at(0);
+  accept(First);
+  Scheduler->vmEmptied("a");
+  addVm(makeVm("b", Small));
+  pass();
+  const StartRun Again = Starts.at(0);
+  accept(Again);
+  end(First, RunEnd::Done);
+  report("a", {});
+  pass();
+  BOOST_REQUIRE_EQUAL(Stops.size(), 1);
+  BOOST_CHECK(Stops[0].Run == Again.Run);
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  BOOST_CHECK_EQUAL(Starts[0].Run.Task.Step.Step, 1);
+  BOOST_CHECK_EQUAL(Starts[0].Vm, "a");
+  // The room of the needless run is free once it has ended.
+  BOOST_CHECK_EQUAL(Scheduler->load().Strangers, 1);
+  end(Again, RunEnd::Stopped);
+  BOOST_CHECK_EQUAL(Scheduler->load().Strangers, 0);
+  end(Starts[0], RunEnd::Done);
+  BOOST_CHECK(Scheduler->stage("j") == JobStage::Completed);
+}
+
+BOOST_FIXTURE_TEST_CASE(gangRunThatEndedBeforeItWasGivenUpCounts,
+                        SchedulerTrial) {
+  addVm(makeVm("a", Small));
+  addVm(makeVm("b", Small));
+  StepPlan Gang = makeStep(2, Small);
+  Gang.Gang = true;
+  Scheduler->addJob(makeJob("g", {Gang}), makeQueue(), Time.now());
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 2);
+  const auto First = Starts;
+  Scheduler->vmEmptied("a");
+  Scheduler->vmEmptied("b");
+  report("a", {});
+  report("b", {});
+  pass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 2);
+  end(First[0], RunEnd::Done);
+  pass();
+  BOOST_CHECK_EQUAL(Stops.size(), 2);
+  BOOST_CHECK(Scheduler->stage("g") == JobStage::Completed);
+}
