Count a gang's failures by its runs, also over a change of owner

The step now keeps the last run that counted, in its progress row as well, so that a later owner does not count the second member again. Rows without it are read as before.

--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -32,6 +32,8 @@
   bool Done = false;
   int GangFailures = 0;
   std::vector<TaskProgress> Tasks;
+  /// The last run of a gang that was counted as failed.
+  std::int64_t GangFailedRun = 0;
 };
 
 /// One occurrence of a job.
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -40,7 +40,7 @@
   nlohmann::json Tasks = nlohmann::json::array();
   for (const TaskProgress &Task : Step.Tasks)
     Tasks.push_back(taskToJson(Task));
-  return {Step.Step, Step.GangFailures, std::move(Tasks)};
+  return {Step.Step, Step.GangFailures, std::move(Tasks), Step.GangFailedRun};
 }
 
 StepProgress stepFromJson(const nlohmann::json &Input) {
@@ -54,6 +54,9 @@
   Out.GangFailures = Input.at(1).get<int>();
   for (const nlohmann::json &Task : Input.at(2))
     Out.Tasks.push_back(taskFromJson(Task));
+  // Rows of earlier versions end here.
+  if (Input.size() > 3)
+    Out.GangFailedRun = Input.at(3).get<std::int64_t>();
   return Out;
 }
 
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -62,6 +62,7 @@
       continue;
     StepRecord &Step = Occurrence.Steps[static_cast<std::size_t>(Each.Step)];
     Step.GangFailures = Each.GangFailures;
+    Step.GangFailedRun = Each.GangFailedRun;
     if (Each.Done)
       for (TaskRecord &Task : Step.Tasks)
         Tables_.setPhase(Task, TaskPhase::Done);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -157,17 +157,17 @@
   StepRecord &Step = *Task.Step;
   JobRecord &Job = *Step.Occurrence->Job;
   countFailure(Task);
-  // The members fail together; the first end stands for all.
-  const bool Counted =
-      Step.Plan->Gang && std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
-                                     [&Task](const TaskRecord &Member) {
-                                       return Member.Run == Task.Run &&
-                                              !Member.onVm();
-                                     });
   Tables_.release(Task);
-  if (Step.Plan->LongRunning || Counted)
+  if (Step.Plan->LongRunning)
     return;
-  const int Failures = Step.Plan->Gang ? ++Step.GangFailures : ++Task.Failures;
+  int Failures = 0;
+  if (!Step.Plan->Gang) {
+    Failures = ++Task.Failures;
+  } else if (Task.Run > Step.GangFailedRun) {
+    // Other members that fail in this run count no more.
+    Step.GangFailedRun = Task.Run;
+    Failures = ++Step.GangFailures;
+  }
   if (Failures >= Job.Terms.Attempts) {
     finishJob(Job, JobStage::Failed);
     settleJob(Job);
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -180,6 +180,7 @@
   Out.Step = Step.Number;
   Out.Done = Step.complete();
   Out.GangFailures = Step.GangFailures;
+  Out.GangFailedRun = Step.GangFailedRun;
   if (!Out.Done)
     for (const TaskRecord &Task : Step.Tasks)
       if (Task.Phase == TaskPhase::Done || Task.Run > 0)
--- a/packages/pool/src/Records.h
+++ b/packages/pool/src/Records.h
@@ -78,6 +78,8 @@
   int Done = 0;
   int OnVms = 0;
   int GangFailures = 0;
+  /// The last run of the gang that was counted as failed.
+  std::int64_t GangFailedRun = 0;
   /// Tasks that wait, so that a pass need not look for them.
   int Waiting = 0;
   /// The VMs that may run the step, once the advisor was asked.
