Bound the steps that are looked at for renewals in a pass

Cause: since only steps with VMs coming count against the 16 whose tickets are kept fresh, a pass on a crowded pool looked through the VMs of all waiting steps, by the hundred. Now 64 at most, the most urgent.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -20,6 +20,9 @@
   milliseconds StartDelay{100};
   /// Waiting steps whose tickets are kept fresh.
   int FreshSteps = 16;
+  /// Waiting steps that are looked at for that; to look at hundreds that have
+  /// no room coming would take the time from those that have.
+  int RenewalLooks = 64;
   /// Blocked steps after which a pass ends: those behind are less urgent, and
   /// looking at thousands of them would take the time from those before.
   int BlockedLimit = 150;
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -72,6 +72,7 @@
                      return Left.Order < Right.Order;
                    });
   int Fresh = Options_.FreshSteps;
+  int Looks = Options_.RenewalLooks;
   for (const Waiting &Entry : Waiting_) {
     if (Open >= Options_.MaxQuestions)
       return;
@@ -80,7 +81,7 @@
     if (!Ready && !soonReady(Step))
       continue;
     askAboutNewVms(Step);
-    if (Ready && !Step.Asking && Fresh > 0)
+    if (Ready && !Step.Asking && Fresh > 0 && Looks-- > 0)
       Fresh -= renewTickets(Step);
     Open += Step.Asking;
   }
