--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -12,38 +12,42 @@
 /// Most VMs that one call may name.
 constexpr std::size_t MaxAskedVms = 100;
 
-/// A VM to ask about. Nothing runs on VMs in quarantine, so that by room alone
-/// they would always come first.
-struct Choice {
+/// A VM to ask about.
+struct RankedVm {
+  /// Nothing runs on VMs in quarantine, so that by room alone they would always
+  /// come first.
   bool InQuarantine;
-  int LessRoom;
+  /// How many of the step's tasks fit.
+  int Room;
   VmRecord *Vm;
 };
 
-bool better(const Choice &Left, const Choice &Right) {
-  return std::tie(Left.InQuarantine, Left.LessRoom, Left.Vm->Vm.Id) <
-         std::tie(Right.InQuarantine, Right.LessRoom, Right.Vm->Vm.Id);
+/// The most room first.
+void sortByRoom(std::vector<RankedVm> &Vms) {
+  std::sort(Vms.begin(), Vms.end(),
+            [](const RankedVm &Left, const RankedVm &Right) {
+              return std::tie(Left.InQuarantine, Right.Room, Left.Vm->Vm.Id) <
+                     std::tie(Right.InQuarantine, Left.Room, Right.Vm->Vm.Id);
+            });
 }
 
 /// Keeps the \p Most VMs with the least room that together hold all \p Tasks,
 /// or those with the most. Whole VMs are left to steps that need them.
-void keepTightest(std::vector<Choice> &Sorted, int Tasks, std::size_t Most) {
-  const std::size_t Size = std::min(Sorted.size(), Most);
+void keepTightest(std::vector<RankedVm> &Vms, int Tasks, std::size_t Most) {
+  sortByRoom(Vms);
+  const std::size_t Size = std::min(Vms.size(), Most);
   int Room = 0;
-  std::size_t First = 0;
   for (std::size_t Index = 0; Index < Size; ++Index)
-    Room -= Sorted[Index].LessRoom;
-  while (First + Size < Sorted.size()) {
-    const Choice &Next = Sorted[First + Size];
-    const int Then = Room + Sorted[First].LessRoom - Next.LessRoom;
-    if (Then < Tasks || Next.InQuarantine)
+    Room += Vms[Index].Room;
+  std::size_t First = 0;
+  for (; First + Size < Vms.size(); ++First) {
+    const RankedVm &Next = Vms[First + Size];
+    Room += Next.Room - Vms[First].Room;
+    if (Room < Tasks || Next.InQuarantine)
       break;
-    Room = Then;
-    ++First;
   }
-  Sorted.erase(Sorted.begin(),
-               Sorted.begin() + static_cast<std::ptrdiff_t>(First));
-  Sorted.resize(Size);
+  Vms.erase(Vms.begin(), Vms.begin() + static_cast<std::ptrdiff_t>(First));
+  Vms.resize(Size);
 }
 
 milliseconds toMillis(double Ms) {
@@ -121,18 +125,18 @@
   if (!Step.AskedVms.empty() && !Stuck)
     return;
   const Capacity Need = Step.Plan->reserved();
-  std::vector<Choice> New;
+  std::vector<RankedVm> New;
   for (const auto &[Id, Vm] : Tables_.Vms) {
     const auto Asked = Step.AskedVms.find(Vm.get());
     if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
         (Asked != Step.AskedVms.end() && Asked->second == Vm->Vm.Born))
       continue;
     const int Room = std::min(countFits(Vm->free(), Need), Step.Plan->Tasks);
-    New.push_back(Choice{Vm->inQuarantine(Now_), -Room, Vm.get()});
+    New.push_back(RankedVm{Vm->inQuarantine(Now_), Room, Vm.get()});
   }
   if (New.empty())
     return;
-  std::sort(New.begin(), New.end(), better);
+  sortByRoom(New);
   // A call costs the advisor's decision whatever it names: a step that is stuck
   // asks about all that is left at once.
   const std::size_t Most =
@@ -143,7 +147,7 @@
   New.resize(std::min(New.size(), Most));
   std::vector<std::string> Vms;
   Vms.reserve(New.size());
-  for (const Choice &Each : New)
+  for (const RankedVm &Each : New)
     Vms.push_back(Each.Vm->Vm.Id);
   ask(Step, std::move(Vms), false);
 }
@@ -160,21 +164,20 @@
     return Step.ReservedAt <= Then ? Step.ReservedVms
                                    : std::vector<VmRecord *>();
   const Capacity Need = Step.Plan->reserved();
-  std::vector<Choice> Best;
+  std::vector<RankedVm> Best;
   for (const auto &[Vm, Ticket] : Step.Good) {
     if (!Vm->takesWork() || !suits(*Step.Plan, *Vm) ||
         Ticket.Born != Vm->Vm.Born)
       continue;
     const int Room = countFits(freeAt(*Vm, Then, Now_), Need);
     if (Room > 0)
-      Best.push_back(Choice{Vm->inQuarantine(Now_), -Room, Vm});
+      Best.push_back(RankedVm{Vm->inQuarantine(Now_), Room, Vm});
   }
-  std::sort(Best.begin(), Best.end(), better);
   keepTightest(Best, Step.Waiting,
                static_cast<std::size_t>(Options_.RenewedVms));
   std::vector<VmRecord *> Out;
   Out.reserve(Best.size());
-  for (const Choice &Each : Best)
+  for (const RankedVm &Each : Best)
     Out.push_back(Each.Vm);
   return Out;
 }
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -75,7 +75,7 @@
   void ended(TaskRecord &Task, const TaskEnd &End, VmRecord &Vm);
   void endedDone(TaskRecord &Task, VmRecord &Vm);
   /// An end as done of a run that was given up: it counts all the same.
-  void endedEarlier(const TaskRun &Run);
+  void earlierRunDone(const TaskRun &Run);
   /// Stops the task's run, if it has one, as one that nobody waits for.
   void disown(TaskRecord &Task);
   /// Stops a run that belongs to no unfinished task; it takes room until then.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -58,10 +58,10 @@
   if (TaskRecord *Task = current(Vm, End.Run))
     ended(*Task, End, *Vm);
   else if (End.How == RunEnd::Done)
-    endedEarlier(End.Run);
+    earlierRunDone(End.Run);
 }
 
-void PoolSchedulerImpl::endedEarlier(const TaskRun &Run) {
+void PoolSchedulerImpl::earlierRunDone(const TaskRun &Run) {
   TaskRecord *Task = Tables_.task(Run.Task);
   if (Task == nullptr || Task->Phase == TaskPhase::Done ||
       Run.Number > Task->Run || Task->Step->Plan->LongRunning ||
