--- /dev/null
+++ b/tests/support/soak_seeds.py
@@ -0,0 +1,40 @@
+"""The command line of the soaks, which play seeds one after the other."""
+
+import argparse
+import os
+import random
+import sys
+
+
+def play(seed, names, run, summary):
+    """Runs one trial and prints a line; returns whether it passed."""
+    try:
+        run()
+    except BaseException as error:
+        print("seed %d FAILED (%s): %s" % (seed, names, error), flush=True)
+        return False
+    print("seed %d ok (%s): %s" % (seed, names, summary()), flush=True)
+    return True
+
+
+def main(description, run_seed, add_options=None, before=None):
+    """run_seed(seed, options) returns whether the seed passed. before(options)
+    returns whether it did all that was asked."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=20)
+    if add_options:
+        add_options(parser)
+    options = parser.parse_args()
+    os.environ["CUMINROAD_BUILD"] = os.path.abspath(options.build)
+    if before and before(options):
+        return
+    seeds = range(options.first, options.first + options.seeds)
+    failed = []
+    for seed in seeds:
+        random.seed(seed)
+        if not run_seed(seed, options):
+            failed.append(seed)
+    print("%d of %d seeds failed: %s" % (len(failed), len(seeds), failed))
+    sys.exit(1 if failed else 0)
