--- a/packages/pool/src/Urgency.h
+++ b/packages/pool/src/Urgency.h
@@ -1,7 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_URGENCY_H
 #define CUMINROAD_POOL_SRC_URGENCY_H
 
-#include <compare>
+#include <tuple>
 
 #include "Records.h"
 #include "cuminroad/pool/PoolOptions.h"
@@ -17,7 +17,10 @@
   bool Late = false;
   TimePoint Deadline{};
 
-  auto operator<=>(const Urgency &) const = default;
+  friend bool operator<(const Urgency &Left, const Urgency &Right) {
+    return std::tie(Left.Hopeless, Left.Priority, Left.Late, Left.Deadline) <
+           std::tie(Right.Hopeless, Right.Priority, Right.Late, Right.Deadline);
+  }
 };
 
 /// The urgency of all steps of an occurrence.
