--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -57,30 +57,17 @@
 } // namespace
 
 void AdvicePlanner::run() {
-  int Open = 0;
-  for (const auto &[Id, Job] : Tables_.Jobs) {
-    if (isFinal(Job->Stage) || !Job->Terms.Advice)
-      continue;
-    for (const auto &[Number, Occurrence] : Job->Occurrences) {
-      const Urgency Order = urgencyOf(*Occurrence, Options_, Now_);
-      for (StepRecord &Step : Occurrence->Steps) {
-        Open += Step.Asking;
-        if (Step.Waiting > 0 && !Step.Asking)
-          Waiting_.push_back(Waiting{Order, &Step});
-      }
-    }
-  }
-  // As the scheduling pass does, which keeps room for the first steps.
-  std::stable_sort(Waiting_.begin(), Waiting_.end(),
-                   [](const Waiting &Left, const Waiting &Right) {
-                     return Left.Order < Right.Order;
-                   });
+  // In the order of the scheduling pass, which keeps room for the first steps.
+  int Open = Queue_.Asking;
   int Fresh = Options_.FreshSteps;
   int Looks = Options_.RenewalLooks;
-  for (const Waiting &Entry : Waiting_) {
+  for (StepRecord *Entry : Queue_.Steps) {
     if (Open >= Options_.MaxQuestions)
       return;
-    StepRecord &Step = *Entry.Step;
+    StepRecord &Step = *Entry;
+    // The pass has placed some of them.
+    if (Step.Waiting == 0 || Step.Asking || !Step.Occurrence->Job->Terms.Advice)
+      continue;
     const bool Ready = isReady(Step);
     if (!Ready && !soonReady(Step))
       continue;
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -1,8 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_ADVICEPLANNER_H
 #define CUMINROAD_POOL_SRC_ADVICEPLANNER_H
 
-#include "PoolTables.h"
-#include "Urgency.h"
+#include "WaitingSteps.h"
 #include "cuminroad/pool/PoolOptions.h"
 
 namespace cuminroad {
@@ -13,16 +12,13 @@
 /// are renewed for the few VMs that may take their next tasks.
 class AdvicePlanner {
 public:
-  AdvicePlanner(PoolTables &Tables, const PoolOptions &Options, TimePoint Now)
-      : Tables_(Tables), Options_(Options), Now_(Now) {}
+  AdvicePlanner(PoolTables &Tables, const WaitingSteps &Queue,
+                const PoolOptions &Options, TimePoint Now)
+      : Tables_(Tables), Queue_(Queue), Options_(Options), Now_(Now) {}
 
   void run();
 
 private:
-  struct Waiting {
-    Urgency Order;
-    StepRecord *Step;
-  };
   void askAboutNewVms(StepRecord &Step);
   /// \returns whether the step may get VMs soon, so that its tickets count.
   bool renewTickets(StepRecord &Step);
@@ -34,9 +30,9 @@
   double expectedMs(const StepRecord &Step, std::size_t Vms) const;
 
   PoolTables &Tables_;
+  const WaitingSteps &Queue_;
   const PoolOptions &Options_;
   TimePoint Now_;
-  std::vector<Waiting> Waiting_;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -271,8 +271,9 @@
   createDueOccurrences();
   stopStuckTasks();
   const TimePoint Now = Time_.now();
-  SchedulingPass(Tables_, Options_, Now).run();
-  AdvicePlanner(Tables_, Options_, Now).run();
+  const WaitingSteps Queue = gatherWaiting(Tables_, Options_, Now);
+  SchedulingPass(Tables_, Queue, Options_, Now).run();
+  AdvicePlanner(Tables_, Queue, Options_, Now).run();
 }
 
 std::vector<PoolCommand> PoolSchedulerImpl::takeCommands() {
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -54,36 +54,21 @@
     if (Vm->takesWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
       Open_.push_back(Vm.get());
   }
-  gather();
+  for (StepRecord *Step : Queue_.Steps) {
+    Step->Blocked = false;
+    Step->ReservedVms.clear();
+  }
   int Blocked = 0;
-  for (const Candidate &Entry : Order_) {
-    placeStep(*Entry.Step);
-    Blocked += Entry.Step->Blocked;
+  for (StepRecord *Step : Queue_.Steps) {
+    if (!isReady(*Step))
+      continue;
+    placeStep(*Step);
+    Blocked += Step->Blocked;
     if (Blocked >= Options_.BlockedLimit)
       return;
   }
 }
 
-void SchedulingPass::gather() {
-  for (const auto &[Id, Job] : Tables_.Jobs) {
-    if (isFinal(Job->Stage))
-      continue;
-    for (const auto &[Number, Occurrence] : Job->Occurrences) {
-      const Urgency Order = urgencyOf(*Occurrence, Options_, Now_);
-      for (StepRecord &Step : Occurrence->Steps) {
-        Step.Blocked = false;
-        Step.ReservedVms.clear();
-        if (Step.Waiting > 0 && isReady(Step))
-          Order_.push_back(Candidate{Order, &Step});
-      }
-    }
-  }
-  std::stable_sort(Order_.begin(), Order_.end(),
-                   [](const Candidate &Left, const Candidate &Right) {
-                     return Left.Order < Right.Order;
-                   });
-}
-
 void SchedulingPass::placeStep(StepRecord &Step) {
   if (Step.Plan->Gang)
     placeGang(Step);
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -3,8 +3,7 @@
 
 #include <vector>
 
-#include "PoolTables.h"
-#include "Urgency.h"
+#include "WaitingSteps.h"
 #include "cuminroad/pool/PoolOptions.h"
 
 namespace cuminroad {
@@ -13,23 +12,19 @@
 /// reserves VMs for the first ones that do not.
 class SchedulingPass {
 public:
-  SchedulingPass(PoolTables &Tables, const PoolOptions &Options, TimePoint Now)
-      : Tables_(Tables), Options_(Options), Now_(Now) {}
+  SchedulingPass(PoolTables &Tables, const WaitingSteps &Queue,
+                 const PoolOptions &Options, TimePoint Now)
+      : Tables_(Tables), Queue_(Queue), Options_(Options), Now_(Now) {}
 
   void run();
 
 private:
-  struct Candidate {
-    Urgency Order;
-    StepRecord *Step;
-  };
   struct ScoredVm {
     /// Lower is better.
     double Score;
     VmRecord *Vm;
   };
 
-  void gather();
   void placeStep(StepRecord &Step);
   void placeTasks(StepRecord &Step);
   void placeGang(StepRecord &Step);
@@ -56,9 +51,9 @@
                 TimePoint When) const;
 
   PoolTables &Tables_;
+  const WaitingSteps &Queue_;
   const PoolOptions &Options_;
   TimePoint Now_;
-  std::vector<Candidate> Order_;
   /// VMs that take work.
   std::vector<VmRecord *> Open_;
   Capacity Largest_;
--- /dev/null
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -0,0 +1,73 @@
+#include "WaitingSteps.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cuminroad {
+
+namespace {
+
+/// The order in which steps get room and tickets: less goes first.
+struct Urgency {
+  /// So late that it is of little value to its caller.
+  bool Hopeless = false;
+  int Priority = 0;
+  /// Behind its objective: those that can still meet theirs go first.
+  bool Late = false;
+  TimePoint Deadline{};
+
+  friend bool operator<(const Urgency &Left, const Urgency &Right) {
+    return std::tie(Left.Hopeless, Left.Priority, Left.Late, Left.Deadline) <
+           std::tie(Right.Hopeless, Right.Priority, Right.Late, Right.Deadline);
+  }
+};
+
+/// The urgency of all steps of an occurrence.
+Urgency urgencyOf(const OccurrenceRecord &Occurrence,
+                  const PoolOptions &Options, TimePoint Now) {
+  const JobRecord &Job = *Occurrence.Job;
+  const milliseconds Objective = Job.objective();
+  Urgency Out;
+  Out.Priority = Job.Terms.Priority;
+  Out.Deadline = Occurrence.Due + Objective;
+  // A job that lasts has no end that could be late.
+  if (Job.Plan.lasts())
+    return Out;
+  Out.Late = Now > Out.Deadline;
+  Out.Hopeless =
+      Now > Occurrence.Due + milliseconds(static_cast<std::int64_t>(
+                                 Options.LateFactor *
+                                 static_cast<double>(Objective.count())));
+  return Out;
+}
+
+} // namespace
+
+WaitingSteps gatherWaiting(const PoolTables &Tables, const PoolOptions &Options,
+                           TimePoint Now) {
+  WaitingSteps Out;
+  std::vector<std::pair<Urgency, StepRecord *>> Found;
+  for (const auto &[Id, Job] : Tables.Jobs) {
+    if (isFinal(Job->Stage))
+      continue;
+    for (const auto &[Number, Occurrence] : Job->Occurrences) {
+      const Urgency Order = urgencyOf(*Occurrence, Options, Now);
+      for (StepRecord &Step : Occurrence->Steps) {
+        Out.Asking += Job->Terms.Advice && Step.Asking;
+        if (Step.Waiting > 0)
+          Found.emplace_back(Order, &Step);
+      }
+    }
+  }
+  std::stable_sort(Found.begin(), Found.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  Out.Steps.reserve(Found.size());
+  for (const auto &[Order, Step] : Found)
+    Out.Steps.push_back(Step);
+  return Out;
+}
+
+} // namespace cuminroad
