Acknowledge ends only to the incarnation that reported them

Cause: a hold that is repeated after a failure carried the last acknowledged number.

Change: the first hold after a failure acknowledges nothing. Its answer names the incarnation; the next hold, sent at once, acknowledges as before.

Result: VmLinkTest newIncarnationKeepsItsEndsUntilTheyAreReported fails on the earlier code and passes. Left: a VM that restarts between two holds without a failed one, within 80 to 600 ms.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -101,8 +101,10 @@
   HoldInFlight_ = true;
   LastHoldSentAt_ = MonotonicClock_.now();
   HoldOrder Order;
-  Order.AcknowledgedEnd = AcknowledgedEnd_;
+  // After a failure the VM may have restarted under its id. Its new incarnation
+  // numbers its ends from one, and would forget ends that it has not reported.
   if (Failures_ == 0 && Held_) {
+    Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     if (LastEnd_ == AcknowledgedEnd_)
       Order.Wait = MaxEndWait;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -35,6 +35,8 @@
   void onReport(VmLink &, const HoldAnswer &Answer, TimePoint) override {
     ++Reports;
     LastAnswer = Answer;
+    for (const TaskEnd &End : Answer.Ends)
+      EndedRuns.insert(End.Run);
     for (const TaskEnd &End : Answer.Ends)
       ControlLoop.after(RecordingDelay, [this, Incarnation = Answer.Incarnation,
                                          Number = End.Number] {
@@ -67,6 +69,8 @@
   int Reports = 0;
   int Stopped = 0;
   HoldAnswer LastAnswer;
+  /// The runs whose end the VM reported.
+  std::set<TaskRun> EndedRuns;
   std::vector<int> UnreachableAttempts;
   int ReachableReports = 0;
   bool Fenced = false;
@@ -269,6 +273,34 @@
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(newIncarnationKeepsItsEndsUntilTheyAreReported,
+                        Fixture) {
+  // Guards against a lost end: the ends of each incarnation are numbered from
+  // one, so that an acknowledgement meant for the earlier incarnation made the
+  // new one forget an end that it had not reported yet.
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Vms.AcknowledgedCompletions.size(), 1);
+  Calls.NextFault = [](const std::string &) {
+    return VmCallFault{VmCallFault::RequestLost, {}};
+  };
+  ControlLoop.runFor(milliseconds(1000));
+  // An order that was sent to the earlier incarnation reaches the new one.
+  Vms.restart("a", 7);
+  const TaskRun Late{{{"j", 0, 0}, 1}, 1};
+  const milliseconds VmTime = std::chrono::duration_cast<milliseconds>(
+      ControlLoop.MonotonicClock.now().time_since_epoch());
+  Vms.start(VmTarget{"a", "a:1", 1, false},
+            StartOrder{Late, "spec", VmTime + TaskLease, "", ""});
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Vms.RunHistory.size(), 4);
+  Calls.NextFault = nullptr;
+  ControlLoop.runFor(milliseconds(3000));
+  BOOST_CHECK(EndedRuns.contains(Late));
+}
+
 BOOST_FIXTURE_TEST_CASE(restartedVmIsAssumedToHoldTheLongestLease, Fixture) {
   connect();
   ControlLoop.runFor(milliseconds(500));
