Repeat a stop until the VM answers or its lease has expired

Cause: a start to a VM that was cut off got no answer, its gang was stopped, and the stop was given up after six tries, which failed at once. The VM came back before its lease expired.

Change: a stop is repeated, at growing intervals of up to 0.8 s, until the VM answers or its lease has expired.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -78,6 +78,7 @@
   bool leaseExpiryReported() const { return LeaseExpiryReported_; }
 
   void startRun(const StartRun &Command, const std::string &Spec);
+  /// Repeats the stop until the VM answers or its lease has expired.
   /// \returns whether a stop is sent; false if one is already pending.
   bool stopRun(const TaskRun &Run);
   void throttleRun(const TaskRun &Run, int Percent);
@@ -108,7 +109,7 @@
   void handleStartAnswer(const StartOrder &Order, int Attempts,
                          const Result<OrderAnswer> &Answer);
   void retryStart(const StartOrder &Order, int Attempts);
-  void sendStop(const TaskRun &Run, int Attempts);
+  void sendStop(const TaskRun &Run, milliseconds RetryDelay);
   VmTarget target() const;
   /// Records whether the last order got any answer.
   template <typename T> void recordAnswered(const Result<T> &Answer) {
@@ -142,6 +143,7 @@
   TimePoint VmClockReadAt_{};
   /// Starts that are neither definitely answered nor expired.
   std::set<TaskRun> PendingStarts_;
+  /// Stops that the VM has not answered.
   std::set<TaskRun> PendingStops_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
   milliseconds LatestLeaseEnd_{0};
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -36,7 +36,8 @@
 /// expire on the way.
 constexpr milliseconds TicketMargin{20};
 constexpr milliseconds OrderRetryDelay{200};
-constexpr int MaxStopAttempts = 6;
+/// The delay before a stop is repeated doubles up to this.
+constexpr milliseconds MaxStopRetryDelay{800};
 
 StartOutcome startOutcome(OrderOutcome Outcome) {
   switch (Outcome) {
@@ -236,6 +237,8 @@
 
 void VmLink::reportLeaseExpired() {
   LeaseExpiryReported_ = true;
+  // All runs have ended, and orders to start one have expired.
+  PendingStops_.clear();
   Listener_.onLeaseExpired(*this);
 }
 
@@ -333,16 +336,16 @@
 bool VmLink::stopRun(const TaskRun &Run) {
   if (!PendingStops_.insert(Run).second)
     return false;
-  sendStop(Run, 0);
+  sendStop(Run, OrderRetryDelay);
   return true;
 }
 
-void VmLink::sendStop(const TaskRun &Run, int Attempts) {
-  if (Closed_)
+void VmLink::sendStop(const TaskRun &Run, milliseconds RetryDelay) {
+  if (Closed_ || !PendingStops_.contains(Run))
     return;
   Calls_.stop(target(), Run, OrderTimeout,
               [Self = shared_from_this(), Run,
-               Attempts](const Result<OrderAnswer> &Answer) {
+               RetryDelay](const Result<OrderAnswer> &Answer) {
                 if (Self->Closed_)
                   return;
                 Self->recordAnswered(Answer);
@@ -352,15 +355,12 @@
                   Self->PendingStops_.erase(Run);
                   return Self->Listener_.onStopAnswered(*Self, Run);
                 }
-                // The run is stopped again if the VM still lists it.
-                if (Attempts + 1 >= MaxStopAttempts) {
-                  Self->PendingStops_.erase(Run);
-                  return;
-                }
-                Self->ControlLoop_.after(OrderRetryDelay,
-                                         [Self, Run, Attempts] {
-                                           Self->sendStop(Run, Attempts + 1);
-                                         });
+                // Until it answers, the VM may run the task, or start it on an
+                // order that is still under way.
+                Self->ControlLoop_.after(RetryDelay, [Self, Run, RetryDelay] {
+                  Self->sendStop(Run,
+                                 std::min(RetryDelay * 2, MaxStopRetryDelay));
+                });
               });
 }
 
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -202,6 +202,26 @@
   BOOST_CHECK_EQUAL(Stopped, 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(stopIsRepeatedUntilTheVmAnswers, Fixture) {
+  // Guards against a run that is neither listed by its VM nor known to have
+  // ended: its start was lost, all tries to stop it failed, and the VM was back
+  // before its lease expired. Its gang then waited for it for good.
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.NextFault = [](const std::string &) {
+    return VmCallFault{VmCallFault::RequestLost, {}};
+  };
+  Link->startRun(startOf(), "spec");
+  Calls.NextFault = nullptr;
+  Calls.RefuseStartsAndStops = true;
+  Link->stopRun(Run);
+  ControlLoop.runFor(TaskLease * 3);
+  BOOST_CHECK_EQUAL(Stopped, 0);
+  Calls.RefuseStartsAndStops = false;
+  ControlLoop.runFor(milliseconds(2000));
+  BOOST_CHECK_EQUAL(Stopped, 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(holdsToAnUnhealthyVmReuseTheConnection, Fixture) {
   // Guards against VMs that run out of connections: each repeated hold opened a
   // new one and left the old one open.
