Repeat an unanswered start after 0.35 s

Repeating the same run is harmless.

Result: VmLinkTest unansweredStartIsRepeatedSoon fails on the earlier code and passes.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -31,6 +31,10 @@
 constexpr double MinVmClockRate = 0.98;
 constexpr milliseconds LeaseExpiryMargin{150};
 constexpr milliseconds LeaseExpiryCheckInterval{100};
+/// Timeout of an order's first try, and of the later ones. The first repeat is
+/// sent at once: an order that gets no answer soon usually gets none at all, and
+/// repeating it is harmless.
+constexpr milliseconds FirstOrderTimeout{350};
 constexpr milliseconds OrderTimeout{900};
 /// A start takes this long to reach its VM. It is not sent if its ticket would
 /// expire on the way.
@@ -270,7 +274,8 @@
     PendingStarts_.erase(Order.Run);
     return;
   }
-  Calls_.start(target(), Order, OrderTimeout,
+  Calls_.start(target(), Order,
+               Attempts == 0 ? FirstOrderTimeout : OrderTimeout,
                [Self = shared_from_this(), Order,
                 Attempts](const Result<OrderAnswer> &Answer) {
                  Self->recordAnswered(Answer);
@@ -327,7 +332,7 @@
 }
 
 void VmLink::retryStart(const StartOrder &Order, int Attempts) {
-  ControlLoop_.after(OrderRetryDelay,
+  ControlLoop_.after(Attempts == 0 ? milliseconds(0) : OrderRetryDelay,
                      [Self = shared_from_this(), Order, Attempts] {
                        Self->sendStart(Order, Attempts + 1);
                      });
@@ -343,7 +348,7 @@
 void VmLink::sendStop(const TaskRun &Run, milliseconds RetryDelay) {
   if (Closed_ || !PendingStops_.contains(Run))
     return;
-  Calls_.stop(target(), Run, OrderTimeout,
+  Calls_.stop(target(), Run, std::max(FirstOrderTimeout, RetryDelay),
               [Self = shared_from_this(), Run,
                RetryDelay](const Result<OrderAnswer> &Answer) {
                 if (Self->Closed_)
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -135,6 +135,26 @@
   BOOST_CHECK(Outcomes[0] == StartOutcome::OldRun);
 }
 
+// Load: VMs that leave one order in twenty unanswered and carry it out seconds
+// later, or not at all. Guards against tasks that wait for the full timeout of a
+// start, and then for new advice, since their ticket has expired.
+BOOST_FIXTURE_TEST_CASE(unansweredStartIsRepeatedSoon, Fixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  int Orders = 0;
+  Calls.NextFault = [&](const std::string &) {
+    return ++Orders == 1 ? VmCallFault{VmCallFault::Delayed, milliseconds(3000)}
+                         : VmCallFault{};
+  };
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(500));
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 1);
+  BOOST_CHECK(Outcomes[0] == StartOutcome::Accepted);
+  // The delayed order has no effect.
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(Vms.RunHistory.size(), 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(startWithAnExpiredTicketIsNotSent, Fixture) {
   connect();
   ControlLoop.runFor(milliseconds(500));
