Count runs that are being stopped towards a step's tasks on a VM

Change: tasksOnVm() counts them, for gangs too.

Result: PlacementTest maxPerVmCountsRunsThatAreBeingStopped fails on the earlier code and passes.

--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -30,13 +30,20 @@
 /// reserved VM if this multiple of its estimate ends before the reservation.
 constexpr double BackfillMargin = 1.3;
 
-/// Counts the tasks of the step on the VM.
+/// Counts the tasks of the step on the VM, including runs that are not current
+/// and still being stopped.
 int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
-  if (Step.TasksOnVms == 0)
-    return 0;
-  return static_cast<int>(std::count_if(
-      Vm.Tasks.begin(), Vm.Tasks.end(),
-      [&Step](const TaskRecord *Task) { return Task->Step == &Step; }));
+  std::ptrdiff_t Count = 0;
+  if (Step.TasksOnVms > 0)
+    Count = std::count_if(
+        Vm.Tasks.begin(), Vm.Tasks.end(),
+        [&Step](const TaskRecord *Task) { return Task->Step == &Step; });
+  if (!Vm.UnknownRuns.empty())
+    Count += std::count_if(Vm.UnknownRuns.begin(), Vm.UnknownRuns.end(),
+                           [Name = nameOf(Step)](const auto &Entry) {
+                             return Entry.first.Task.Step == Name;
+                           });
+  return static_cast<int>(Count);
 }
 
 /// \returns whether the VM has best-effort tasks and the step is
@@ -237,7 +244,8 @@
     int FittingTasks =
         countFits(Vm->freeCapacity(), Step.Plan->reservedCapacity());
     if (Step.Plan->MaxPerVm > 0)
-      FittingTasks = std::min(FittingTasks, Step.Plan->MaxPerVm);
+      FittingTasks =
+          std::min(FittingTasks, Step.Plan->MaxPerVm - tasksOnVm(Step, *Vm));
     while (FittingTasks-- > 0 && ChosenVms.size() < WantedTasks)
       ChosenVms.push_back(Vm);
   }
--- a/packages/pool/tests/PlacementTest.cpp
+++ b/packages/pool/tests/PlacementTest.cpp
@@ -138,6 +138,30 @@
   BOOST_CHECK(Scheduler->stage("g") == JobStage::Completed);
 }
 
+// Guards against two tasks of a step on a VM that may have one: a run that was
+// given up as lost is found on its VM when the VM is back, and occupies it
+// until it has been stopped.
+BOOST_FIXTURE_TEST_CASE(maxPerVmCountsRunsThatAreBeingStopped,
+                        SchedulerFixture) {
+  addVm(makeVm("a", BigSize));
+  StepPlan Step = makeStep(1, SmallSize);
+  Step.MaxPerVm = 1;
+  Scheduler->addJob(makeJob("j", {Step}), makeQueue(), MonotonicClock.now());
+  StepPlan Gang = Step;
+  Gang.Gang = true;
+  Scheduler->addJob(makeJob("g", {Gang}), makeQueue(), MonotonicClock.now());
+  const TaskRun Late{{{"j", 0, 0}, 0}, 7};
+  const TaskRun LateMember{{{"g", 0, 0}, 0}, 7};
+  reportRuns("a", {{Late, "", 10, 0}, {LateMember, "", 10, 0}});
+  runPass();
+  BOOST_CHECK(Starts.empty());
+  BOOST_CHECK_EQUAL(Stops.size(), 2);
+  Scheduler->taskEnded("a", TaskEnd{1, Late, RunOutcome::Stopped, ""});
+  Scheduler->taskEnded("a", TaskEnd{2, LateMember, RunOutcome::Stopped, ""});
+  runPass();
+  BOOST_CHECK_EQUAL(Starts.size(), 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(requiredLabelAndMaxPerVmAreRespected,
                         SchedulerFixture) {
   addVm(makeVm("a", BigSize, {"x", "r1"}));
