Count a job as waiting until a VM has started a task of it

Change: it leaves the count when a start is accepted, a VM reports a run of it, or a run has ended. After a takeover a recorded run counts from its report.

Result: RunsTest jobIsPendingUntilAStartIsCarriedOut and recordedRunIsPendingUntilAVmReportsIt fail on the earlier code and pass.

--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -129,7 +129,7 @@
   std::set<int> DoneOccurrences;
   /// Number of occurrences that have become due.
   int CreatedOccurrences = 0;
-  /// Whether any task was placed.
+  /// Whether a VM has started any task, as far as is known.
   bool Started = false;
 
   /// \returns the time within which an occurrence should complete.
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -41,7 +41,6 @@
   if (Job == nullptr)
     return;
   Job->Stage = Progress.Stage;
-  Job->Started = Progress.Stage != JobStage::Queued;
   for (const OccurrenceProgress &Entry : Progress.Occurrences)
     restoreOccurrence(*Job, Entry);
 }
@@ -51,6 +50,7 @@
   Job.CreatedOccurrences =
       std::max(Job.CreatedOccurrences, Progress.Number + 1);
   if (Progress.Done) {
+    Job.Started = true;
     Job.DoneOccurrences.insert(Progress.Number);
     Job.Occurrences.erase(Progress.Number);
     return;
@@ -64,6 +64,7 @@
     StepRecord &Step = Occurrence.Steps[static_cast<std::size_t>(Each.Step)];
     Step.GangFailures = Each.GangFailures;
     Step.GangFailedRun = Each.GangFailedRun;
+    Job.Started = Job.Started || Each.Done || Each.GangFailures > 0;
     if (Each.Done)
       for (TaskRecord &Task : Step.Tasks)
         Tables_.setPhase(Task, TaskPhase::Done);
@@ -78,6 +79,9 @@
       Progress.Index >= static_cast<int>(Step.Tasks.size()))
     return;
   TaskRecord &Task = Step.Tasks[static_cast<std::size_t>(Progress.Index)];
+  // A run that is only recorded may not have been started.
+  if (Progress.Done || Progress.Failures > 0 || !Progress.Checkpoint.empty())
+    Step.Occurrence->Job->Started = true;
   if (Progress.Done)
     return Tables_.setPhase(Task, TaskPhase::Done);
   Task.Failures = Progress.Failures;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -90,6 +90,7 @@
                                  VmRecord &Vm) {
   recordCheckpoint(Task, End.Checkpoint);
   JobRecord &Job = *Task.Step->Occurrence->Job;
+  Job.Started = true;
   if (isFinal(Job.Stage)) {
     Tables_.release(Task);
     return archiveFinishedJob(Job);
@@ -191,6 +192,7 @@
     if (Task->Phase == TaskPhase::Placed)
       Tables_.setPhase(*Task, TaskPhase::Running);
     Task->ConfirmedAt = MonotonicClock_.now();
+    Task->Step->Occurrence->Job->Started = true;
     return;
   }
   if (Task->Phase != TaskPhase::Placed && Task->Phase != TaskPhase::Stopping)
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -100,6 +100,7 @@
     Tables_.setPhase(*Task, TaskPhase::Running);
   if (!Task->ConfirmedAt)
     Task->ConfirmedAt = Now;
+  Task->Step->Occurrence->Job->Started = true;
   if (Report.ProgressPercent != Task->ProgressPercent) {
     Task->ProgressPercent = Report.ProgressPercent;
     Task->ProgressedAt = Now;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -321,7 +321,6 @@
   JobRecord &Job = *Step.Occurrence->Job;
   if (Job.Stage == JobStage::Queued)
     Job.Stage = JobStage::Running;
-  Job.Started = true;
   StartRun Command{Vm.Description.Id, TaskRun{nameOf(Task), Run},
                    Task.Checkpoint, ""};
   if (const auto Ticket = Step.AllowedVms.find(&Vm);
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -42,6 +42,46 @@
   BOOST_CHECK(Starts.empty());
 }
 
+// Guards against a count of waiting jobs that is too low while VMs are cut off:
+// a job whose start was sent, but not carried out, still waits.
+BOOST_FIXTURE_TEST_CASE(jobIsPendingUntilAStartIsCarriedOut, SchedulerFixture) {
+  addVm(makeVm("a", SmallSize));
+  const QueueTerms Queue = makeQueue();
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 1);
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 1);
+  Scheduler->startAnswered("a", Starts[0].Run, StartOutcome::Refused);
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 1);
+  MonotonicClock.advance(Options.RefusedStartDelay);
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  acceptStart(Starts[0]);
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(recordedRunIsPendingUntilAVmReportsIt,
+                        SchedulerFixture) {
+  addVm(makeVm("a", SmallSize));
+  const QueueTerms Queue = makeQueue();
+  JobProgress Progress;
+  Progress.Stage = JobStage::Running;
+  Progress.Occurrences = {
+      OccurrenceProgress{0, false, {StepProgress{0, false, 0, {}, 0}}}};
+  TaskProgress Task;
+  Task.Run = 1;
+  Task.Vm = "a";
+  Task.VmIncarnation = 1;
+  Progress.Occurrences[0].Steps[0].Tasks = {Task};
+  Scheduler->restoreJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                        MonotonicClock.now(), Progress);
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 1);
+  reportRuns("a", {RunningTask{TaskRun{{{"j", 0, 0}, 0}, 1}, "", 10, 0}});
+  BOOST_CHECK_EQUAL(Scheduler->pendingJobs(Queue.Name), 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(lapsedRunsDoNotCountAsAttempts, SchedulerFixture) {
   addVm(makeVm("a", BigSize));
   Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
