Use VMs that have just failed a run last

Cause: a VM that fails all that it starts has room again at once, and the tightest fit prefers it until its third failure in a row.

Change: after a failure a VM is scored below all others, until a run succeeds on it or 5 s have passed.

Result: QuarantineTest vmThatHasJustFailedARunIsUsedLast fails on the earlier code and passes.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -48,6 +48,9 @@
   /// Consecutive failed starts and runs after which a VM is put in quarantine,
   /// where it gets no new tasks.
   int FailuresToQuarantine = 3;
+  /// After a failure a VM is used only if no other VM has room, until a run
+  /// succeeds on it or this time has passed.
+  milliseconds SuspectDuration{5000};
   /// Duration of the first quarantine; each further one lasts twice as long, up
   /// to QuarantineMax.
   milliseconds QuarantineMin{3000};
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -153,6 +153,7 @@
   /// they occupy; they are being stopped.
   std::map<TaskRun, Capacity> UnknownRuns;
   int ConsecutiveFailures = 0;
+  TimePoint LastFailureAt{};
   TimePoint QuarantinedAt{};
   TimePoint QuarantinedUntil{};
   milliseconds QuarantineDuration{0};
@@ -175,6 +176,10 @@
     return LeaseHeld && Listed && !Description.Leaving;
   }
   bool inQuarantine(TimePoint Now) const { return Now < QuarantinedUntil; }
+  /// \returns whether the last run or start failed, less than \p Duration ago.
+  bool isSuspect(TimePoint Now, milliseconds Duration) const {
+    return ConsecutiveFailures > 0 && Now - LastFailureAt < Duration;
+  }
 };
 
 /// \returns whether the VM, if empty, could run a task of the step.
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -232,6 +232,7 @@
 void PoolSchedulerImpl::recordVmFailure(const TaskRecord &Task) {
   VmRecord &Vm = *Task.Vm;
   const TimePoint Now = MonotonicClock_.now();
+  Vm.LastFailureAt = Now;
   // A VM that hangs fails all its runs at once; that counts as one failure.
   if (Vm.inQuarantine(Now) && Task.PlacedAt < Vm.QuarantinedAt)
     return;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -22,6 +22,9 @@
 /// Spreads the tasks of a long-running step, so that the loss of a VM affects
 /// few of them.
 constexpr double SpreadWeight = 0.5;
+/// A VM that has just failed a run is used if no other VM has room, except for
+/// VMs on which the task would disturb others.
+constexpr double SuspectWeight = 8.0;
 /// A VM in quarantine is only probed if no other VM is usable.
 constexpr double QuarantineWeight = 100.0;
 /// A step blocked for this long is logged, and again each time this doubles.
@@ -302,6 +305,8 @@
     Out += RemoteWeight * (Options_.RemoteFactor - 1.0);
   if (conflicts(Step, Vm))
     Out += ConflictWeight;
+  if (Vm.isSuspect(Now_, Options_.SuspectDuration))
+    Out += SuspectWeight;
   if (Vm.inQuarantine(Now_))
     Out += QuarantineWeight;
   if (Plan.LongRunning)
--- a/packages/pool/tests/QuarantineTest.cpp
+++ b/packages/pool/tests/QuarantineTest.cpp
@@ -75,6 +75,26 @@
   BOOST_CHECK_EQUAL(Starts.size(), 1);
 }
 
+// Load: a few VMs fail all that they start, within a fraction of a second. They
+// have room again at once, so that the tightest fit prefers them. Guards
+// against jobs that lose their last attempt on a VM that has just failed
+// another task.
+BOOST_FIXTURE_TEST_CASE(vmThatHasJustFailedARunIsUsedLast, SchedulerFixture) {
+  addVm(makeVm("bad", SmallSize));
+  addVm(makeVm("good", BigSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  // The tightest fit.
+  BOOST_REQUIRE_EQUAL(Starts[0].Vm, "bad");
+  acceptStart(Starts[0]);
+  endRun(Starts[0], RunOutcome::Failed);
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+  BOOST_CHECK_EQUAL(Starts[0].Vm, "good");
+}
+
 BOOST_FIXTURE_TEST_CASE(simultaneousFailuresCountOnce, SchedulerFixture) {
   // A VM that hangs fails all its runs at once; that counts as one failure.
   addVm(makeVm("a", BigSize));
