--- a/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
@@ -66,9 +66,6 @@
   void dispatch();
   void dispatchOnce();
   void enqueue(const PendingRequestPtr &Request);
-  /// \returns whether the request may be sent now: requests for further VMs take
-  /// only a part of the daemons.
-  bool maySend(const RequestAdvice &Command) const;
   /// \returns the daemons whose last call succeeded and that can take another
   /// one.
   std::vector<std::string> idleDaemons(bool ShortDecision) const;
@@ -92,8 +89,6 @@
   std::map<std::string, DaemonState> Daemons_;
   std::vector<PendingRequestPtr> Queue_;
   std::size_t NextDaemon_ = 0;
-  /// Calls in flight for requests for further VMs.
-  std::size_t OpenExtensions_ = 0;
   /// Set while dispatch() runs; DispatchAgain_ makes it process the queue once
   /// more.
   bool Dispatching_ = false;
--- a/packages/fleet/src/AdviceDispatcher.cpp
+++ b/packages/fleet/src/AdviceDispatcher.cpp
@@ -31,15 +31,6 @@
 /// call of another pool that is served first.
 constexpr milliseconds CallOverhead{900};
 
-/// Of the daemons, one in this many at most serves requests for further VMs.
-/// Those are long, and the steps that make them wait for room.
-constexpr std::size_t ExtensionDaemonDivisor = 3;
-
-/// The order in which requests are sent; lower values go first.
-auto dispatchOrder(const RequestAdvice &Command) {
-  return std::tuple(Command.Priority, Command.Purpose);
-}
-
 } // namespace
 
 AdviceDispatcher::AdviceDispatcher(PlacementAdvisor &LocalAdvisor,
@@ -135,7 +126,10 @@
   std::stable_sort(
       Queue_.begin(), Queue_.end(),
       [](const PendingRequestPtr &Left, const PendingRequestPtr &Right) {
-        return dispatchOrder(Left->Command) < dispatchOrder(Right->Command);
+        // Renewals go first: capacity is kept free for steps whose tickets are
+        // renewed.
+        return std::tuple(Left->Command.Priority, !Left->Command.Renewal) <
+               std::tuple(Right->Command.Priority, !Right->Command.Renewal);
       });
   std::vector<PendingRequestPtr> Waiting;
   std::vector<StepName> Obsolete;
@@ -153,7 +147,7 @@
     const std::string FailedDaemon = failedDaemonToProbe();
     if (!FailedDaemon.empty())
       send(FailedDaemon, Request);
-    if (Idle.empty() || !maySend(Request->Command))
+    if (Idle.empty())
       Waiting.push_back(Request);
     else
       send(Idle[NextDaemon_++ % Idle.size()], Request);
@@ -167,12 +161,6 @@
     Done_(Step, Answer{Step, {}, {}, MonotonicClock_.now()});
 }
 
-bool AdviceDispatcher::maySend(const RequestAdvice &Command) const {
-  return Command.Purpose != AdvicePurpose::Extension ||
-         OpenExtensions_ <
-             std::max<std::size_t>(Daemons_.size() / ExtensionDaemonDivisor, 1);
-}
-
 void AdviceDispatcher::enqueue(const PendingRequestPtr &Request) {
   if (std::find(Queue_.begin(), Queue_.end(), Request) == Queue_.end())
     Queue_.push_back(Request);
@@ -186,7 +174,6 @@
   Request->Attempts += Target.Backoff.count() == 0;
   ++Request->OpenCalls;
   const RequestAdvice &Command = Request->Command;
-  OpenExtensions_ += Command.Purpose == AdvicePurpose::Extension;
   const milliseconds Expected(
       static_cast<std::int64_t>(Command.ExpectedLatencyMs));
   auto Done = [Self = shared_from_this(), Name,
@@ -219,7 +206,6 @@
   DaemonState &Source = Daemons_[Name];
   --Source.OpenCalls;
   --Request->OpenCalls;
-  OpenExtensions_ -= Request->Command.Purpose == AdvicePurpose::Extension;
   if (Allowed) {
     Source.Backoff = milliseconds(0);
   } else {
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -35,17 +35,6 @@
   int SpeedPercent = 100;
 };
 
-/// Why advice is requested.
-enum class AdvicePurpose {
-  /// New tickets for VMs that are known to be allowed, for which capacity is
-  /// kept free.
-  Renewal,
-  /// The step has no advice yet.
-  First,
-  /// Further VMs for a step that is blocked on the allowed ones.
-  Extension,
-};
-
 /// Requests advice from the placement advisor: which of some VMs may run a
 /// step.
 struct RequestAdvice {
@@ -55,7 +44,8 @@
   double ExpectedLatencyMs = 0;
   /// Priority of the step's queue; 0 is the highest.
   int Priority = 0;
-  AdvicePurpose Purpose = AdvicePurpose::First;
+  /// The VMs are known to be allowed; the request is for new tickets only.
+  bool Renewal = false;
 };
 
 using PoolCommand = std::variant<StartRun, StopRun, ThrottleRun, RequestAdvice>;
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -29,10 +29,8 @@
   /// A pass ends after this many blocked steps. The remaining steps are less
   /// urgent, and examining thousands of them would delay the more urgent ones.
   int MaxBlockedSteps = 150;
-  /// Most steps of a priority with a pending advice request.
+  /// Most steps with a pending advice request.
   int MaxPendingAdvice = 64;
-  /// Most steps with a pending request for further VMs.
-  int MaxPendingExtensions = 32;
   /// VMs named in a step's first advice request; the latency objective allows
   /// for a call with about 30. Advice on further VMs is requested if these have
   /// no room.
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -12,24 +12,31 @@
 /// Maximum number of VMs in one call to the advisor.
 constexpr std::size_t MaxVmsPerCall = 100;
 
-milliseconds toMillis(double Ms) {
-  return milliseconds(static_cast<std::int64_t>(Ms));
-}
-
-} // namespace
-
-void AdvicePlanner::sortByRoom(std::vector<RankedVm> &Vms) {
+/// A candidate VM for a request.
+struct RankedVm {
+  /// VMs in quarantine are ranked last: nothing runs on them, so they would
+  /// otherwise always have the most room.
+  bool InQuarantine;
+  /// Number of the step's tasks that fit.
+  int FittingTasks;
+  VmRecord *Vm;
+};
+
+/// Sorts by decreasing room, VMs in quarantine last.
+void sortByRoom(std::vector<RankedVm> &Vms) {
   std::sort(Vms.begin(), Vms.end(),
             [](const RankedVm &Left, const RankedVm &Right) {
-              return std::tie(Left.Avoided, Right.FittingTasks,
+              return std::tie(Left.InQuarantine, Right.FittingTasks,
                               Left.Vm->Description.Id) <
-                     std::tie(Right.Avoided, Left.FittingTasks,
+                     std::tie(Right.InQuarantine, Left.FittingTasks,
                               Right.Vm->Description.Id);
             });
 }
 
-void AdvicePlanner::keepTightest(std::vector<RankedVm> &Vms, int Tasks,
-                                 std::size_t MaxVms) {
+/// Keeps the \p MaxVms VMs with the least room that together fit all \p Tasks,
+/// or those with the most room if no such VMs exist. This leaves empty VMs to
+/// steps that need whole VMs.
+void keepTightest(std::vector<RankedVm> &Vms, int Tasks, std::size_t MaxVms) {
   sortByRoom(Vms);
   const std::size_t Size = std::min(Vms.size(), MaxVms);
   int FittingTasks = 0;
@@ -39,40 +46,41 @@
   for (; First + Size < Vms.size(); ++First) {
     const RankedVm &Next = Vms[First + Size];
     FittingTasks += Next.FittingTasks - Vms[First].FittingTasks;
-    if (FittingTasks < Tasks || Next.Avoided)
+    if (FittingTasks < Tasks || Next.InQuarantine)
       break;
   }
   Vms.erase(Vms.begin(), Vms.begin() + static_cast<std::ptrdiff_t>(First));
   Vms.resize(Size);
 }
 
+milliseconds toMillis(double Ms) {
+  return milliseconds(static_cast<std::int64_t>(Ms));
+}
+
+} // namespace
+
 void AdvicePlanner::run() {
   // In the order of the scheduling pass, which reserves VMs for the first
   // steps.
-  std::map<int, int> PendingAdvice = Waiting_.PendingAdvice;
-  PendingExtensions_ = Waiting_.PendingExtensions;
+  int PendingAdvice = Waiting_.PendingAdvice;
   int RenewalsLeft = Options_.MaxRenewedSteps;
   int CandidatesLeft = Options_.MaxRenewalCandidates;
   for (StepRecord *Entry : Waiting_.Steps) {
+    if (PendingAdvice >= Options_.MaxPendingAdvice)
+      return;
     StepRecord &Step = *Entry;
-    const QueueTerms &Terms = Step.Occurrence->Job->Terms;
     // The scheduling pass may have placed all tasks of the step.
-    if (Step.WaitingTasks == 0 || Step.PendingAdvice || !Terms.Advice)
-      continue;
-    int &Pending = PendingAdvice[Terms.Priority];
-    if (Pending >= Options_.MaxPendingAdvice)
+    if (Step.WaitingTasks == 0 || Step.AdvicePending ||
+        !Step.Occurrence->Job->Terms.Advice)
       continue;
     const bool Ready = isReady(Step);
     if (!Ready && !isReadySoon(Step))
       continue;
-    if (Step.QueriedVms.empty())
-      requestFirstAdvice(Step);
-    else
-      requestFurtherVms(Step);
-    if (Ready && !Step.PendingAdvice && RenewalsLeft > 0 &&
+    requestAdviceOnNewVms(Step);
+    if (Ready && !Step.AdvicePending && RenewalsLeft > 0 &&
         CandidatesLeft-- > 0)
       RenewalsLeft -= renewTickets(Step);
-    Pending += Step.PendingAdvice.has_value();
+    PendingAdvice += Step.AdvicePending;
   }
 }
 
@@ -100,10 +108,17 @@
          Terms.PerVmMs * static_cast<double>(Vms);
 }
 
-std::vector<AdvicePlanner::RankedVm>
-AdvicePlanner::rankNewVms(const StepRecord &Step) const {
+void AdvicePlanner::requestAdviceOnNewVms(StepRecord &Step) {
+  const bool BlockedLong = Step.BlockedSince && Now_ - *Step.BlockedSince >
+                                                    Options_.ExtendAdviceAfter;
+  if (Step.SeenVmsVersion == Tables_.VmsVersion && !BlockedLong)
+    return;
+  Step.SeenVmsVersion = Tables_.VmsVersion;
+  // Advice on enough VMs is known until the step has been blocked for long.
+  if (!Step.QueriedVms.empty() && !BlockedLong)
+    return;
   const Capacity TaskSize = Step.Plan->reservedCapacity();
-  std::vector<RankedVm> Out;
+  std::vector<RankedVm> NewVms;
   for (const auto &[Id, Vm] : Tables_.Vms) {
     const auto Queried = Step.QueriedVms.find(Vm.get());
     if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
@@ -112,50 +127,25 @@
       continue;
     const int FittingTasks =
         std::min(countFits(Vm->freeCapacity(), TaskSize), Step.Plan->Tasks);
-    Out.push_back(RankedVm{isAvoided(*Vm), FittingTasks, Vm.get()});
+    NewVms.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm.get()});
   }
-  sortByRoom(Out);
-  return Out;
-}
-
-bool AdvicePlanner::isAvoided(const VmRecord &Vm) const {
-  return Vm.inQuarantine(Now_) || Vm.isSuspect(Now_, Options_.SuspectDuration);
-}
-
-void AdvicePlanner::requestFirstAdvice(StepRecord &Step) {
-  if (Step.SeenVmsVersion == Tables_.VmsVersion)
+  if (NewVms.empty())
     return;
-  Step.SeenVmsVersion = Tables_.VmsVersion;
+  sortByRoom(NewVms);
+  // Most of a call's latency is independent of the number of VMs, so a step
+  // that has been blocked for long requests as many of the remaining VMs as
+  // possible.
   const std::size_t MaxVms =
-      std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
-                 Options_.InitialAdviceVms, MaxVmsPerCall);
-  std::vector<VmRecord *> Vms;
-  for (const RankedVm &Each : rankNewVms(Step))
-    if (Vms.size() < MaxVms)
-      Vms.push_back(Each.Vm);
-  if (!Vms.empty())
-    requestAdvice(Step, Vms, AdvicePurpose::First);
-}
-
-void AdvicePlanner::requestFurtherVms(StepRecord &Step) {
-  if (!Step.BlockedSince ||
-      Now_ - *Step.BlockedSince <= Options_.ExtendAdviceAfter ||
-      Now_ < Step.NextExtension ||
-      PendingExtensions_ >= Options_.MaxPendingExtensions)
-    return;
-  // Most of a call's latency is independent of the number of VMs, so it names
-  // as many as possible. VMs without room are of use to gangs, for which VMs
-  // are reserved until they have room.
-  std::vector<VmRecord *> Vms;
-  for (const RankedVm &Each : rankNewVms(Step))
-    if ((Step.Plan->Gang || Each.FittingTasks > 0) &&
-        Vms.size() < MaxVmsPerCall)
-      Vms.push_back(Each.Vm);
-  Step.NextExtension = Now_ + Options_.ExtendAdviceAfter;
-  if (Vms.empty())
-    return;
-  ++PendingExtensions_;
-  requestAdvice(Step, Vms, AdvicePurpose::Extension);
+      BlockedLong
+          ? MaxVmsPerCall
+          : std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
+                       Options_.InitialAdviceVms, MaxVmsPerCall);
+  NewVms.resize(std::min(NewVms.size(), MaxVms));
+  std::vector<std::string> Vms;
+  Vms.reserve(NewVms.size());
+  for (const RankedVm &Each : NewVms)
+    Vms.push_back(Each.Vm->Description.Id);
+  requestAdvice(Step, std::move(Vms), false);
 }
 
 std::vector<VmRecord *>
@@ -179,7 +169,7 @@
     const int FittingTasks =
         countFits(freeCapacityAt(*Vm, AnswerTime, Now_), TaskSize);
     if (FittingTasks > 0)
-      Candidates.push_back(RankedVm{isAvoided(*Vm), FittingTasks, Vm});
+      Candidates.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
   }
   keepTightest(Candidates, Step.WaitingTasks,
                static_cast<std::size_t>(Options_.MaxRenewedVms));
@@ -203,23 +193,21 @@
       });
   if (!AnyExpiring)
     return true;
-  requestAdvice(Step, NextVms, AdvicePurpose::Renewal);
+  std::vector<std::string> Vms;
+  Vms.reserve(NextVms.size());
+  for (const VmRecord *Vm : NextVms)
+    Vms.push_back(Vm->Description.Id);
+  requestAdvice(Step, std::move(Vms), true);
   return true;
 }
 
 void AdvicePlanner::requestAdvice(StepRecord &Step,
-                                  std::span<VmRecord *const> Vms,
-                                  AdvicePurpose Purpose) {
-  Step.PendingAdvice = Purpose;
-  RequestAdvice Command;
-  Command.Step = nameOf(Step);
-  Command.Vms.reserve(Vms.size());
-  for (const VmRecord *Vm : Vms)
-    Command.Vms.push_back(Vm->Description.Id);
-  Command.ExpectedLatencyMs = expectedLatencyMs(Step, Vms.size());
-  Command.Priority = Step.Occurrence->Job->Terms.Priority;
-  Command.Purpose = Purpose;
-  Tables_.Commands.push_back(std::move(Command));
+                                  std::vector<std::string> Vms, bool Renewal) {
+  Step.AdvicePending = true;
+  const double ExpectedLatencyMs = expectedLatencyMs(Step, Vms.size());
+  Tables_.Commands.push_back(
+      RequestAdvice{nameOf(Step), std::move(Vms), ExpectedLatencyMs,
+                    Step.Occurrence->Job->Terms.Priority, Renewal});
 }
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -11,7 +11,6 @@
 
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobStage.h"
-#include "cuminroad/pool/PoolCommand.h"
 #include "cuminroad/pool/PoolVm.h"
 #include "cuminroad/pool/QueueTerms.h"
 
@@ -94,10 +93,8 @@
   /// PoolTables::VmsVersion when the VMs were last checked for new ones; -1 to
   /// check again.
   std::int64_t SeenVmsVersion = -1;
-  /// The advice request that has not been answered yet.
-  std::optional<AdvicePurpose> PendingAdvice;
-  /// Further VMs are not looked for before this time.
-  TimePoint NextExtension{};
+  /// An advice request has not been answered yet.
+  bool AdvicePending = false;
   /// VMs that the last pass reserved for the step, and from when on.
   std::vector<VmRecord *> ReservedVms;
   TimePoint ReservationStart{};
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -223,7 +223,7 @@
   StepRecord *Step = Tables_.step(Name);
   if (Step == nullptr)
     return;
-  Step->PendingAdvice.reset();
+  Step->AdvicePending = false;
   // The request was dropped: it must be made again.
   if (QueriedVms.empty())
     Step->SeenVmsVersion = -1;
@@ -240,7 +240,7 @@
   StepRecord *Step = Tables_.step(Name);
   if (Step == nullptr)
     return;
-  Step->PendingAdvice.reset();
+  Step->AdvicePending = false;
   Step->SeenVmsVersion = -1;
 }
 
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -54,11 +54,7 @@
     for (const auto &[Number, Occurrence] : Job->Occurrences) {
       const Urgency StepUrgency = urgencyOf(*Occurrence, Options, Now);
       for (StepRecord &Step : Occurrence->Steps) {
-        if (Job->Terms.Advice && Step.PendingAdvice) {
-          ++Out.PendingAdvice[Job->Terms.Priority];
-          Out.PendingExtensions +=
-              Step.PendingAdvice == AdvicePurpose::Extension;
-        }
+        Out.PendingAdvice += Job->Terms.Advice && Step.AdvicePending;
         if (Step.WaitingTasks > 0)
           Entries.emplace_back(StepUrgency, &Step);
       }
--- a/packages/pool/src/WaitingSteps.h
+++ b/packages/pool/src/WaitingSteps.h
@@ -1,7 +1,6 @@
 #ifndef CUMINROAD_POOL_SRC_WAITINGSTEPS_H
 #define CUMINROAD_POOL_SRC_WAITINGSTEPS_H
 
-#include <map>
 #include <vector>
 
 #include "PoolTables.h"
@@ -13,11 +12,9 @@
 /// Includes steps whose dependencies are not done.
 struct WaitingSteps {
   std::vector<StepRecord *> Steps;
-  /// Number of steps with a pending advice request by priority, including steps
-  /// with nothing to place.
-  std::map<int, int> PendingAdvice;
-  /// How many of these requests are for further VMs.
-  int PendingExtensions = 0;
+  /// Number of steps with a pending advice request, including steps with
+  /// nothing to place.
+  int PendingAdvice = 0;
 };
 
 WaitingSteps collectWaitingSteps(const PoolTables &Tables,
