Read before a write while the store may be unreachable, and let callers return after 1 s

Refused callers were told to return after 2 s of the 3 s that they have.

Change: after a failed call, and until the store answers one, a read of the job's row precedes the write; if it fails, the job is refused, which is then certainly true. Retry-After is 1 s, so that callers can return twice.

Callers get a true refusal in place of an unknown outcome. JobFrontendTest jobIsRefusedWithoutAWriteWhileTheStoreIsAway fails on the earlier code and passes.

--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -41,6 +41,7 @@
   void changes(ChangesQuery Request, PageDone Done) override;
   milliseconds storeTime() const override;
   TimePoint lastContact() const override;
+  TimePoint lastFailure() const override { return LastFailure_; }
 
 private:
   /// An encoded call and the peers through which it may still be made.
@@ -58,11 +59,11 @@
   void relayPage(RelayedCall Call, PageDone Done);
   void relayCommit(RelayedCall Call, CommitDone Done);
   void send(const RelayedCall &Call, HttpCallback Done);
-  /// \returns a callback that records the call's outcome and duration in the
-  /// metrics and then calls \p Done.
+  /// \returns a callback that records the call's outcome and duration and then
+  /// calls \p Done.
   template <typename T>
   std::function<void(Result<T>)>
-  withMetrics(std::string_view Kind, std::function<void(Result<T>)> Done);
+  recordingOutcome(std::string_view Kind, std::function<void(Result<T>)> Done);
   /// Records the store's time, as reported by a peer that has just reached it.
   void recordRelayedContact(milliseconds StoreTime);
   /// \returns the peers for one call: some that reach the store, starting with
@@ -85,6 +86,8 @@
   bool Probing_ = false;
   /// The time until which each peer counts as reaching the store.
   std::map<std::string, TimePoint> ReachableUntil_;
+  /// When a call last failed, directly and through peers.
+  TimePoint LastFailure_{};
   /// Consecutive failures of direct calls.
   int DirectFailures_ = 0;
   /// While calls go to peers first, the time of the next direct call.
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -17,6 +17,9 @@
 /// slow.
 constexpr milliseconds WriteTimeout{1600};
 constexpr milliseconds ReadTimeout{1200};
+/// Timeout of the read that precedes a write while the store may be
+/// unreachable.
+constexpr milliseconds ProbeTimeout{300};
 constexpr milliseconds OwnerTimeout{350};
 constexpr milliseconds RetryInterval{60};
 /// Longest interval between two attempts while no other call shows that the
@@ -26,9 +29,9 @@
 /// store is unreachable: enough to bridge a short interruption. Callers that
 /// retry later wait no longer in total.
 constexpr double RetryShare = 0.15;
-/// Retry-After for callers that are refused because the store is unreachable;
-/// outages last seconds.
-constexpr milliseconds StoreRetryAfter{2000};
+/// Retry-After for callers that are refused because the store is unreachable.
+/// Outages last seconds, and so do the callers' timeouts.
+constexpr milliseconds StoreRetryAfter{1000};
 
 /// Summarizes a job's queue and steps for the event log.
 std::string describe(const JobRequest &Request) {
@@ -61,6 +64,8 @@
   SubmitDone Done;
   /// An earlier attempt may have taken effect, or may still do so.
   bool Uncertain = false;
+  /// Why the last attempt failed.
+  std::string LastFailure;
 };
 
 struct JobFrontend::Cancellation {
@@ -90,6 +95,23 @@
 }
 
 void JobFrontend::writeRequest(std::shared_ptr<Submission> Pending) {
+  // A write that gets no answer may take effect, and the caller could not be
+  // told whether it did. A read has no effect.
+  if (Pending->Uncertain ||
+      Context_.Store.lastFailure() <= Context_.Store.lastContact())
+    return sendWrite(std::move(Pending));
+  RowRange Range = requestRange(Pending->Request.Plan.Id);
+  const milliseconds Timeout =
+      std::clamp(remaining(Pending->RetryUntil), RetryInterval, ProbeTimeout);
+  Context_.Store.read(std::move(Range), Timeout,
+                      [this, Pending](const Result<RowPage> &Page) {
+                        if (Page)
+                          return sendWrite(Pending);
+                        handleWriteFailure(Pending, Page.error());
+                      });
+}
+
+void JobFrontend::sendWrite(std::shared_ptr<Submission> Pending) {
   const RowName Row = requestRow(Pending->Request.Plan.Id);
   RowTransaction Change;
   Change.Checks.push_back(RowCheck{Row, 0});
@@ -115,19 +137,30 @@
   }
   Pending->Uncertain = Pending->Uncertain ||
                        Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
+  handleWriteFailure(std::move(Pending), Outcome.error());
+}
+
+void JobFrontend::handleWriteFailure(std::shared_ptr<Submission> Pending,
+                                     const Error &Failure) {
+  Pending->LastFailure = Failure.text();
   const TimePoint Now = Context_.MonotonicClock.now();
   // An uncertain write is retried until the caller's deadline, since its
   // outcome could only be reported as unknown. A write that certainly failed is
   // retried for a part of that time only.
   if (Now < (Pending->Uncertain ? Pending->Deadline : Pending->RetryUntil))
     return writeWhenReachable(std::move(Pending), Now);
-  if (Pending->Uncertain) {
+  giveUp(*Pending);
+}
+
+void JobFrontend::giveUp(const Submission &Pending) {
+  const std::string &Job = Pending.Request.Plan.Id;
+  if (Pending.Uncertain) {
     Context_.Events.record(EventId::JobOutcomeUnknown, Job,
-                           Outcome.error().text());
-    return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
+                           Pending.LastFailure);
+    return reply(Pending, SubmitReply{SubmitOutcome::Unknown});
   }
-  Context_.Events.record(EventId::JobRefused, Job, Outcome.error().text());
-  reply(*Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
+  Context_.Events.record(EventId::JobRefused, Job, Pending.LastFailure);
+  reply(Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
 
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -60,14 +60,17 @@
 
 template <typename T>
 std::function<void(Result<T>)>
-RelayedStore::withMetrics(std::string_view Kind,
-                          std::function<void(Result<T>)> Done) {
+RelayedStore::recordingOutcome(std::string_view Kind,
+                               std::function<void(Result<T>)> Done) {
   return [this, Kind, Done = std::move(Done),
           Begin = MonotonicClock_.now()](Result<T> Outcome) {
     Metrics_.recordStoreCall(
         Kind, Outcome ? "answered" : errorInfo(Outcome.error().Code).Name,
         std::chrono::duration_cast<milliseconds>(MonotonicClock_.now() -
                                                  Begin));
+    if (!Outcome && (Outcome.error().Code == ErrorCode::PlatformUnavailable ||
+                     Outcome.error().Code == ErrorCode::WriteOutcomeUnknown))
+      LastFailure_ = MonotonicClock_.now();
     Done(std::move(Outcome));
   };
 }
@@ -226,7 +229,7 @@
 
 void RelayedStore::commit(RowTransaction Change, milliseconds Timeout,
                           CommitDone Done) {
-  Done = withMetrics("commit", std::move(Done));
+  Done = recordingOutcome("commit", std::move(Done));
   const auto MakeRelayedCall = [this,
                                 Timeout](const RowTransaction &Transaction) {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
@@ -247,7 +250,7 @@
 }
 
 void RelayedStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
-  Done = withMetrics("read", std::move(Done));
+  Done = recordingOutcome("read", std::move(Done));
   const auto MakeRelayedCall = [this, Range, Timeout] {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
     return RelayedCall{encode(StoreCall(ReadCall{Range, RelayTimeout})),
@@ -265,7 +268,7 @@
 }
 
 void RelayedStore::changes(ChangesQuery Request, PageDone Done) {
-  Done = withMetrics("changes", std::move(Done));
+  Done = recordingOutcome("changes", std::move(Done));
   const auto MakeRelayedCall = [this, Request] {
     ChangesQuery Relayed = Request;
     Relayed.Wait = std::min(Request.Wait, RelayedWaitMax);
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -169,6 +169,29 @@
   BOOST_CHECK(isWritten("j"));
 }
 
+// Load: the store is away for seconds and breaks off every call. Guards against
+// writes whose outcome is unknown, after which callers don't try again: while
+// the last call to the store has failed, a read precedes the write.
+BOOST_FIXTURE_TEST_CASE(jobIsRefusedWithoutAWriteWhileTheStoreIsAway, Fixture) {
+  setStoreFate({StoreFault::RequestLost, {}});
+  Store.read(RowRange{"t", "p", "", ""}, milliseconds(100),
+             [](const Result<RowPage> &) {});
+  ControlLoop.runFor(milliseconds(200));
+  submit("j");
+  ControlLoop.runFor(CallerTimeout);
+  BOOST_REQUIRE_EQUAL(Replies, 1);
+  BOOST_CHECK(LastReply.Outcome == SubmitOutcome::NotAccepted);
+  BOOST_CHECK(ReplyTime < CallerTimeout / 4);
+  // The caller can return twice within its time.
+  BOOST_CHECK(LastReply.RetryAfter <= milliseconds(1000));
+  BOOST_CHECK_EQUAL(Store.CommitCalls, 0);
+  setStoreFate({StoreFault::None, {}});
+  submit("j");
+  ControlLoop.runFor(CallerTimeout);
+  BOOST_CHECK(LastReply.Outcome == SubmitOutcome::Accepted);
+  BOOST_CHECK(isWritten("j"));
+}
+
 BOOST_AUTO_TEST_CASE(repliesMatchTheStoreUnderRandomFaults) {
   for (unsigned Seed = 1; Seed <= 400; ++Seed) {
     Fixture Setup;
--- a/packages/store/include/cuminroad/store/RowStore.h
+++ b/packages/store/include/cuminroad/store/RowStore.h
@@ -117,6 +117,9 @@
   virtual milliseconds storeTime() const = 0;
   /// \returns when the store last returned a result.
   virtual TimePoint lastContact() const = 0;
+  /// \returns when a call last failed with PlatformUnavailable or
+  /// WriteOutcomeUnknown.
+  virtual TimePoint lastFailure() const = 0;
 };
 
 } // namespace cuminroad
--- a/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
@@ -66,6 +66,7 @@
   void changes(ChangesQuery Request, PageDone Done) override;
   milliseconds storeTime() const override;
   TimePoint lastContact() const override { return LastContact_; }
+  TimePoint lastFailure() const override { return LastFailure_; }
 
   /// Returns the fault to inject into the next call; without it, all calls
   /// succeed. Reads and change feeds fail on any fault.
@@ -83,12 +84,16 @@
   }
   /// \returns how long \p Page takes to arrive after the pages before it.
   milliseconds transferTime(const RowPage &Page);
+  /// Calls \p Done with the error after \p Delay.
+  template <typename Callback>
+  void failAfter(milliseconds Delay, ErrorCode Code, Callback Done);
   /// Answers a change feed (long poll) with new changes, or at \p Deadline.
   void poll(ChangesQuery Request, TimePoint Deadline, PageDone Done);
 
   FakeRows &Rows_;
   FakeLoop &ControlLoop_;
   TimePoint LastContact_{};
+  TimePoint LastFailure_{};
   /// When the link has transferred all pages sent so far.
   TimePoint LinkFreeAt_{};
 };
--- a/tests/fakes/src/FakeRowStore.cpp
+++ b/tests/fakes/src/FakeRowStore.cpp
@@ -77,13 +77,21 @@
       ControlLoop_.MonotonicClock.now().time_since_epoch());
 }
 
+template <typename Callback>
+void FakeRowStore::failAfter(milliseconds Delay, ErrorCode Code,
+                             Callback Done) {
+  ControlLoop_.after(Delay, [this, Code, Done] {
+    LastFailure_ = ControlLoop_.MonotonicClock.now();
+    Done(failure(Code));
+  });
+}
+
 void FakeRowStore::commit(RowTransaction Transaction, milliseconds Timeout,
                           CommitDone Done) {
   ++CommitCalls;
   const StoreFault Fault = injectedFault();
   const auto ReportUnknownOutcome = [this, Timeout, Done] {
-    ControlLoop_.after(
-        Timeout, [Done] { Done(failure(ErrorCode::WriteOutcomeUnknown)); });
+    failAfter(Timeout, ErrorCode::WriteOutcomeUnknown, Done);
   };
   switch (Fault.Kind) {
   case StoreFault::None:
@@ -93,9 +101,7 @@
     });
     return;
   case StoreFault::Refused:
-    ControlLoop_.after(
-        Latency, [Done] { Done(failure(ErrorCode::PlatformUnavailable)); });
-    return;
+    return failAfter(Latency, ErrorCode::PlatformUnavailable, Done);
   case StoreFault::ResponseLost:
     ControlLoop_.after(Latency,
                        [this, Transaction] { Rows_.apply(Transaction); });
@@ -112,9 +118,7 @@
 void FakeRowStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
   ++ReadCalls;
   if (injectedFault().Kind != StoreFault::None) {
-    ControlLoop_.after(
-        Timeout, [Done] { Done(failure(ErrorCode::PlatformUnavailable)); });
-    return;
+    return failAfter(Timeout, ErrorCode::PlatformUnavailable, Done);
   }
   const TimePoint Deadline = ControlLoop_.MonotonicClock.now() + Timeout;
   ControlLoop_.after(Latency, [this, Range, Deadline, Done] {
@@ -150,9 +154,7 @@
 void FakeRowStore::changes(ChangesQuery Request, PageDone Done) {
   ++ReadCalls;
   if (injectedFault().Kind != StoreFault::None) {
-    ControlLoop_.after(
-        Latency, [Done] { Done(failure(ErrorCode::PlatformUnavailable)); });
-    return;
+    return failAfter(Latency, ErrorCode::PlatformUnavailable, Done);
   }
   const TimePoint Deadline = ControlLoop_.MonotonicClock.now() + Request.Wait;
   ControlLoop_.after(Latency, [this, Request, Deadline, Done] {
