Answer cancellations that are queued when a daemon stops being the owner

Cause: JobStore::close() dropped the callbacks of changes that were not sent, so that a caller whose cancellation was queued got no answer. The same held for a cancellation whose write failed after close(), or under a new owner.

Change: a cancellation has a callback with a result. It fails with NoOwner when it was not written, and succeeds when it was, also after close().

Result: JobStoreTest, four cases.

--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -38,6 +38,8 @@
   /// Receives the id of the job: of the new one, or of the existing job with
   /// the same name.
   using CreateCallback = std::function<void(Result<std::string>)>;
+  /// Receives NoOwner if the cancellation was not written.
+  using CancelCallback = std::function<void(Result<void>)>;
   using LoadCallback = std::function<void(std::vector<JobRow>)>;
 
   /// \param JobTable must retry a transaction whose reply was lost until its
@@ -46,9 +48,9 @@
 
   /// Reads all unfinished jobs of the domain; retries until it succeeds.
   void load(LoadCallback Done);
-  /// Stops writing. Jobs whose creation was not sent yet fail with NoOwner. A
-  /// transaction in progress still completes, and calls the callbacks of the
-  /// jobs that it creates, but no other ones.
+  /// Stops writing. Creations and cancellations that were not sent yet fail with
+  /// NoOwner. A transaction in progress still completes, and calls the callbacks
+  /// of its creations and cancellations, but no other ones.
   void close();
   /// Writes a new job.
   void create(JobRow Row, CreateCallback Done);
@@ -60,7 +62,7 @@
   bool isEndRecorded(const TaskRef &Task) const;
   /// Writes that a task that must not run twice is about to be started.
   void recordStart(const TaskRef &Task, CommitCallback Done);
-  void recordCancellation(const std::string &Job, CommitCallback Done);
+  void recordCancellation(const std::string &Job, CancelCallback Done);
   /// Moves the job's row to the finished jobs.
   void moveToFinished(const std::string &Job, JobOutcome FinalOutcome);
   /// \returns the row of an unfinished job, or null.
@@ -85,6 +87,7 @@
     std::set<std::string> Jobs;
     std::vector<PendingCreation> Creations;
     std::vector<CommitCallback> Callbacks;
+    std::vector<CancelCallback> Cancellations;
     std::vector<TaskRef> Ends;
   };
 
@@ -102,6 +105,7 @@
                       const std::vector<std::string> &Conflicts);
   void handleUnavailable(Batch SentBatch);
   void requeue(Batch &SentBatch);
+  static void failCancellations(const Batch &Failed);
   void resolveNameConflict(PendingCreation Creation);
   static std::string nameKey(const JobRow &Row);
 
--- a/packages/daemon/src/DomainOwner.cpp
+++ b/packages/daemon/src/DomainOwner.cpp
@@ -388,11 +388,15 @@
   if (!Jobs_->find(Job))
     return Done(failure(ErrorCode::UnknownJob, Job));
   Jobs_->recordCancellation(
-      Job, [Self = shared_from_this(), Job, Done = std::move(Done)] {
-        Self->Context_.Events.record(EventId::JobCancelled, Job);
-        Self->Scheduler_->cancel(Job);
-        Self->runScheduler();
-        Done({});
+      Job, [Self = shared_from_this(), Job,
+            Done = std::move(Done)](Result<void> Recorded) {
+        if (Recorded)
+          Self->Context_.Events.record(EventId::JobCancelled, Job);
+        if (Recorded && !Self->Closed_) {
+          Self->Scheduler_->cancel(Job);
+          Self->runScheduler();
+        }
+        Done(std::move(Recorded));
       });
 }
 
--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -72,7 +72,12 @@
   Closed_ = true;
   for (PendingCreation &Entry : NextBatch_.Creations)
     Entry.Done(failure(ErrorCode::NoOwner));
-  NextBatch_ = {};
+  failCancellations(std::exchange(NextBatch_, {}));
+}
+
+void JobStore::failCancellations(const Batch &Failed) {
+  for (const CancelCallback &Done : Failed.Cancellations)
+    Done(failure(ErrorCode::NoOwner));
 }
 
 const JobRow *JobStore::find(const std::string &Job) const {
@@ -125,12 +130,13 @@
   queueWrite(Task.Job, std::move(Done));
 }
 
-void JobStore::recordCancellation(const std::string &Job, CommitCallback Done) {
+void JobStore::recordCancellation(const std::string &Job, CancelCallback Done) {
   const auto Found = Jobs_.find(Job);
-  if (Found == Jobs_.end())
-    return;
+  if (Found == Jobs_.end() || Closed_)
+    return Done(failure(ErrorCode::NoOwner));
   Found->second.Row.Cancelled = true;
-  queueWrite(Job, std::move(Done));
+  NextBatch_.Cancellations.push_back(std::move(Done));
+  queueWrite(Job, nullptr);
 }
 
 void JobStore::moveToFinished(const std::string &Job, JobOutcome FinalOutcome) {
@@ -182,6 +188,7 @@
   }
   if (!NextBatch_.Jobs.empty()) {
     NextBatch_.Callbacks.swap(SentBatch.Callbacks);
+    NextBatch_.Cancellations.swap(SentBatch.Cancellations);
     NextBatch_.Ends.swap(SentBatch.Ends);
     const auto FirstDeferred =
         std::partition(SentBatch.Creations.begin(), SentBatch.Creations.end(),
@@ -228,8 +235,10 @@
   if (!Closed_)
     for (const CommitCallback &Callback : SentBatch.Callbacks)
       Callback();
-  // Report a committed creation even if the store was closed meanwhile, because
-  // the next owner will load the job.
+  // Report committed creations and cancellations even if the store was closed
+  // meanwhile, because the next owner will load the jobs.
+  for (const CancelCallback &Done : SentBatch.Cancellations)
+    Done({});
   for (const PendingCreation &Creation : SentBatch.Creations)
     Creation.Done(Creation.Job);
 }
@@ -253,6 +262,7 @@
       Creation.Done(failure(ErrorCode::NoOwner));
     for (PendingCreation &Creation : NameTaken)
       Creation.Done(failure(ErrorCode::NoOwner));
+    failCancellations(SentBatch);
     if (!Closed_ && OnSuperseded)
       OnSuperseded();
     return;
@@ -275,7 +285,7 @@
     Creation.Done(failure(ErrorCode::PlatformUnavailable));
   }
   if (Closed_)
-    return;
+    return failCancellations(SentBatch);
   requeue(SentBatch);
   if (NextBatch_.Jobs.empty())
     return;
@@ -288,6 +298,8 @@
   NextBatch_.Jobs.merge(SentBatch.Jobs);
   std::move(SentBatch.Callbacks.begin(), SentBatch.Callbacks.end(),
             std::back_inserter(NextBatch_.Callbacks));
+  std::move(SentBatch.Cancellations.begin(), SentBatch.Cancellations.end(),
+            std::back_inserter(NextBatch_.Cancellations));
   std::move(SentBatch.Ends.begin(), SentBatch.Ends.end(),
             std::back_inserter(NextBatch_.Ends));
 }
--- /dev/null
+++ b/packages/daemon/tests/JobStoreTest.cpp
@@ -0,0 +1,98 @@
+// Callers get an answer to their cancellation also when the daemon stops being
+// the owner before the cancellation is written. Guards against callers that
+// wait until their timeout: close() dropped the callbacks of queued
+// cancellations.
+
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cuminroad/daemon/JobStore.h"
+#include "cuminroad/fakes/FakeLoop.h"
+
+using namespace cuminroad;
+
+namespace {
+
+/// Keeps the callbacks of commits, for the test to answer.
+class HeldTable final : public Table {
+public:
+  void commit(Transaction, CommitDone Done) override {
+    Commits.push_back(std::move(Done));
+  }
+  void read(std::string Key, RowDone Done) override {
+    Done(TableRow{Key, 0, {}, ""});
+  }
+  void scan(std::string, RowsDone Done) override {
+    Done(std::vector<TableRow>());
+  }
+  std::vector<CommitDone> Commits;
+};
+
+/// A store with one job in the table.
+struct Fixture {
+  Fixture()
+      : Store(std::make_shared<JobStore>(Rows, ControlLoop,
+                                         JobStoreScope{"d", "epoch", 1})) {
+    Store->load([](const std::vector<JobRow> &) {});
+    JobRow Row;
+    Row.Spec.Id = "j";
+    Store->create(Row, [](const Result<std::string> &) {});
+    ControlLoop.runFor(milliseconds(1000));
+    BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 1);
+    Rows.Commits[0](CommitOutcome{2, {}});
+  }
+  ~Fixture() { Store->close(); }
+
+  void cancel() {
+    Store->recordCancellation(
+        "j", [this](Result<void> Result) { Cancelled = std::move(Result); });
+  }
+
+  FakeLoop ControlLoop;
+  HeldTable Rows;
+  std::shared_ptr<JobStore> Store;
+  std::optional<Result<void>> Cancelled;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(queuedCancellationFailsWhenTheStoreIsClosed, Fixture) {
+  cancel();
+  BOOST_CHECK(!Cancelled);
+  Store->close();
+  BOOST_REQUIRE(Cancelled);
+  BOOST_REQUIRE(!*Cancelled);
+  BOOST_CHECK(Cancelled->error().Code == ErrorCode::NoOwner);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancellationInFlightIsAnsweredByItsOutcome, Fixture) {
+  cancel();
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Store->close();
+  BOOST_CHECK(!Cancelled);
+  // The next owner loads the job as cancelled.
+  Rows.Commits[1](CommitOutcome{3, {}});
+  BOOST_REQUIRE(Cancelled);
+  BOOST_CHECK(*Cancelled);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancellationThatWasNotWrittenFailsAfterClose, Fixture) {
+  cancel();
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Store->close();
+  Rows.Commits[1](failure(ErrorCode::PlatformUnavailable));
+  BOOST_REQUIRE(Cancelled);
+  BOOST_CHECK(!*Cancelled);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancellationUnderANewOwnerFails, Fixture) {
+  cancel();
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Rows.Commits[1](CommitOutcome{0, {"epoch"}});
+  BOOST_REQUIRE(Cancelled);
+  BOOST_CHECK(!*Cancelled);
+}
