Hold idle VMs of large pools seldom

Cause: an owner held every VM about once a second.

Change: in pools of 800 VMs and more, a VM without tasks is held every 2 to 5 s, so that an owner sends at most 400 such holds a second up to 2,000 VMs; a start brings the next hold forward. Such a hold acknowledges nothing, since the VM may have restarted meanwhile. The HTTP client keeps 3,000 connections.

VmLinkTest idleVmOfALargePoolIsHeldSeldom and endOnAVmThatWasIdleIsReportedSoon.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -67,6 +67,7 @@
   void onStopAnswered(VmLink &Link, const TaskRun &Run) override;
   bool isWanted(const VmLink &Link, const TaskRun &Run) const override;
   TimePoint leaseLimit() const override;
+  milliseconds idleHoldInterval() const override;
 
   void tableRead(std::vector<StoredRow> Rows) override;
   void rowsChanged(std::vector<StoredRow> Rows) override;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -48,6 +48,9 @@
   virtual bool isWanted(const VmLink &Link, const TaskRun &Run) const = 0;
   /// Time by this process's clock beyond which no lease may be extended.
   virtual TimePoint leaseLimit() const = 0;
+  /// \returns the interval between holds of a VM without tasks; zero to hold it
+  /// like any other.
+  virtual milliseconds idleHoldInterval() const = 0;
 };
 
 /// A pool owner's link to one VM. It renews the VM's lease by holds, long polls
@@ -93,6 +96,8 @@
   /// Handles what was sent to the VM's earlier incarnation.
   void handleRestart();
   void scheduleHold(milliseconds Delay);
+  /// Replaces the scheduled hold, if there is one.
+  void rescheduleHold(milliseconds Delay);
   void checkLeaseExpiry();
   void reportLeaseExpired();
   void recordVmClock(milliseconds VmClock);
@@ -141,6 +146,10 @@
   /// The VM's clock, and the local time at which the answer with it arrived.
   std::optional<milliseconds> VmClock_;
   TimePoint VmClockReadAt_{};
+  /// The last hold found no task, so that the next one is due after
+  /// idleHoldInterval(), or after the next start.
+  bool Idle_ = false;
+  TimePoint LastStartSentAt_{};
   /// Starts that are neither definitely answered nor expired.
   std::set<TaskRun> PendingStarts_;
   /// Stops that the VM has not answered.
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -10,6 +10,17 @@
 
 namespace cuminroad {
 
+namespace {
+
+/// An owner of a large pool sends at most this many holds a second to VMs
+/// without tasks, within the interval's bounds. In smaller pools all VMs are
+/// held alike, so that a VM that is lost is noticed within a second.
+constexpr std::int64_t IdleHoldsPerSecond = 400;
+constexpr milliseconds MinIdleHoldInterval{2000};
+constexpr milliseconds MaxIdleHoldInterval{5000};
+
+} // namespace
+
 void PoolOwner::syncVms() {
   if (Closed_ || !Context_.Directory.loaded())
     return;
@@ -60,6 +71,14 @@
       Scheduler_->vmRemoved(Vm);
 }
 
+milliseconds PoolOwner::idleHoldInterval() const {
+  const milliseconds Interval(static_cast<std::int64_t>(Links_.size()) * 1000 /
+                              IdleHoldsPerSecond);
+  return Interval < MinIdleHoldInterval
+             ? milliseconds(0)
+             : std::min(Interval, MaxIdleHoldInterval);
+}
+
 TimePoint PoolOwner::leaseLimit() const {
   return Writer_->renewedAt() + VmLeaseLimit;
 }
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -32,8 +32,8 @@
 constexpr milliseconds LeaseExpiryMargin{150};
 constexpr milliseconds LeaseExpiryCheckInterval{100};
 /// Timeout of an order's first try, and of the later ones. The first repeat is
-/// sent at once: an order that gets no answer soon usually gets none at all, and
-/// repeating it is harmless.
+/// sent at once: an order that gets no answer soon usually gets none at all,
+/// and repeating it is harmless.
 constexpr milliseconds FirstOrderTimeout{350};
 constexpr milliseconds OrderTimeout{900};
 /// A start takes this long to reach its VM. It is not sent if its ticket would
@@ -106,12 +106,14 @@
   HoldInFlight_ = true;
   LastHoldSentAt_ = MonotonicClock_.now();
   HoldOrder Order;
-  // After a failure the VM may have restarted under its id. Its new incarnation
-  // numbers its ends from one, and would forget ends that it has not reported.
+  // After a failure, or a long interval, the VM may have restarted under its
+  // id. Its new incarnation numbers its ends from one, and would forget ends
+  // that it has not reported.
   if (Failures_ == 0 && Held_) {
-    Order.AcknowledgedEnd = AcknowledgedEnd_;
+    if (!Idle_)
+      Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
-    if (LastEnd_ == AcknowledgedEnd_)
+    if (LastEnd_ == AcknowledgedEnd_ && !Idle_)
       Order.Wait = MaxEndWait;
   }
   Calls_.hold(target(), Order, Order.Wait + HoldAnswerMargin,
@@ -168,10 +170,21 @@
   // extends the lease.
   if (First)
     return scheduleHold(milliseconds(0));
+  const milliseconds IdleInterval = Listener_.idleHoldInterval();
+  Idle_ = IdleInterval > milliseconds(0) && Answer.Running.empty() &&
+          Answer.Ends.empty() && PendingStarts_.empty() &&
+          PendingStops_.empty() && LastStartSentAt_ < SentAt;
+  if (Idle_)
+    return scheduleHold(IdleInterval);
   scheduleHold(LastEnd_ > AcknowledgedEnd_ ? UnacknowledgedHoldInterval
                                            : HoldInterval);
 }
 
+void VmLink::rescheduleHold(milliseconds Delay) {
+  HoldScheduled_ = false;
+  scheduleHold(Delay);
+}
+
 void VmLink::handleRestart() {
   // Orders for the earlier incarnation may reach this one. Its clock has just
   // started, so that the leases in those orders have not expired by it.
@@ -186,8 +199,7 @@
   AcknowledgedEnd_ = Number;
   const auto Since = std::chrono::duration_cast<milliseconds>(
       MonotonicClock_.now() - LastHoldSentAt_);
-  HoldScheduled_ = false;
-  scheduleHold(std::max(HoldInterval - Since, milliseconds(0)));
+  rescheduleHold(std::max(HoldInterval - Since, milliseconds(0)));
 }
 
 void VmLink::scheduleHold(milliseconds Delay) {
@@ -266,6 +278,9 @@
                                        "vm_not_held");
     Order.LeaseUntil = *Lease;
     PendingStarts_.insert(Order.Run);
+    LastStartSentAt_ = MonotonicClock_.now();
+    if (std::exchange(Idle_, false))
+      rescheduleHold(HoldInterval);
     scheduleStartExpiry(Order);
   } else if (!PendingStarts_.contains(Order.Run)) {
     return;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -59,8 +59,10 @@
   void onStopAnswered(VmLink &, const TaskRun &) override { ++Stopped; }
   bool isWanted(const VmLink &, const TaskRun &) const override { return true; }
   TimePoint leaseLimit() const override { return TimePoint::max(); }
+  milliseconds idleHoldInterval() const override { return IdleInterval; }
 
   FakeLoop ControlLoop;
+  milliseconds IdleInterval{0};
   /// Delay after which an end is acknowledged as durable.
   milliseconds RecordingDelay{0};
   FakeVms Vms;
@@ -136,8 +138,8 @@
 }
 
 // Load: VMs that leave one order in twenty unanswered and carry it out seconds
-// later, or not at all. Guards against tasks that wait for the full timeout of a
-// start, and then for new advice, since their ticket has expired.
+// later, or not at all. Guards against tasks that wait for the full timeout of
+// a start, and then for new advice, since their ticket has expired.
 BOOST_FIXTURE_TEST_CASE(unansweredStartIsRepeatedSoon, Fixture) {
   connect();
   ControlLoop.runFor(milliseconds(500));
@@ -222,6 +224,40 @@
   BOOST_CHECK_EQUAL(Stopped, 1);
 }
 
+// Load: a pool of thousands of VMs, most of them without a task. Guards against
+// an owner that spends all its processor time on holds of idle VMs, and then
+// acts on a list of VMs that is seconds old.
+BOOST_FIXTURE_TEST_CASE(idleVmOfALargePoolIsHeldSeldom, Fixture) {
+  IdleInterval = milliseconds(4000);
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  const int Before = Calls.HoldCalls;
+  ControlLoop.runFor(IdleInterval * 5);
+  BOOST_CHECK_LE(Calls.HoldCalls - Before, 6);
+  BOOST_CHECK_GE(Calls.HoldCalls - Before, 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(endOnAVmThatWasIdleIsReportedSoon, Fixture) {
+  IdleInterval = milliseconds(4000);
+  connect();
+  ControlLoop.runFor(milliseconds(1500));
+  Link->startRun(startOf(), "spec");
+  // The run takes 300 ms.
+  ControlLoop.runFor(milliseconds(600));
+  BOOST_CHECK(EndedRuns.contains(Run));
+  // A run that takes longer than the interval keeps its lease.
+  Vms.PlanRun = [](const TaskRun &) {
+    return std::pair{milliseconds(15000), RunOutcome::Done};
+  };
+  ControlLoop.runFor(milliseconds(6000));
+  StartRun Long = startOf();
+  Long.Run.Number = 2;
+  Link->startRun(Long, "spec");
+  ControlLoop.runFor(milliseconds(16000));
+  BOOST_CHECK(EndedRuns.contains(Long.Run));
+  BOOST_CHECK(Vms.RunHistory.back().Outcome == RunOutcome::Done);
+}
+
 BOOST_FIXTURE_TEST_CASE(stopIsRepeatedUntilTheVmAnswers, Fixture) {
   // Guards against a run that is neither listed by its VM nor known to have
   // ended: its start was lost, all tries to stop it failed, and the VM was back
--- a/packages/net/src/LoopHttpClient.cpp
+++ b/packages/net/src/LoopHttpClient.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr long MaxIdleConnections = 1024;
+/// Covers the connections of an owner to the VMs of a large pool.
+constexpr long MaxIdleConnections = 3000;
 
 /// A socket on which libcurl waits for events.
 struct SocketWatch {
