Request changes without a pause after a full page

Change: no pause after a full page.

Result: TableFollowerTest keepsUpWithMoreChangesThanOnePagePerPause fails on the earlier code and passes.

--- a/packages/store/src/TableFollower.cpp
+++ b/packages/store/src/TableFollower.cpp
@@ -11,6 +11,8 @@
 /// short enough to notice within a second that it is back.
 constexpr milliseconds RetryDelayMin{50};
 constexpr milliseconds RetryDelayMax{800};
+/// Rows in a full page of changes.
+constexpr std::size_t FullPageRows = 500;
 /// Consecutive slow responses to requests for changes after which the table is
 /// read in full instead, in pages that pass a slow link.
 constexpr int SlowResponsesUntilFullRead = 2;
@@ -61,11 +63,14 @@
   RetryDelay_ = RetryDelayMin;
   SlowResponses_ = 0;
   KnownVersion_ = std::max(KnownVersion_, Page->Version);
+  // More changes are waiting; a pause would let the known rows become old.
+  const bool FullPage = Page->Rows.size() >= FullPageRows;
   if (!Page->Rows.empty())
     Sink_.rowsChanged(std::move(Page->Rows));
   if (Closed_)
     return;
-  ControlLoop_.after(Options_.BatchDelay, [Self = shared_from_this()] {
+  const milliseconds Pause = FullPage ? milliseconds(0) : Options_.BatchDelay;
+  ControlLoop_.after(Pause, [Self = shared_from_this()] {
     if (!Self->Closed_)
       Self->waitForChanges();
   });
--- a/packages/store/tests/TableFollowerTest.cpp
+++ b/packages/store/tests/TableFollowerTest.cpp
@@ -129,6 +129,35 @@
   Follower->close();
 }
 
+// Load: thousands of VMs that rewrite their rows every 1.5 s. Guards against a
+// follower that pauses after full pages, so that the rows that it knows become
+// older without bound: tasks were started on VMs that had said that they leave.
+BOOST_AUTO_TEST_CASE(keepsUpWithMoreChangesThanOnePagePerPause) {
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeRowStore Store(Rows, ControlLoop);
+  RowMap Sink;
+  const auto Follower = std::make_shared<TableFollower>(
+      Store, ControlLoop,
+      FollowOptions{"t", {"p0"}, milliseconds(1500), milliseconds(300)}, Sink);
+  Follower->start();
+  ControlLoop.runFor(milliseconds(100));
+  constexpr int RowCount = 3000;
+  constexpr int RowsPerStep = 100;
+  std::string Value;
+  for (int Step = 0; Step < 150; ++Step) {
+    Value = "v" + std::to_string(Step);
+    for (int Row = 0; Row < RowsPerStep; ++Row)
+      write(Rows, 0,
+            "k" + std::to_string((Step * RowsPerStep + Row) % RowCount), Value);
+    ControlLoop.runFor(milliseconds(40));
+  }
+  write(Rows, 0, "last", "x");
+  ControlLoop.runFor(milliseconds(500));
+  BOOST_CHECK(Sink.Values.contains("last"));
+  Follower->close();
+}
+
 BOOST_AUTO_TEST_CASE(readsTablesOfSeveralPages) {
   FakeLoop ControlLoop;
   FakeRows Rows;
--- a/tests/fakes/src/FakeRowStore.cpp
+++ b/tests/fakes/src/FakeRowStore.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr milliseconds FeedPollInterval{5};
+constexpr std::size_t MaxChangesPerPage = 500;
 
 FakeRows::Key keyOf(const RowName &Name) {
   return {Name.Table, Name.Partition, Name.Key};
@@ -69,6 +70,15 @@
             [](const StoredRow &Left, const StoredRow &Right) {
               return Left.Version < Right.Version;
             });
+  if (Page.Rows.size() > MaxChangesPerPage) {
+    // The rows of one transaction stay together.
+    std::size_t End = MaxChangesPerPage;
+    while (End < Page.Rows.size() &&
+           Page.Rows[End].Version == Page.Rows[End - 1].Version)
+      ++End;
+    Page.Rows.resize(End);
+    Page.Version = Page.Rows.back().Version;
+  }
   return Page;
 }
 
