Claim VMs in batches, and VMs with tasks first

Cause: a new owner sent the first holds to all VMs of its pool at once. Each of the 300 daemons also decoded the rows of all daemons again for each of them that registered.

Change: 40 VMs are claimed every 20 ms, those with recorded tasks first. Changes of the daemons' rows are gathered for 0.2 s. Idle VMs of large pools are held up to 150 times a second in all; one that is no longer listed is held at once.

TakeoverTest vmsAreClaimedInBatches fails on the earlier code and passes.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_FLEET_POOLOWNER_H
 #define CUMINROAD_FLEET_POOLOWNER_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,6 +86,9 @@
   void applyRequest(JobRequest Request);
   void applyCancel(const std::string &Job);
   void syncVms();
+  /// Sends the first holds to the next VMs of UnclaimedVms_, and schedules the
+  /// next batch.
+  void claimNextVms();
   void removeUnlistedVms();
   void schedulePass();
   void runPass();
@@ -112,6 +116,9 @@
   TimePoint InheritedLeasesUntil_{};
   int DirectoryListener_ = 0;
   std::map<std::string, std::shared_ptr<VmLink>, std::less<>> Links_;
+  /// VMs whose links have not been started yet.
+  std::deque<std::string> UnclaimedVms_;
+  bool ClaimScheduled_ = false;
   /// The last end that was processed of a VM's incarnation.
   struct ReceivedEnds {
     std::int64_t Incarnation = 0;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -80,6 +80,8 @@
   bool held() const { return Held_; }
   bool leaseExpiryReported() const { return LeaseExpiryReported_; }
 
+  /// Holds the VM at once if its next hold is due after a long interval.
+  void holdSoon();
   void startRun(const StartRun &Command, const std::string &Spec);
   /// Repeats the stop until the VM answers or its lease has expired.
   /// \returns whether a stop is sent; false if one is already pending.
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds CheckInterval{500};
 /// VMs rewrite their entries often; changes are batched for this long.
 constexpr milliseconds VmBatchDelay{300};
+/// When all daemons start together, each of them gets a row for each other one.
+constexpr milliseconds DaemonBatchDelay{200};
 /// A stopping daemon keeps its frontend open until the load balancer has
 /// noticed that it is not ready, which takes two checks one second apart.
 constexpr milliseconds BalancerNoticeTime{2600};
@@ -198,7 +200,8 @@
   Dependencies_.Events.record(EventId::DaemonStarted, Self_.Name,
                               Self_.Incarnation);
   Followers_ = {followTable(Dependencies_.Formats.configTable(), ConfigRows_),
-                followTable(std::string(DaemonTable), DaemonTableRows_)};
+                followTable(std::string(DaemonTable), DaemonTableRows_,
+                            DaemonBatchDelay)};
   registerSelf();
   checkStore();
 }
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -2,6 +2,7 @@
 #include "cuminroad/fleet/PoolOwner.h"
 
 #include <algorithm>
+#include <set>
 
 #include <fmt/format.h>
 
@@ -12,18 +13,26 @@
 
 namespace {
 
-/// An owner of a large pool sends at most this many holds a second to VMs
-/// without tasks, within the interval's bounds. In smaller pools all VMs are
-/// held alike, so that a VM that is lost is noticed within a second.
-constexpr std::int64_t IdleHoldsPerSecond = 400;
-constexpr milliseconds MinIdleHoldInterval{2000};
-constexpr milliseconds MaxIdleHoldInterval{5000};
+/// In pools of LargePoolVms and more, VMs without tasks are held less often than
+/// others: an owner sends about IdleHoldsPerSecond holds to them, within the
+/// bound of the interval. In smaller pools all VMs are held alike, so that the
+/// loss of a VM is noticed within a second.
+constexpr std::size_t LargePoolVms = 800;
+constexpr std::size_t IdleHoldsPerSecond = 150;
+constexpr milliseconds MaxIdleHoldInterval{15000};
+/// VMs are claimed in batches, so that the owner renews its ownership between
+/// them also if it has little processor time.
+constexpr int ClaimBatchSize = 40;
+constexpr milliseconds ClaimBatchInterval{20};
 
 } // namespace
 
 void PoolOwner::syncVms() {
   if (Closed_ || !Context_.Directory.loaded())
     return;
+  const std::vector<std::string> OccupiedVms = Scheduler_->occupiedVms();
+  const std::set<std::string_view> Occupied(OccupiedVms.begin(),
+                                            OccupiedVms.end());
   for (const auto &[Id, Entry] : Context_.Directory.entries()) {
     if (Entry.Service != Term_.Service)
       continue;
@@ -38,11 +47,35 @@
         VmLink::Options{Term_.Epoch, Context_.Settings.MaxTaskLease,
                         InheritedLeasesUntil_},
         Context_.Vms, Context_.ControlLoop, Context_.MonotonicClock, *this);
-    Link->start();
+    // The leases of VMs with tasks are renewed first.
+    if (Occupied.contains(Id))
+      UnclaimedVms_.push_front(Id);
+    else
+      UnclaimedVms_.push_back(Id);
   }
+  if (!ClaimScheduled_)
+    claimNextVms();
   schedulePass();
 }
 
+void PoolOwner::claimNextVms() {
+  ClaimScheduled_ = false;
+  if (Closed_)
+    return;
+  for (int Count = 0; Count < ClaimBatchSize && !UnclaimedVms_.empty();
+       ++Count) {
+    if (VmLink *Link = findLink(UnclaimedVms_.front()))
+      Link->start();
+    UnclaimedVms_.pop_front();
+  }
+  if (UnclaimedVms_.empty())
+    return;
+  ClaimScheduled_ = true;
+  Context_.ControlLoop.after(ClaimBatchInterval, [Self = shared_from_this()] {
+    Self->claimNextVms();
+  });
+}
+
 void PoolOwner::removeUnlistedVms() {
   const TimePoint Now = Context_.MonotonicClock.now();
   const auto &Listed = Context_.Directory.entries();
@@ -52,6 +85,8 @@
         Found != Listed.end() && Found->second.Service == Term_.Service;
     // A VM whose entry has expired may still run tasks. It is removed when its
     // leases have expired.
+    if (!StillListed)
+      Entry->second->holdSoon();
     if (StillListed || !Entry->second->leaseExpiryReported()) {
       ++Entry;
       continue;
@@ -72,11 +107,11 @@
 }
 
 milliseconds PoolOwner::idleHoldInterval() const {
-  const milliseconds Interval(static_cast<std::int64_t>(Links_.size()) * 1000 /
-                              IdleHoldsPerSecond);
-  return Interval < MinIdleHoldInterval
-             ? milliseconds(0)
-             : std::min(Interval, MaxIdleHoldInterval);
+  if (Links_.size() < LargePoolVms)
+    return milliseconds(0);
+  const milliseconds Interval(
+      static_cast<std::int64_t>(Links_.size() * 1000 / IdleHoldsPerSecond));
+  return std::min(Interval, MaxIdleHoldInterval);
 }
 
 TimePoint PoolOwner::leaseLimit() const {
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -166,20 +166,25 @@
   Listener_.onReport(*this, Answer, SentAt);
   if (Closed_)
     return;
-  // The first hold only reads the VM's clock; the next one, sent at once,
-  // extends the lease.
-  if (First)
-    return scheduleHold(milliseconds(0));
   const milliseconds IdleInterval = Listener_.idleHoldInterval();
   Idle_ = IdleInterval > milliseconds(0) && Answer.Running.empty() &&
           Answer.Ends.empty() && PendingStarts_.empty() &&
           PendingStops_.empty() && LastStartSentAt_ < SentAt;
   if (Idle_)
     return scheduleHold(IdleInterval);
+  // The first hold only reads the VM's clock; the next one, sent at once,
+  // extends the lease.
+  if (First)
+    return scheduleHold(milliseconds(0));
   scheduleHold(LastEnd_ > AcknowledgedEnd_ ? UnacknowledgedHoldInterval
                                            : HoldInterval);
 }
 
+void VmLink::holdSoon() {
+  if (std::exchange(Idle_, false))
+    rescheduleHold(milliseconds(0));
+}
+
 void VmLink::rescheduleHold(milliseconds Delay) {
   HoldScheduled_ = false;
   scheduleHold(Delay);
--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -270,6 +270,37 @@
   BOOST_CHECK(Second.owns());
 }
 
+// Load: a new owner of thousands of VMs with a quarter of a core. Guards
+// against owners that claim all VMs at once, are busy with the answers until
+// their ownership expires, and are replaced by another one that does the same.
+BOOST_AUTO_TEST_CASE(vmsAreClaimedInBatches) {
+  constexpr int PoolSize = 500;
+  constexpr int MaxClaimsAtOnce = 50;
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeVms Vms(ControlLoop);
+  std::vector<StoredRow> Entries;
+  for (int Number = 0; Number < PoolSize; ++Number) {
+    const std::string Id = fmt::format("vm{}", Number);
+    Vms.add(Id, 1);
+    Entries.push_back(StoredRow{RowName{"vms", "", Id}, "1", 1, false});
+  }
+  TestDaemon Daemon("a", ControlLoop, Rows, Vms, testQueue(false));
+  Daemon.listVms(Entries);
+  std::set<std::string> Claimed;
+  Daemon.Calls.NextFault = [&Claimed](const std::string &Vm) {
+    Claimed.insert(Vm);
+    return VmCallFault{};
+  };
+  std::size_t Before = 0;
+  for (int Elapsed = 0; Elapsed < 3000; Elapsed += 10) {
+    ControlLoop.runFor(milliseconds(10));
+    BOOST_CHECK_LE(Claimed.size() - Before, MaxClaimsAtOnce);
+    Before = Claimed.size();
+  }
+  BOOST_CHECK_EQUAL(Claimed.size(), PoolSize);
+}
+
 BOOST_AUTO_TEST_CASE(noFaults) { runScenarios(1, 4, ScenarioFaults{}); }
 
 BOOST_AUTO_TEST_CASE(storeCallsAreLostDelayedOrRefused) {
