Hold VMs that are no longer listed in batches too

Cause: found in reading the diff: when the entries of idle VMs lapse while the store is away, an owner of a large pool would have held all of them at once, six times a second.

Change: a VM that is no longer listed is held once out of turn, in the batches in which VMs are claimed.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -86,9 +86,10 @@
   void applyRequest(JobRequest Request);
   void applyCancel(const std::string &Job);
   void syncVms();
-  /// Sends the first holds to the next VMs of UnclaimedVms_, and schedules the
-  /// next batch.
-  void claimNextVms();
+  /// Schedules the next batch of HoldQueue_ unless it is scheduled.
+  void holdQueuedVms();
+  /// Holds the next VMs of HoldQueue_.
+  void holdNextBatch();
   void removeUnlistedVms();
   void schedulePass();
   void runPass();
@@ -116,9 +117,12 @@
   TimePoint InheritedLeasesUntil_{};
   int DirectoryListener_ = 0;
   std::map<std::string, std::shared_ptr<VmLink>, std::less<>> Links_;
-  /// VMs whose links have not been started yet.
-  std::deque<std::string> UnclaimedVms_;
-  bool ClaimScheduled_ = false;
+  /// VMs that are to be held as soon as possible: for the first time, or since
+  /// they are no longer listed.
+  std::deque<std::string> HoldQueue_;
+  bool HoldBatchScheduled_ = false;
+  /// The VMs with a link that are no longer listed.
+  std::set<std::string, std::less<>> UnlistedVms_;
   /// The last end that was processed of a VM's incarnation.
   struct ReceivedEnds {
     std::int64_t Incarnation = 0;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -72,6 +72,7 @@
   VmLink(VmEntry Entry, Options Options, VmCalls &Calls, Loop &ControlLoop,
          const Clock &MonotonicClock, VmLinkListener &Listener);
 
+  /// Holds the VM at once: for the first time, or before its next regular hold.
   void start();
   /// Ends the link; the listener is not called after this.
   void close() { Closed_ = true; }
@@ -80,8 +81,6 @@
   bool held() const { return Held_; }
   bool leaseExpiryReported() const { return LeaseExpiryReported_; }
 
-  /// Holds the VM at once if its next hold is due after a long interval.
-  void holdSoon();
   void startRun(const StartRun &Command, const std::string &Spec);
   /// Repeats the stop until the VM answers or its lease has expired.
   /// \returns whether a stop is sent; false if one is already pending.
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -13,17 +13,17 @@
 
 namespace {
 
-/// In pools of LargePoolVms and more, VMs without tasks are held less often than
-/// others: an owner sends about IdleHoldsPerSecond holds to them, within the
-/// bound of the interval. In smaller pools all VMs are held alike, so that the
-/// loss of a VM is noticed within a second.
+/// In pools of LargePoolVms and more, VMs without tasks are held less often
+/// than others: an owner sends about IdleHoldsPerSecond holds to them, within
+/// the bound of the interval. In smaller pools all VMs are held alike, so that
+/// the loss of a VM is noticed within a second.
 constexpr std::size_t LargePoolVms = 800;
 constexpr std::size_t IdleHoldsPerSecond = 150;
 constexpr milliseconds MaxIdleHoldInterval{15000};
-/// VMs are claimed in batches, so that the owner renews its ownership between
+/// Many VMs are held in batches, so that the owner renews its ownership between
 /// them also if it has little processor time.
-constexpr int ClaimBatchSize = 40;
-constexpr milliseconds ClaimBatchInterval{20};
+constexpr int HoldBatchSize = 40;
+constexpr milliseconds HoldBatchInterval{20};
 
 } // namespace
 
@@ -49,30 +49,33 @@
         Context_.Vms, Context_.ControlLoop, Context_.MonotonicClock, *this);
     // The leases of VMs with tasks are renewed first.
     if (Occupied.contains(Id))
-      UnclaimedVms_.push_front(Id);
+      HoldQueue_.push_front(Id);
     else
-      UnclaimedVms_.push_back(Id);
+      HoldQueue_.push_back(Id);
   }
-  if (!ClaimScheduled_)
-    claimNextVms();
+  holdQueuedVms();
   schedulePass();
 }
 
-void PoolOwner::claimNextVms() {
-  ClaimScheduled_ = false;
+void PoolOwner::holdQueuedVms() {
+  if (!HoldBatchScheduled_ && !HoldQueue_.empty())
+    holdNextBatch();
+}
+
+void PoolOwner::holdNextBatch() {
+  HoldBatchScheduled_ = false;
   if (Closed_)
     return;
-  for (int Count = 0; Count < ClaimBatchSize && !UnclaimedVms_.empty();
-       ++Count) {
-    if (VmLink *Link = findLink(UnclaimedVms_.front()))
+  for (int Count = 0; Count < HoldBatchSize && !HoldQueue_.empty(); ++Count) {
+    if (VmLink *Link = findLink(HoldQueue_.front()))
       Link->start();
-    UnclaimedVms_.pop_front();
+    HoldQueue_.pop_front();
   }
-  if (UnclaimedVms_.empty())
+  if (HoldQueue_.empty())
     return;
-  ClaimScheduled_ = true;
-  Context_.ControlLoop.after(ClaimBatchInterval, [Self = shared_from_this()] {
-    Self->claimNextVms();
+  HoldBatchScheduled_ = true;
+  Context_.ControlLoop.after(HoldBatchInterval, [Self = shared_from_this()] {
+    Self->holdNextBatch();
   });
 }
 
@@ -83,10 +86,13 @@
     const auto Found = Listed.find(Entry->first);
     const bool StillListed =
         Found != Listed.end() && Found->second.Service == Term_.Service;
+    // Its next regular hold may be far off.
+    if (StillListed)
+      UnlistedVms_.erase(Entry->first);
+    else if (UnlistedVms_.insert(Entry->first).second)
+      HoldQueue_.push_back(Entry->first);
     // A VM whose entry has expired may still run tasks. It is removed when its
     // leases have expired.
-    if (!StillListed)
-      Entry->second->holdSoon();
     if (StillListed || !Entry->second->leaseExpiryReported()) {
       ++Entry;
       continue;
@@ -94,9 +100,11 @@
     Entry->second->close();
     Scheduler_->vmRemoved(Entry->first);
     ReceivedEnds_.erase(Entry->first);
+    UnlistedVms_.erase(Entry->first);
     Context_.Events.record(EventId::VmGone, Entry->first, Term_.Service);
     Entry = Links_.erase(Entry);
   }
+  holdQueuedVms();
   // VMs that only the records of an earlier owner name, and that have never
   // been listed since.
   if (Now < InheritedLeasesUntil_)
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -180,11 +180,6 @@
                                            : HoldInterval);
 }
 
-void VmLink::holdSoon() {
-  if (std::exchange(Idle_, false))
-    rescheduleHold(milliseconds(0));
-}
-
 void VmLink::rescheduleHold(milliseconds Delay) {
   HoldScheduled_ = false;
   scheduleHold(Delay);
