Read more pages of a table at a time until one is slow

Change: 16 pages of up to 400 rows at first, and one more at a time with each page that arrives, up to 64, until a page is too slow.

The tests of slow links pass as before.

--- a/packages/store/include/cuminroad/store/TableReader.h
+++ b/packages/store/include/cuminroad/store/TableReader.h
@@ -61,6 +61,7 @@
   std::size_t PagesInFlight_ = 0;
   std::size_t MaxPagesInFlight_;
   int RowsPerPage_;
+  bool AnyTooSlow_ = false;
   milliseconds RetryDelay_;
   bool RetryScheduled_ = false;
   bool Closed_ = false;
--- a/packages/store/src/TableReader.cpp
+++ b/packages/store/src/TableReader.cpp
@@ -8,10 +8,13 @@
 
 namespace {
 
-/// Pages read at the same time, at most, and rows in a page, at most. Both are
-/// halved, down to one page and MinRowsPerPage, when a page is too slow.
-constexpr std::size_t InitialPagesInFlight = 8;
-constexpr int InitialRowsPerPage = 100;
+/// Pages read at the same time, at most: one more with each page that arrives,
+/// until one is too slow.
+constexpr std::size_t InitialPagesInFlight = 16;
+constexpr std::size_t MaxPagesInFlightLimit = 64;
+/// Rows in a page, at most. They are halved, like the pages at the same time,
+/// when a page is too slow.
+constexpr int InitialRowsPerPage = 400;
 constexpr int MinRowsPerPage = 4;
 /// Timeout for reading one page; several times the store's usual response time
 /// under load.
@@ -71,6 +74,8 @@
     return handleFailure(std::move(Requested), Limit, Page.error().Code);
   ++PagesRead_;
   RetryDelay_ = RetryDelayMin;
+  if (!AnyTooSlow_ && MaxPagesInFlight_ < MaxPagesInFlightLimit)
+    ++MaxPagesInFlight_;
   if (Contents_.Version == 0 || Page->Version < Contents_.Version)
     Contents_.Version = Page->Version;
   if (Page->HasMore && !Page->Rows.empty()) {
@@ -92,6 +97,7 @@
   Unread_.push_front(std::move(Requested));
   // Pages that were requested before the last change of the limits say nothing
   // about the present ones.
+  AnyTooSlow_ = AnyTooSlow_ || Code == ErrorCode::AnswerTooSlow;
   if (Code == ErrorCode::AnswerTooSlow && Limit == RowsPerPage_) {
     MaxPagesInFlight_ = std::max<std::size_t>(MaxPagesInFlight_ / 2, 1);
     RowsPerPage_ = std::max(RowsPerPage_ / 2, MinRowsPerPage);
