--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -48,9 +48,9 @@
 
   /// Reads all unfinished jobs of the domain; retries until it succeeds.
   void load(LoadCallback Done);
-  /// Stops writing. Creations and cancellations that were not sent yet fail with
-  /// NoOwner. A transaction in progress still completes, and calls the callbacks
-  /// of its creations and cancellations, but no other ones.
+  /// Stops writing. Creations and cancellations that were not sent yet fail
+  /// with NoOwner. A transaction in progress still completes, and calls the
+  /// callbacks of its creations and cancellations, but no other ones.
   void close();
   /// Writes a new job.
   void create(JobRow Row, CreateCallback Done);
