--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -57,7 +57,7 @@
     ErrorInfo{ErrorCode::AnswerUnreadable, "answer_unreadable",
               "the response does not have the expected format"},
     ErrorInfo{ErrorCode::AnswerTooSlow, "answer_too_slow",
-              "the response was still arriving when its time was over"},
+              "the response was still arriving when the timeout expired"},
     ErrorInfo{ErrorCode::PlatformUnavailable, "platform_unavailable",
               "the platform's table service is unavailable"},
     ErrorInfo{ErrorCode::WriteOutcomeUnknown, "write_outcome_unknown",
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -87,12 +87,11 @@
   /// Writes the request, after a read if the store may be unreachable.
   void writeRequest(std::shared_ptr<Submission> Pending);
   void sendWrite(std::shared_ptr<Submission> Pending);
+  /// Retries the submission, or answers it if there is no time left.
   void handleWriteFailure(std::shared_ptr<Submission> Pending,
                           const Error &Failure);
   void handleWriteResult(std::shared_ptr<Submission> Pending,
                          Result<RowCommit> Outcome);
-  /// Answers a submission that is not retried any more.
-  void giveUp(const Submission &Pending);
   void reply(const Submission &Pending, const SubmitReply &Reply);
   /// Repeats the write as soon as the store has answered any call after \p
   /// FailedAt.
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -86,9 +87,11 @@
   void applyRequest(JobRequest Request);
   void applyCancel(const std::string &Job);
   void syncVms();
-  /// Schedules the next batch of HoldQueue_ unless it is scheduled.
+  /// Queues the first holds of VMs whose links are new.
+  void claimVms(std::span<const std::string> NewVms);
+  /// Begins with the batches of HoldQueue_ unless one is scheduled.
   void holdQueuedVms();
-  /// Holds the next VMs of HoldQueue_.
+  /// Holds the next VMs of HoldQueue_, and schedules the batch after it.
   void holdNextBatch();
   void removeUnlistedVms();
   void schedulePass();
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -27,7 +27,8 @@
 constexpr milliseconds CheckInterval{500};
 /// VMs rewrite their entries often; changes are batched for this long.
 constexpr milliseconds VmBatchDelay{300};
-/// When all daemons start together, each of them gets a row for each other one.
+/// When all daemons start together, each receives a change for each other one;
+/// changes are batched for this long.
 constexpr milliseconds DaemonBatchDelay{200};
 /// A stopping daemon keeps its frontend open until the load balancer has
 /// noticed that it is not ready, which takes two checks one second apart.
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -64,8 +64,6 @@
   SubmitDone Done;
   /// An earlier attempt may have taken effect, or may still do so.
   bool Uncertain = false;
-  /// Why the last attempt failed.
-  std::string LastFailure;
 };
 
 struct JobFrontend::Cancellation {
@@ -142,25 +140,19 @@
 
 void JobFrontend::handleWriteFailure(std::shared_ptr<Submission> Pending,
                                      const Error &Failure) {
-  Pending->LastFailure = Failure.text();
+  const std::string &Job = Pending->Request.Plan.Id;
   const TimePoint Now = Context_.MonotonicClock.now();
   // An uncertain write is retried until the caller's deadline, since its
   // outcome could only be reported as unknown. A write that certainly failed is
   // retried for a part of that time only.
   if (Now < (Pending->Uncertain ? Pending->Deadline : Pending->RetryUntil))
     return writeWhenReachable(std::move(Pending), Now);
-  giveUp(*Pending);
-}
-
-void JobFrontend::giveUp(const Submission &Pending) {
-  const std::string &Job = Pending.Request.Plan.Id;
-  if (Pending.Uncertain) {
-    Context_.Events.record(EventId::JobOutcomeUnknown, Job,
-                           Pending.LastFailure);
-    return reply(Pending, SubmitReply{SubmitOutcome::Unknown});
+  if (Pending->Uncertain) {
+    Context_.Events.record(EventId::JobOutcomeUnknown, Job, Failure.text());
+    return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
   }
-  Context_.Events.record(EventId::JobRefused, Job, Pending.LastFailure);
-  reply(Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
+  Context_.Events.record(EventId::JobRefused, Job, Failure.text());
+  reply(*Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
 
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds PeriodicWorkInterval{150};
 /// Delay between reads of new jobs, so that one read returns several.
 constexpr milliseconds RequestBatchDelay{15};
-constexpr milliseconds CleanupTimeout{1500};
-constexpr milliseconds ReleaseTimeout{1500};
+/// Of transactions that are not the writer's.
+constexpr milliseconds CommitTimeout{1500};
 /// Nothing is placed while no transaction has succeeded for this long, plus a
 /// multiple of the store's recent delay: starts would have to wait for the
 /// store, and their tickets would expire.
@@ -150,7 +150,7 @@
         RowPut{Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0,
                                          milliseconds(0)})});
     Self->close();
-    Self->Context_.Store.commit(std::move(Change), ReleaseTimeout,
+    Self->Context_.Store.commit(std::move(Change), CommitTimeout,
                                 [](const Result<RowCommit> &) {
                                   // If this write fails, a standby waits until
                                   // the lease expires.
@@ -474,7 +474,7 @@
     Writer_->remove(progressRow(Term_.Service, Job));
     RowTransaction Change;
     Change.Removals = {requestRow(Job), cancelRow(Job)};
-    Context_.Store.commit(std::move(Change), CleanupTimeout,
+    Context_.Store.commit(std::move(Change), CommitTimeout,
                           [](const Result<RowCommit> &) {
                             // A row that remains is removed by a later owner.
                           });
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -30,9 +30,7 @@
 void PoolOwner::syncVms() {
   if (Closed_ || !Context_.Directory.loaded())
     return;
-  const std::vector<std::string> OccupiedVms = Scheduler_->occupiedVms();
-  const std::set<std::string_view> Occupied(OccupiedVms.begin(),
-                                            OccupiedVms.end());
+  std::vector<std::string> NewVms;
   for (const auto &[Id, Entry] : Context_.Directory.entries()) {
     if (Entry.Service != Term_.Service)
       continue;
@@ -47,14 +45,25 @@
         VmLink::Options{Term_.Epoch, Context_.Settings.MaxTaskLease,
                         InheritedLeasesUntil_},
         Context_.Vms, Context_.ControlLoop, Context_.MonotonicClock, *this);
-    // The leases of VMs with tasks are renewed first.
-    if (Occupied.contains(Id))
-      HoldQueue_.push_front(Id);
+    NewVms.push_back(Id);
+  }
+  if (!NewVms.empty())
+    claimVms(NewVms);
+  schedulePass();
+}
+
+void PoolOwner::claimVms(std::span<const std::string> NewVms) {
+  const std::vector<std::string> OccupiedVms = Scheduler_->occupiedVms();
+  const std::set<std::string_view> Occupied(OccupiedVms.begin(),
+                                            OccupiedVms.end());
+  // The leases of VMs with tasks are renewed first.
+  for (const std::string &Vm : NewVms) {
+    if (Occupied.contains(Vm))
+      HoldQueue_.push_front(Vm);
     else
-      HoldQueue_.push_back(Id);
+      HoldQueue_.push_back(Vm);
   }
   holdQueuedVms();
-  schedulePass();
 }
 
 void PoolOwner::holdQueuedVms() {
--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -245,7 +245,7 @@
 } // namespace
 
 // Guards against an owner that renews its ownership but can't read its pool's
-// jobs: it would hold the pool for good while nothing runs.
+// jobs: it would keep the pool forever while nothing runs.
 BOOST_AUTO_TEST_CASE(ownerThatCannotLoadReleasesThePool) {
   FakeLoop ControlLoop;
   FakeRows Rows;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -261,7 +261,7 @@
 BOOST_FIXTURE_TEST_CASE(stopIsRepeatedUntilTheVmAnswers, Fixture) {
   // Guards against a run that is neither listed by its VM nor known to have
   // ended: its start was lost, all tries to stop it failed, and the VM was back
-  // before its lease expired. Its gang then waited for it for good.
+  // before its lease expired. Its gang then waited for it forever.
   connect();
   ControlLoop.runFor(milliseconds(500));
   Calls.NextFault = [](const std::string &) {
