Log how a VM was lost, and the age of the runs lost with it

Cause: run_lost and vm_lease_lapsed were the same lines for a VM that crashed and one behind a cut, connect_failed covered refused connections and timeouts, and a restarted VM left no line. The hypotheses of the incident couldn't be told apart.

Change: vm_lease_lapsed and run_lost name lease_lapsed, connections_refused or address_reused; run_lost has age_ms; event vm_restarted; error connect_timed_out beside connect_failed, with isNotSent() for callers that treat both alike.

--- a/packages/base/include/cuminroad/base/Error.h
+++ b/packages/base/include/cuminroad/base/Error.h
@@ -35,6 +35,7 @@
   BackendRefused = 205,
   AnswerUnreadable = 206,
   AnswerTooSlow = 207,
+  ConnectTimedOut = 208,
   PlatformUnavailable = 210,
   WriteOutcomeUnknown = 211,
   HistoryGone = 212,
@@ -50,6 +51,11 @@
   NotReady = 250,
 };
 
+/// \returns whether a call that failed with \p Code was certainly not sent.
+constexpr bool isNotSent(ErrorCode Code) {
+  return Code == ErrorCode::ConnectFailed || Code == ErrorCode::ConnectTimedOut;
+}
+
 /// A row of the error table.
 struct ErrorInfo {
   ErrorCode Code;
--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -25,6 +25,7 @@
   VmGone = 1114,
   VmQuarantined = 1115,
   VmLeaseLapsed = 1116,
+  VmRestarted = 1117,
   PlatformLost = 1200,
   PlatformBack = 1201,
   RowUnreadable = 1210,
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -44,7 +44,8 @@
         ErrorCode::QuotaTooSmall, "quota_too_small",
         "the job needs more capacity than the customer's contract allows"},
     ErrorInfo{ErrorCode::ConnectFailed, "connect_failed",
-              "the connection could not be established; nothing was sent"},
+              "the connection was refused or could not be established; nothing "
+              "was sent"},
     ErrorInfo{ErrorCode::AnswerLost, "answer_lost",
               "the connection closed before a response arrived"},
     ErrorInfo{ErrorCode::AnswerIncomplete, "answer_incomplete",
@@ -58,6 +59,8 @@
               "the response does not have the expected format"},
     ErrorInfo{ErrorCode::AnswerTooSlow, "answer_too_slow",
               "the response was still arriving when the timeout expired"},
+    ErrorInfo{ErrorCode::ConnectTimedOut, "connect_timed_out",
+              "no connection was established in time; nothing was sent"},
     ErrorInfo{ErrorCode::PlatformUnavailable, "platform_unavailable",
               "the platform's table service is unavailable"},
     ErrorInfo{ErrorCode::WriteOutcomeUnknown, "write_outcome_unknown",
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -45,6 +45,10 @@
     EventInfo{EventId::VmLeaseLapsed, Severity::Warning, "vm_lease_lapsed",
               "The VM's lease has certainly lapsed; its tasks are restarted "
               "elsewhere."},
+    EventInfo{
+        EventId::VmRestarted, Severity::Warning, "vm_restarted",
+        "The VM answers as a new incarnation; all runs of the earlier one "
+        "have ended."},
     EventInfo{EventId::PlatformLost, Severity::Error, "platform_lost",
               "The platform's table service can't be reached."},
     EventInfo{EventId::PlatformBack, Severity::Info, "platform_back",
--- a/packages/daemon/src/Api.cpp
+++ b/packages/daemon/src/Api.cpp
@@ -462,8 +462,7 @@
   Components_.ControlClient->send(
       std::move(Call), [Respond = std::move(Respond)](HttpResult Result) {
         if (!Result) {
-          const bool CertainlyNotSent =
-              Result.error().Code == ErrorCode::ConnectFailed;
+          const bool CertainlyNotSent = isNotSent(Result.error().Code);
           return Respond(outcomeResponse(CertainlyNotSent ? Outcome::NotRun
                                                           : Outcome::Unknown,
                                          Result.error()));
--- a/packages/daemon/src/RequestFrontend.cpp
+++ b/packages/daemon/src/RequestFrontend.cpp
@@ -394,7 +394,7 @@
 
 void RequestFrontend::handleBackendResult(ServiceCallPtr Call, Slot HeldSlot,
                                           TimePoint SentAt, HttpResult Result) {
-  if (!Result && Result.error().Code != ErrorCode::ConnectFailed) {
+  if (!Result && !isNotSent(Result.error().Code)) {
     // The backend server may still be processing the request: the slot stays
     // occupied until the deadline passed to the server is certainly over.
     Call->MayHaveRun = true;
--- a/packages/daemon/src/VmSession.cpp
+++ b/packages/daemon/src/VmSession.cpp
@@ -96,7 +96,7 @@
   const TimePoint SentAt = MonotonicClock_.now();
   postToVm("claim", Body, CallTimeout,
            [this, SentAt](const HttpResult &Response) {
-             if (Response || Response.error().Code != ErrorCode::ConnectFailed)
+             if (Response || !isNotSent(Response.error().Code))
                LastRenewalSentAt_ = SentAt;
              handleClaimResponse(Response);
            });
@@ -167,7 +167,7 @@
   const std::int64_t FencingToken = FencingToken_;
   postToVm("renew", Body, Config_.Times.TaskRenewal + CallTimeout,
            [this, SentAt, FencingToken, Acks](const HttpResult &Response) {
-             if (Response || Response.error().Code != ErrorCode::ConnectFailed)
+             if (Response || !isNotSent(Response.error().Code))
                LastRenewalSentAt_ = SentAt;
              if (!Response)
                PendingAcks_.insert(PendingAcks_.end(), Acks.begin(),
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -62,7 +62,7 @@
   void onUnreachable(VmLink &Link, std::string_view Reason,
                      int Attempts) override;
   void onReachable(VmLink &Link) override;
-  void onLeaseExpired(VmLink &Link) override;
+  void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) override;
   void onFenced(VmLink &Link) override;
   void onStartAnswered(VmLink &Link, const TaskRun &Run, StartOutcome Outcome,
                        std::string_view Reason) override;
--- a/packages/fleet/include/cuminroad/fleet/VmCalls.h
+++ b/packages/fleet/include/cuminroad/fleet/VmCalls.h
@@ -86,7 +86,8 @@
 
 /// Sends orders to VMs. Results arrive on the loop's thread. After a failure it
 /// is unknown whether the order was or will be carried out, except for
-/// ConnectFailed, which means that it was not sent.
+/// errors for which isNotSent() holds. ConnectFailed also means that no process
+/// accepts connections at the VM's address.
 class VmCalls {
 public:
   using OrderDone = std::function<void(Result<OrderAnswer>)>;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -14,6 +14,7 @@
 #include "cuminroad/fleet/VmEntry.h"
 #include "cuminroad/net/Loop.h"
 #include "cuminroad/pool/PoolCommand.h"
+#include "cuminroad/pool/PoolVm.h"
 
 namespace cuminroad {
 
@@ -37,7 +38,7 @@
   /// unreachable.
   virtual void onReachable(VmLink &Link) = 0;
   /// All leases on what ran on the VM have expired.
-  virtual void onLeaseExpired(VmLink &Link) = 0;
+  virtual void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) = 0;
   /// The VM has accepted a newer owner.
   virtual void onFenced(VmLink &Link) = 0;
   virtual void onStartAnswered(VmLink &Link, const TaskRun &Run,
@@ -93,7 +94,7 @@
   void hold();
   void handleHoldAnswer(TimePoint SentAt, Result<HoldAnswer> Answer);
   void handleHoldSuccess(TimePoint SentAt, const HoldAnswer &Answer);
-  void handleHoldFailure(std::string_view Reason);
+  void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Handles what was sent to the VM's earlier incarnation.
   void handleRestart();
   void scheduleHold(milliseconds Delay);
@@ -138,6 +139,8 @@
   /// The last order got no answer, so that its connection may be dead.
   bool LastOrderUnanswered_ = false;
   int Failures_ = 0;
+  /// What the last failed hold says about the VM, should its lease expire.
+  RunsEndedCause FailureCause_ = RunsEndedCause::LeaseExpired;
   /// Number of failures at which the VM is next reported as unreachable.
   int NextUnreachableReport_ = 0;
   std::int64_t Incarnation_ = 0;
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -39,6 +39,13 @@
 /// Finished jobs remain readable this much longer than the retention time.
 constexpr milliseconds RetentionMargin{60000};
 
+std::string formatLoss(const LostRun &Loss) {
+  std::string Out = fmt::format("{} {}", Loss.Vm, Loss.Reason);
+  if (Loss.Age)
+    Out += fmt::format(" age_ms {}", Loss.Age->count());
+  return Out;
+}
+
 PoolOptions poolOptions(const FleetSettings &Settings) {
   PoolOptions Out;
   Out.RemoteFactor = Settings.RemoteFactor;
@@ -371,7 +378,7 @@
   const PoolDiagnostics Diagnostics = Scheduler_->takeDiagnostics();
   for (const LostRun &Loss : Diagnostics.LostRuns)
     Context_.Events.record(EventId::RunLost, formatRun(Loss.Run),
-                           fmt::format("{} {}", Loss.Vm, Loss.Reason));
+                           formatLoss(Loss));
   for (const VmQuarantine &Each : Diagnostics.Quarantines)
     Context_.Events.record(EventId::VmQuarantined, Each.Vm,
                            fmt::format("for_ms {}", Each.Duration.count()));
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -138,8 +138,13 @@
 void PoolOwner::onReport(VmLink &Link, const HoldAnswer &Answer,
                          TimePoint SentAt) {
   ReceivedEnds &Received = ReceivedEnds_[Link.vm()];
-  if (Received.Incarnation != Answer.Incarnation)
+  if (Received.Incarnation != Answer.Incarnation) {
+    if (Received.Incarnation != 0)
+      Context_.Events.record(
+          EventId::VmRestarted, Link.vm(),
+          fmt::format("{} incarnation {}", Term_.Service, Answer.Incarnation));
     Received = ReceivedEnds{Answer.Incarnation, 0};
+  }
   std::int64_t LastEnd = 0;
   for (const TaskEnd &End : Answer.Ends) {
     LastEnd = std::max(LastEnd, End.Number);
@@ -180,9 +185,11 @@
   Scheduler_->vmUnreachable(Link.vm());
 }
 
-void PoolOwner::onLeaseExpired(VmLink &Link) {
-  Context_.Events.record(EventId::VmLeaseLapsed, Link.vm(), Term_.Service);
-  Scheduler_->vmTasksEnded(Link.vm());
+void PoolOwner::onLeaseExpired(VmLink &Link, RunsEndedCause Cause) {
+  Context_.Events.record(
+      EventId::VmLeaseLapsed, Link.vm(),
+      fmt::format("{} {}", Term_.Service, runsEndedCauseName(Cause)));
+  Scheduler_->vmTasksEnded(Link.vm(), Cause);
   schedulePass();
 }
 
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -183,7 +183,7 @@
         failure(ErrorCode::PlatformUnavailable, "no peer reaches the store"));
   send(Call, [this, Call,
               Done = std::move(Done)](const HttpResult &Response) mutable {
-    if (!Response && Response.error().Code != ErrorCode::ConnectFailed)
+    if (!Response && !isNotSent(Response.error().Code))
       return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
     auto Decoded = Response && Response->Status == StatusOk
                        ? decodeCommitResponse(Response->Body)
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -128,7 +128,10 @@
 
 void VmLink::handleHoldAnswer(TimePoint SentAt, Result<HoldAnswer> Answer) {
   if (!Answer)
-    return handleHoldFailure(errorInfo(Answer.error().Code).Name);
+    return handleHoldFailure(errorInfo(Answer.error().Code).Name,
+                             Answer.error().Code == ErrorCode::ConnectFailed
+                                 ? RunsEndedCause::ConnectionsRefused
+                                 : RunsEndedCause::LeaseExpired);
   switch (Answer->Outcome) {
   case OrderOutcome::Done:
     return handleHoldSuccess(SentAt, *Answer);
@@ -136,12 +139,13 @@
     return Listener_.onFenced(*this);
   case OrderOutcome::OtherInstance:
     // The address belongs to another VM, so that this one has ended.
-    handleHoldFailure("other_instance");
+    handleHoldFailure("other_instance", RunsEndedCause::AddressReused);
     if (!LeaseExpiryReported_)
       reportLeaseExpired();
     return;
   default:
-    return handleHoldFailure(orderOutcomeName(Answer->Outcome));
+    return handleHoldFailure(orderOutcomeName(Answer->Outcome),
+                             RunsEndedCause::LeaseExpired);
   }
 }
 
@@ -213,7 +217,8 @@
       });
 }
 
-void VmLink::handleHoldFailure(std::string_view Reason) {
+void VmLink::handleHoldFailure(std::string_view Reason, RunsEndedCause Cause) {
+  FailureCause_ = Cause;
   // No task is placed on the VM until it answers again.
   if (++Failures_ == 1) {
     NextUnreachableReport_ = FailuresUntilUnreachable;
@@ -255,7 +260,7 @@
   LeaseExpiryReported_ = true;
   // All runs have ended, and orders to start one have expired.
   PendingStops_.clear();
-  Listener_.onLeaseExpired(*this);
+  Listener_.onLeaseExpired(*this, FailureCause_);
 }
 
 void VmLink::startRun(const StartRun &Command, const std::string &Spec) {
@@ -319,7 +324,7 @@
 void VmLink::handleStartAnswer(const StartOrder &Order, int Attempts,
                                const Result<OrderAnswer> &Answer) {
   if (!Answer) {
-    if (Answer.error().Code == ErrorCode::ConnectFailed && Attempts == 0)
+    if (isNotSent(Answer.error().Code) && Attempts == 0)
       return completeStart(Order.Run, StartOutcome::Refused,
                            errorInfo(Answer.error().Code).Name);
     // The order may have been carried out, or may still be. Repeating the same
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -48,7 +48,8 @@
     UnreachableAttempts.push_back(Attempts);
   }
   void onReachable(VmLink &) override { ++ReachableReports; }
-  void onLeaseExpired(VmLink &) override {
+  void onLeaseExpired(VmLink &, RunsEndedCause Cause) override {
+    LastCause = Cause;
     LeaseExpiredAt = ControlLoop.MonotonicClock.now();
   }
   void onFenced(VmLink &) override { Fenced = true; }
@@ -77,6 +78,7 @@
   int ReachableReports = 0;
   bool Fenced = false;
   std::optional<TimePoint> LeaseExpiredAt;
+  RunsEndedCause LastCause = RunsEndedCause::LeaseExpired;
   std::vector<StartOutcome> Outcomes;
 };
 
--- a/packages/net/include/cuminroad/net/HttpClient.h
+++ b/packages/net/include/cuminroad/net/HttpClient.h
@@ -29,9 +29,10 @@
   std::string RequestId;
 };
 
-/// The response to a call or its error: ConnectFailed means that nothing was
-/// sent; after Timeout, AnswerTooSlow, AnswerLost, AnswerIncomplete and
-/// AnswerMismatched the server may have acted on the request.
+/// The response to a call or its error: ConnectFailed and ConnectTimedOut mean
+/// that nothing was sent; after Timeout, AnswerTooSlow, AnswerLost,
+/// AnswerIncomplete and AnswerMismatched the server may have acted on the
+/// request.
 using HttpResult = Result<HttpResponse>;
 /// Called exactly once, on the client's thread, unless the client is destroyed
 /// before.
--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -109,7 +109,10 @@
 HttpResult CurlTransfer::makeResult(CURLcode Code, bool WasSent) {
   if (Code != CURLE_OK) {
     if (!WasSent)
-      return failure(ErrorCode::ConnectFailed, Call_.Url);
+      return failure(Code == CURLE_OPERATION_TIMEDOUT
+                         ? ErrorCode::ConnectTimedOut
+                         : ErrorCode::ConnectFailed,
+                     Call_.Url);
     if (Code == CURLE_OPERATION_TIMEDOUT) {
       const bool Arriving = !Response_.Headers.empty();
       return failure(Arriving ? ErrorCode::AnswerTooSlow : ErrorCode::Timeout,
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_POOLDIAGNOSTICS_H
 #define CUMINROAD_POOL_POOLDIAGNOSTICS_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,9 @@
   TaskRun Run;
   std::string Vm;
   std::string_view Reason;
+  /// Time from the placement of the run until the VM stopped responding, or
+  /// until now if it responds; nothing for a run that an earlier owner placed.
+  std::optional<milliseconds> Age;
 };
 
 /// Why a step could not be placed for some time. The counts show which
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -59,7 +59,7 @@
   /// The VM doesn't respond: it gets no new work, but its runs may continue.
   virtual void vmUnreachable(std::string_view Vm) = 0;
   /// All earlier runs on the VM have certainly ended.
-  virtual void vmTasksEnded(std::string_view Vm) = 0;
+  virtual void vmTasksEnded(std::string_view Vm, RunsEndedCause Cause) = 0;
   /// Removes a VM; all its runs must have ended.
   virtual void vmRemoved(std::string_view Vm) = 0;
 
--- a/packages/pool/include/cuminroad/pool/PoolVm.h
+++ b/packages/pool/include/cuminroad/pool/PoolVm.h
@@ -38,6 +38,20 @@
   double Measurement = 0;
 };
 
+/// How it is known that all runs on a VM have ended without a report.
+enum class RunsEndedCause {
+  /// The VM was silent until its lease had expired. It may still be up.
+  LeaseExpired,
+  /// The lease has expired, and the VM's host refused the last connections: its
+  /// process was not running.
+  ConnectionsRefused,
+  /// Another VM answers at the VM's address.
+  AddressReused,
+};
+
+/// \returns the cause's name in logs.
+std::string_view runsEndedCauseName(RunsEndedCause Cause);
+
 /// How a run ended.
 enum class RunOutcome {
   Done,
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -144,6 +144,8 @@
   PoolVm Description;
   /// The VM's lease is held and all its runs are known.
   bool LeaseHeld = false;
+  /// Since when the VM has not responded.
+  std::optional<TimePoint> UnreachableSince;
   bool Listed = true;
   /// The incarnation of the last report; 0 before the first.
   std::int64_t ReportedIncarnation = 0;
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -19,7 +19,7 @@
                   std::span<const RunningTask> Running,
                   TimePoint RequestedAt) override;
   void vmUnreachable(std::string_view Vm) override;
-  void vmTasksEnded(std::string_view Vm) override;
+  void vmTasksEnded(std::string_view Vm, RunsEndedCause Cause) override;
   void vmRemoved(std::string_view Vm) override;
 
   void addJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt) override;
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -77,6 +77,7 @@
     applyRunReport(*Vm, Report);
   loseMissingRuns(*Vm, Running, RequestedAt,
                   Restarted ? "vm_restarted" : "not_on_vm");
+  Vm->UnreachableSince.reset();
   throttleBestEffortTasks(*Vm);
 }
 
@@ -183,13 +184,18 @@
 }
 
 void PoolSchedulerImpl::vmUnreachable(std::string_view Id) {
-  if (VmRecord *Vm = Tables_.vm(Id))
-    Vm->LeaseHeld = false;
+  VmRecord *Vm = Tables_.vm(Id);
+  if (Vm == nullptr)
+    return;
+  Vm->LeaseHeld = false;
+  if (!Vm->UnreachableSince)
+    Vm->UnreachableSince = MonotonicClock_.now();
 }
 
-void PoolSchedulerImpl::vmTasksEnded(std::string_view Id) {
+void PoolSchedulerImpl::vmTasksEnded(std::string_view Id,
+                                     RunsEndedCause Cause) {
   if (VmRecord *Vm = Tables_.vm(Id))
-    clearVm(*Vm, "lease_lapsed");
+    clearVm(*Vm, runsEndedCauseName(Cause));
 }
 
 void PoolSchedulerImpl::vmRemoved(std::string_view Id) {
@@ -216,8 +222,13 @@
 }
 
 void PoolSchedulerImpl::loseRun(TaskRecord &Task, std::string_view Reason) {
-  Tables_.Diagnostics.LostRuns.push_back(LostRun{
-      TaskRun{nameOf(Task), Task.Run}, Task.Vm->Description.Id, Reason});
+  LostRun Loss{TaskRun{nameOf(Task), Task.Run}, Task.Vm->Description.Id, Reason,
+               std::nullopt};
+  if (Task.ConfirmedAt != TimePoint::min())
+    Loss.Age = std::chrono::duration_cast<milliseconds>(
+        Task.Vm->UnreachableSince.value_or(MonotonicClock_.now()) -
+        Task.PlacedAt);
+  Tables_.Diagnostics.LostRuns.push_back(std::move(Loss));
   JobRecord &Job = *Task.Step->Occurrence->Job;
   StepRecord &Step = *Task.Step;
   Tables_.release(Task);
--- a/packages/pool/tests/GangRunsTest.cpp
+++ b/packages/pool/tests/GangRunsTest.cpp
@@ -40,8 +40,8 @@
 
 BOOST_FIXTURE_TEST_CASE(completionOfAnAbandonedGangRunCounts, GangFixture) {
   const auto First = startGang();
-  Scheduler->vmTasksEnded("a");
-  Scheduler->vmTasksEnded("b");
+  Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
+  Scheduler->vmTasksEnded("b", RunsEndedCause::LeaseExpired);
   reportRuns("a", {});
   reportRuns("b", {});
   startGang();
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -240,7 +240,7 @@
   runPass();
   BOOST_CHECK(Starts.empty());
   BOOST_CHECK_EQUAL(Scheduler->occupiedVms().size(), 1);
-  Scheduler->vmTasksEnded("a");
+  Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
   runPass();
   BOOST_REQUIRE_EQUAL(Starts.size(), 1);
   BOOST_CHECK_EQUAL(Starts[0].Vm, "b");
@@ -407,7 +407,7 @@
   runPass();
   const StartRun First = Starts.at(0);
   acceptStart(First);
-  Scheduler->vmTasksEnded("a");
+  Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
   addVm(makeVm("b", SmallSize));
   runPass();
   const StartRun Again = Starts.at(0);
--- a/packages/store/src/HttpTable.cpp
+++ b/packages/store/src/HttpTable.cpp
@@ -43,7 +43,7 @@
 
 Result<CommitOutcome> parseCommitResponse(const HttpResult &Response) {
   if (!Response) {
-    const bool NotSent = Response.error().Code == ErrorCode::ConnectFailed;
+    const bool NotSent = isNotSent(Response.error().Code);
     return failure(NotSent ? ErrorCode::PlatformUnavailable
                            : ErrorCode::WriteOutcomeUnknown);
   }
--- a/programs/cuminroad/Command.cpp
+++ b/programs/cuminroad/Command.cpp
@@ -8,8 +8,7 @@
 
 int exitCode(const Result<DaemonResponse> &Response) {
   if (!Response)
-    return Response.error().Code == ErrorCode::ConnectFailed ? ExitUnreachable
-                                                             : ExitUnknown;
+    return isNotSent(Response.error().Code) ? ExitUnreachable : ExitUnknown;
   if (Response->Outcome == "unknown")
     return ExitUnknown;
   return Response->ok() ? ExitOk : ExitRefused;
--- a/programs/cuminroad/DaemonClient.cpp
+++ b/programs/cuminroad/DaemonClient.cpp
@@ -52,7 +52,7 @@
       failure(ErrorCode::ConnectFailed, "no server given");
   for (const std::string &Server : Servers_) {
     Last = callServer(Server, Method, Path, Body, Headers);
-    if (Last || Last.error().Code != ErrorCode::ConnectFailed)
+    if (Last || !isNotSent(Last.error().Code))
       return Last;
   }
   return Last;
