--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -49,6 +49,10 @@
         EventId::VmRestarted, Severity::Warning, "vm_restarted",
         "The VM answers as a new incarnation; all runs of the earlier one "
         "have ended."},
+    EventInfo{
+        EventId::VmCrashed, Severity::Warning, "vm_crashed",
+        "A VM crashed under runs; the detail says how many were lost, how "
+        "many may have caused it, and whether one job alone did."},
     EventInfo{EventId::PlatformLost, Severity::Error, "platform_lost",
               "The platform's table service can't be reached."},
     EventInfo{EventId::PlatformBack, Severity::Info, "platform_back",
@@ -96,6 +100,8 @@
               "A new owner loaded the jobs of its pool."},
     EventInfo{EventId::JobStage, Severity::Info, "job_stage",
               "The job reached a final stage."},
+    EventInfo{EventId::JobGivenUp, Severity::Warning, "job_given_up",
+              "The job fails because one of its tasks crashed several VMs."},
     EventInfo{EventId::TaskStarted, Severity::Info, "task_started",
               "A VM started the task."},
     EventInfo{EventId::TaskStartFailed, Severity::Warning, "task_start_failed",
@@ -127,6 +133,9 @@
     EventInfo{
         EventId::RunPaced, Severity::Info, "run_paced",
         "A VM was instructed to limit a run to a percentage of its speed."},
+    EventInfo{EventId::RunSuspected, Severity::Warning, "run_suspected",
+              "The run may have crashed its VM; its task is tried apart from "
+              "other new runs."},
     EventInfo{EventId::AdviceFailed, Severity::Warning, "advice_failed",
               "A request to the placement advisor failed; it is retried."},
     EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -30,6 +30,10 @@
   void recordRunStart(std::string_view Outcome);
   void recordRunEnd(std::string_view How);
   void recordAdvice(std::string_view Outcome);
+  /// Counts a VM that crashed, by what may have caused it.
+  void recordVmCrash(const std::string &Service, std::string_view Cause);
+  /// Counts a job that failed because a task crashed VMs.
+  void recordAbandonedJob(const std::string &Service);
   /// Sets the gauges of an owned pool. A default PoolLoad resets them once the
   /// pool is no longer owned.
   void setPoolLoad(const std::string &Service, const PoolLoad &Load);
@@ -45,6 +49,8 @@
   prometheus::Family<prometheus::Counter> &Starts_;
   prometheus::Family<prometheus::Counter> &Ends_;
   prometheus::Family<prometheus::Counter> &Advice_;
+  prometheus::Family<prometheus::Counter> &VmCrashes_;
+  prometheus::Family<prometheus::Counter> &AbandonedJobs_;
   prometheus::Family<prometheus::Gauge> &PoolTasks_;
   prometheus::Family<prometheus::Gauge> &PoolVms_;
   prometheus::Family<prometheus::Gauge> &PoolCores_;
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -63,7 +63,7 @@
 public:
   using SubmitDone = std::function<void(SubmitReply)>;
   /// A known but empty answer means that no such job was ever accepted.
-  using StageDone = std::function<void(QueryResult<std::optional<JobStage>>)>;
+  using StatusDone = std::function<void(QueryResult<std::optional<JobStatus>>)>;
   using CountDone = std::function<void(QueryResult<int>)>;
 
   JobFrontend(const FleetContext &Context, const OwnedPools &Owned,
@@ -75,8 +75,8 @@
               SubmitDone Done);
   void cancel(std::string_view Job, milliseconds CallerTimeout,
               std::function<void(QueryResult<bool>)> Done);
-  void stage(const QueueTerms &Queue, std::string_view Job,
-             milliseconds CallerTimeout, StageDone Done);
+  void status(const QueueTerms &Queue, std::string_view Job,
+              milliseconds CallerTimeout, StatusDone Done);
   void pending(const QueueTerms &Queue, milliseconds CallerTimeout,
                CountDone Done);
 
@@ -105,9 +105,9 @@
   using ReadDone = std::function<void(std::optional<RowPage>)>;
 
   void readWithRetry(RowRange Range, TimePoint Deadline, ReadDone Done);
-  void readStage(std::string Job, TimePoint Deadline, StageDone Done);
+  void readStatus(std::string Job, TimePoint Deadline, StatusDone Done);
   void readProgress(std::string_view Service, const std::string &Job,
-                    TimePoint Deadline, StageDone Done);
+                    TimePoint Deadline, StatusDone Done);
   milliseconds remaining(TimePoint Deadline) const;
 
   FleetContext Context_;
--- a/packages/fleet/include/cuminroad/fleet/PeerCalls.h
+++ b/packages/fleet/include/cuminroad/fleet/PeerCalls.h
@@ -9,24 +9,24 @@
 
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/net/HttpClient.h"
-#include "cuminroad/pool/JobStage.h"
+#include "cuminroad/pool/JobStatus.h"
 
 namespace cuminroad {
 
 /// Calls to other daemons. Callbacks run on the thread of the client's loop.
 class PeerCalls {
 public:
-  using StageDone = std::function<void(Result<std::optional<JobStage>>)>;
+  using StatusDone = std::function<void(Result<std::optional<JobStatus>>)>;
   using CountDone = std::function<void(Result<int>)>;
 
   /// \p Client must outlive the calls.
   explicit PeerCalls(HttpClient &Client) : Client_(Client) {}
 
-  /// Asks the pool's owner for the stage of a job. The result is empty if the
+  /// Asks the pool's owner for the status of a job. The result is empty if the
   /// owner doesn't know the job, and NoOwner if the daemon doesn't own the
   /// pool.
-  void stage(const std::string &Address, const std::string &Service,
-             const std::string &Job, milliseconds Timeout, StageDone Done);
+  void status(const std::string &Address, const std::string &Service,
+              const std::string &Job, milliseconds Timeout, StatusDone Done);
   /// Asks the pool's owner how many jobs of a queue haven't started.
   void pending(const std::string &Address, const std::string &Service,
                const std::string &Queue, milliseconds Timeout, CountDone Done);
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -48,7 +48,7 @@
 
   /// Whether the pool's jobs have been read from the store.
   bool loaded() const { return Scheduler_ != nullptr; }
-  std::optional<JobStage> stage(std::string_view Job) const;
+  std::optional<JobStatus> status(std::string_view Job) const;
   int pending(std::string_view Queue) const;
   /// Called once when another daemon has become the pool's owner.
   std::function<void()> OnReplaced;
@@ -102,6 +102,7 @@
   void execute(const RequestAdvice &Command);
   void recordChanges();
   void logDiagnostics();
+  void logCrash(const VmCrash &Crash);
   void reportLoad();
   void runPeriodicWork();
   void removeExpiredJobs();
@@ -141,12 +142,12 @@
   /// Pages of the pool's jobs that have arrived, and when the last one did.
   std::size_t PagesLoaded_ = 0;
   TimePoint LastPageLoadedAt_{};
-  /// A final stage that is in the store, and when it was written.
-  struct FinalStage {
-    JobStage Stage;
+  /// A final status that is in the store, and when it was written.
+  struct FinalStatus {
+    JobStatus Status;
     TimePoint RecordedAt;
   };
-  std::map<std::string, FinalStage, std::less<>> FinalStages_;
+  std::map<std::string, FinalStatus, std::less<>> FinalStatuses_;
   /// Starts whose transaction has not been submitted yet. The spec of the job
   /// is added when they are sent.
   std::vector<StartRun> UnrecordedStarts_;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -37,7 +37,8 @@
   /// The VM answered for the first time, or after it was reported as
   /// unreachable.
   virtual void onReachable(VmLink &Link) = 0;
-  /// All leases on what ran on the VM have expired.
+  /// All leases on what ran on the VM have expired. Called again if another VM
+  /// answers at the address later.
   virtual void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) = 0;
   /// The VM has accepted a newer owner.
   virtual void onFenced(VmLink &Link) = 0;
@@ -141,6 +142,7 @@
   int Failures_ = 0;
   /// What the last failed hold says about the VM, should its lease expire.
   RunsEndedCause FailureCause_ = RunsEndedCause::LeaseExpired;
+  RunsEndedCause ReportedCause_ = RunsEndedCause::LeaseExpired;
   /// Number of failures at which the VM is next reported as unreachable.
   int NextUnreachableReport_ = 0;
   std::int64_t Incarnation_ = 0;
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -110,8 +110,8 @@
   void stop() override;
 
   bool owns(std::string_view Service) const override;
-  std::optional<JobStage> stage(std::string_view Service,
-                                std::string_view Job) const override;
+  std::optional<JobStatus> status(std::string_view Service,
+                                  std::string_view Job) const override;
   int pending(std::string_view Service, std::string_view Queue) const override;
   const OwnerRow *ownerOf(std::string_view Service) const override;
 
@@ -313,9 +313,9 @@
   return Found != Owners_.end() && Found->second->loaded();
 }
 
-std::optional<JobStage> FleetDaemonImpl::stage(std::string_view Service,
-                                               std::string_view Job) const {
-  return Owners_.find(Service)->second->stage(Job);
+std::optional<JobStatus> FleetDaemonImpl::status(std::string_view Service,
+                                                 std::string_view Job) const {
+  return Owners_.find(Service)->second->status(Job);
 }
 
 int FleetDaemonImpl::pending(std::string_view Service,
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -48,6 +48,10 @@
                      "Ends of runs, by how they ended.")),
       Advice_(counters(Registry_, "cuminroad_advice_total",
                        "Questions to the placement advisor, by outcome.")),
+      VmCrashes_(counters(Registry_, "cuminroad_vm_crashes_total",
+                          "VMs that crashed under runs, by possible cause.")),
+      AbandonedJobs_(counters(Registry_, "cuminroad_jobs_given_up_total",
+                              "Jobs failed because a task crashed VMs.")),
       PoolTasks_(gauges(Registry_, "cuminroad_pool_tasks",
                         "Tasks of an owned pool, by state.")),
       PoolVms_(gauges(Registry_, "cuminroad_pool_vms",
@@ -86,6 +90,16 @@
   Advice_.Add({{"outcome", std::string(Outcome)}}).Increment();
 }
 
+void FleetMetrics::recordVmCrash(const std::string &Service,
+                                 std::string_view Cause) {
+  VmCrashes_.Add({{"pool", Service}, {"cause", std::string(Cause)}})
+      .Increment();
+}
+
+void FleetMetrics::recordAbandonedJob(const std::string &Service) {
+  AbandonedJobs_.Add({{"pool", Service}}).Increment();
+}
+
 void FleetMetrics::setPoolLoad(const std::string &Service,
                                const PoolLoad &Load) {
   const std::pair<const char *, int> Tasks[] = {
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -232,28 +232,28 @@
       });
 }
 
-void JobFrontend::stage(const QueueTerms &Queue, std::string_view Id,
-                        milliseconds CallerTimeout, StageDone Done) {
+void JobFrontend::status(const QueueTerms &Queue, std::string_view Id,
+                         milliseconds CallerTimeout, StatusDone Done) {
   const std::string Job(Id);
   const TimePoint Deadline =
       Context_.MonotonicClock.now() + CallerTimeout - ResponseMargin;
   if (Owned_.owns(Queue.Service)) {
-    const auto Stage = Owned_.stage(Queue.Service, Job);
-    if (Stage)
-      return Done(QueryResult<std::optional<JobStage>>::known(Stage));
-    return readStage(Job, Deadline, std::move(Done));
+    const auto Status = Owned_.status(Queue.Service, Job);
+    if (Status)
+      return Done(QueryResult<std::optional<JobStatus>>::known(Status));
+    return readStatus(Job, Deadline, std::move(Done));
   }
   const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
   if (Owner == nullptr || Owner->PeerAddress.empty())
-    return readStage(Job, Deadline, std::move(Done));
-  Context_.Peers.stage(
+    return readStatus(Job, Deadline, std::move(Done));
+  Context_.Peers.status(
       Owner->PeerAddress, Queue.Service, Job, OwnerTimeout,
       [this, Job, Deadline,
-       Done = std::move(Done)](Result<std::optional<JobStage>> Stage) {
-        if (Stage && *Stage)
-          return Done(QueryResult<std::optional<JobStage>>::known(*Stage));
+       Done = std::move(Done)](Result<std::optional<JobStatus>> Status) {
+        if (Status && *Status)
+          return Done(QueryResult<std::optional<JobStatus>>::known(*Status));
         // The owner may not have learned of the job yet, so the store decides.
-        readStage(Job, Deadline, Done);
+        readStatus(Job, Deadline, Done);
       });
 }
 
@@ -273,9 +273,9 @@
       });
 }
 
-void JobFrontend::readStage(std::string Job, TimePoint Deadline,
-                            StageDone Done) {
-  using Answer = QueryResult<std::optional<JobStage>>;
+void JobFrontend::readStatus(std::string Job, TimePoint Deadline,
+                             StatusDone Done) {
+  using Answer = QueryResult<std::optional<JobStatus>>;
   RowRange Range = requestRange(Job);
   readWithRetry(std::move(Range), Deadline,
                 [this, Job = std::move(Job), Deadline,
@@ -296,8 +296,8 @@
 }
 
 void JobFrontend::readProgress(std::string_view Service, const std::string &Job,
-                               TimePoint Deadline, StageDone Done) {
-  using Answer = QueryResult<std::optional<JobStage>>;
+                               TimePoint Deadline, StatusDone Done) {
+  using Answer = QueryResult<std::optional<JobStatus>>;
   const RowName Row = progressRow(Service, Job);
   readWithRetry(
       RowRange{Row.Table, Row.Partition, Row.Key, keyAfter(Row.Key), 1},
@@ -306,14 +306,14 @@
         if (!Page)
           return Done(Answer::unknown());
         if (Page->Rows.empty())
-          return Done(Answer::known(JobStage::Queued));
+          return Done(Answer::known(JobStatus{}));
         const auto Progress = decodeProgress(Page->Rows.front().Value);
         if (!Progress) {
           Context_.Events.record(EventId::RowUnreadable, Job,
                                  Progress.error().text());
           return Done(Answer::unknown());
         }
-        Done(Answer::known(Progress->Stage));
+        Done(Answer::known(JobStatus{Progress->Stage, Progress->Failure}));
       });
 }
 
--- a/packages/fleet/src/PeerCalls.cpp
+++ b/packages/fleet/src/PeerCalls.cpp
@@ -48,19 +48,17 @@
 
 } // namespace
 
-void PeerCalls::stage(const std::string &Address, const std::string &Service,
-                      const std::string &Job, milliseconds Timeout,
-                      StageDone Done) {
+void PeerCalls::status(const std::string &Address, const std::string &Service,
+                       const std::string &Job, milliseconds Timeout,
+                       StatusDone Done) {
   HttpCall Call = makeCall(
       Address, fmt::format("{}?service={}&job={}", StagePath, Service, Job),
       Timeout);
   Client_.send(std::move(Call), [Done = std::move(Done)](HttpResult Response) {
-    const Result<int> Number = responseNumber(std::move(Response));
-    if (!Number)
-      return Done(tl::unexpected(Number.error()));
-    if (*Number < 0)
-      return Done(std::optional<JobStage>());
-    Done(std::optional<JobStage>(static_cast<JobStage>(*Number)));
+    const Result<std::string> Body = responseBody(std::move(Response));
+    if (!Body)
+      return Done(tl::unexpected(Body.error()));
+    Done(decodeStatus(*Body));
   });
 }
 
--- a/packages/fleet/src/PeerMessages.cpp
+++ b/packages/fleet/src/PeerMessages.cpp
@@ -24,6 +24,29 @@
   });
 }
 
+std::string encode(const std::optional<JobStatus> &Status) {
+  nlohmann::json Out = nlohmann::json::array();
+  if (Status)
+    Out = {static_cast<int>(Status->Stage), static_cast<int>(Status->Failure)};
+  return packMessage(Out);
+}
+
+Result<std::optional<JobStatus>> decodeStatus(std::string_view Bytes) {
+  return unpackMessage<std::optional<JobStatus>>(
+      Bytes,
+      [](const nlohmann::json &Input) -> Result<std::optional<JobStatus>> {
+        if (Input.empty())
+          return std::optional<JobStatus>();
+        const int Stage = Input.at(0).get<int>();
+        const int Failure = Input.at(1).get<int>();
+        if (Stage < 0 || Stage > static_cast<int>(JobStage::Cancelled) ||
+            Failure < 0 || Failure > static_cast<int>(JobFailure::CrashedVms))
+          return failure(ErrorCode::ValueOutOfRange, "status");
+        return std::optional(JobStatus{static_cast<JobStage>(Stage),
+                                       static_cast<JobFailure>(Failure)});
+      });
+}
+
 std::string encode(std::span<const AdviceTicket> Tickets) {
   nlohmann::json Out = nlohmann::json::array();
   for (const AdviceTicket &Entry : Tickets)
--- a/packages/fleet/src/PeerMessages.h
+++ b/packages/fleet/src/PeerMessages.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_FLEET_SRC_PEERMESSAGES_H
 #define CUMINROAD_FLEET_SRC_PEERMESSAGES_H
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -8,6 +9,7 @@
 
 #include "cuminroad/base/Error.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
+#include "cuminroad/pool/JobStatus.h"
 
 // Paths and bodies of calls between daemons. Bodies are in MessagePack.
 
@@ -30,6 +32,10 @@
 std::string encode(std::span<const AdviceTicket> Tickets);
 Result<std::vector<AdviceTicket>> decodeTickets(std::string_view Bytes);
 
+/// \p Status is empty for a job that the owner doesn't know.
+std::string encode(const std::optional<JobStatus> &Status);
+Result<std::optional<JobStatus>> decodeStatus(std::string_view Bytes);
+
 } // namespace cuminroad
 
 #endif
--- a/packages/fleet/src/PeerService.cpp
+++ b/packages/fleet/src/PeerService.cpp
@@ -13,8 +13,6 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusAdvisorFailed = 502;
 constexpr int StatusStoreUnreachable = 503;
-/// Sent instead of a stage for a job that the owner doesn't know.
-constexpr int UnknownJobStage = -1;
 /// A daemon that received its last response from the store longer ago than this
 /// doesn't count as reaching it. Standbys read the store at least every 700 ms.
 constexpr milliseconds MaxContactAge{900};
@@ -71,9 +69,8 @@
   if (Request.Path == PendingPath)
     return plainResponse(
         200, fmt::to_string(Pools.pending(Service, Request.query("queue"))));
-  const auto Stage = Pools.stage(Service, Request.query("job"));
-  return plainResponse(
-      200, fmt::to_string(Stage ? static_cast<int>(*Stage) : UnknownJobStage));
+  return plainResponse(200,
+                       encode(Pools.status(Service, Request.query("job"))));
 }
 
 } // namespace
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -46,6 +46,13 @@
   return Out;
 }
 
+std::string formatStatus(const JobStatus &Status) {
+  std::string Out(jobStageName(Status.Stage));
+  if (Status.Failure != JobFailure::None)
+    Out += fmt::format(" {}", jobFailureName(Status.Failure));
+  return Out;
+}
+
 PoolOptions poolOptions(const FleetSettings &Settings) {
   PoolOptions Out;
   Out.RemoteFactor = Settings.RemoteFactor;
@@ -258,7 +265,7 @@
     LoadedRequests_[Job] = std::move(Request);
     return;
   }
-  if (Scheduler_->stage(Job) || FinalStages_.contains(Job))
+  if (Scheduler_->stage(Job) || FinalStatuses_.contains(Job))
     return;
   QueueTerms Terms;
   if (const QueueTerms *Known = Context_.Queues.terms(Request.Queue))
@@ -273,8 +280,9 @@
     return;
   }
   if (isFinal(Progress->second.Stage))
-    FinalStages_[Job] =
-        FinalStage{Progress->second.Stage, Context_.MonotonicClock.now()};
+    FinalStatuses_[Job] =
+        FinalStatus{JobStatus{Progress->second.Stage, Progress->second.Failure},
+                    Context_.MonotonicClock.now()};
   Scheduler_->restoreJob(std::move(Request.Plan), std::move(Terms), Accepted,
                          Progress->second);
 }
@@ -379,6 +387,15 @@
   for (const LostRun &Loss : Diagnostics.LostRuns)
     Context_.Events.record(EventId::RunLost, formatRun(Loss.Run),
                            formatLoss(Loss));
+  for (const VmCrash &Each : Diagnostics.Crashes)
+    logCrash(Each);
+  for (const AbandonedTask &Each : Diagnostics.AbandonedTasks) {
+    Context_.Metrics.recordAbandonedJob(Term_.Service);
+    Context_.Events.record(
+        EventId::JobGivenUp, Each.Task.Step.Job,
+        fmt::format("{}.{}.{} crashed_vms {}", Each.Task.Step.Occurrence,
+                    Each.Task.Step.Step, Each.Task.Index, Each.Crashes));
+  }
   for (const VmQuarantine &Each : Diagnostics.Quarantines)
     Context_.Events.record(EventId::VmQuarantined, Each.Vm,
                            fmt::format("for_ms {}", Each.Duration.count()));
@@ -393,16 +410,30 @@
             Each.UsableVms, Each.VmsWithTicket, Each.VmsWithRoom));
 }
 
+void PoolOwner::logCrash(const VmCrash &Crash) {
+  const std::string_view Cause = Crash.CommonCause        ? "common_cause"
+                                 : Crash.Conclusive       ? "one_job"
+                                 : Crash.Suspects.empty() ? "unknown"
+                                                          : "several_jobs";
+  Context_.Metrics.recordVmCrash(Term_.Service, Cause);
+  Context_.Events.record(EventId::VmCrashed, Crash.Vm,
+                         fmt::format("{} lost_runs {} suspects {} {}",
+                                     Term_.Service, Crash.LostRuns,
+                                     Crash.Suspects.size(), Cause));
+  for (const TaskRun &Run : Crash.Suspects)
+    Context_.Events.record(EventId::RunSuspected, formatRun(Run), Crash.Vm);
+}
+
 void PoolOwner::recordChanges() {
   const std::vector<std::string> Changed = Scheduler_->takeChangedJobs();
-  std::vector<std::pair<std::string, JobStage>> Finals;
+  std::vector<std::pair<std::string, JobStatus>> Finals;
   for (const std::string &Job : Changed) {
     Writer_->put(progressRow(Term_.Service, Job), [this, Job] {
       return encodeProgress(Scheduler_->progress(Job));
     });
     const auto Stage = Scheduler_->stage(Job);
-    if (Stage && isFinal(*Stage) && !FinalStages_.contains(Job))
-      Finals.emplace_back(Job, *Stage);
+    if (Stage && isFinal(*Stage) && !FinalStatuses_.contains(Job))
+      Finals.emplace_back(Job, JobStatus{*Stage, Scheduler_->failure(Job)});
   }
   if (UnrecordedStarts_.empty() && Finals.empty())
     return;
@@ -411,10 +442,11 @@
                           Finals = std::move(Finals)] {
     if (Self->Closed_)
       return;
-    for (const auto &[Job, Stage] : Finals) {
-      Self->FinalStages_[Job] =
-          FinalStage{Stage, Self->Context_.MonotonicClock.now()};
-      Self->Context_.Events.record(EventId::JobStage, Job, jobStageName(Stage));
+    for (const auto &[Job, Status] : Finals) {
+      Self->FinalStatuses_[Job] =
+          FinalStatus{Status, Self->Context_.MonotonicClock.now()};
+      Self->Context_.Events.record(EventId::JobStage, Job,
+                                   formatStatus(Status));
     }
     for (const StartRun &Start : Starts) {
       const JobPlan *Plan = Self->Scheduler_->plan(Start.Run.Task.Step.Job);
@@ -470,7 +502,7 @@
 void PoolOwner::removeExpiredJobs() {
   const TimePoint Now = Context_.MonotonicClock.now();
   LastCleanupAt_ = Now;
-  for (auto Entry = FinalStages_.begin(); Entry != FinalStages_.end();) {
+  for (auto Entry = FinalStatuses_.begin(); Entry != FinalStatuses_.end();) {
     if (Now - Entry->second.RecordedAt <
         Context_.Settings.FinishedJobRetention + RetentionMargin) {
       ++Entry;
@@ -485,19 +517,19 @@
                           [](const Result<RowCommit> &) {
                             // A row that remains is removed by a later owner.
                           });
-    Entry = FinalStages_.erase(Entry);
+    Entry = FinalStatuses_.erase(Entry);
   }
 }
 
-std::optional<JobStage> PoolOwner::stage(std::string_view Job) const {
-  const auto Final = FinalStages_.find(Job);
-  if (Final != FinalStages_.end())
-    return Final->second.Stage;
+std::optional<JobStatus> PoolOwner::status(std::string_view Job) const {
+  const auto Final = FinalStatuses_.find(Job);
+  if (Final != FinalStatuses_.end())
+    return Final->second.Status;
   const auto Stage = Scheduler_->stage(Job);
+  if (!Stage)
+    return std::nullopt;
   // A final stage is not reported before it is durable.
-  if (Stage && isFinal(*Stage))
-    return JobStage::Running;
-  return Stage;
+  return JobStatus{isFinal(*Stage) ? JobStage::Running : *Stage};
 }
 
 int PoolOwner::pending(std::string_view Queue) const {
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -140,7 +140,7 @@
   case OrderOutcome::OtherInstance:
     // The address belongs to another VM, so that this one has ended.
     handleHoldFailure("other_instance", RunsEndedCause::AddressReused);
-    if (!LeaseExpiryReported_)
+    if (!LeaseExpiryReported_ || ReportedCause_ == RunsEndedCause::LeaseExpired)
       reportLeaseExpired();
     return;
   default:
@@ -258,6 +258,7 @@
 
 void VmLink::reportLeaseExpired() {
   LeaseExpiryReported_ = true;
+  ReportedCause_ = FailureCause_;
   // All runs have ended, and orders to start one have expired.
   PendingStops_.clear();
   Listener_.onLeaseExpired(*this, FailureCause_);
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -69,10 +69,13 @@
   }
   std::optional<std::optional<JobStage>> stage(const std::string &Id) {
     std::optional<std::optional<JobStage>> Out;
-    Frontend.stage(Queue, Id, CallerTimeout,
-                   [&Out](QueryResult<std::optional<JobStage>> Answer) {
-                     Out = Answer.Value;
-                   });
+    Frontend.status(Queue, Id, CallerTimeout,
+                    [&Out](QueryResult<std::optional<JobStatus>> Answer) {
+                      if (Answer.Value && *Answer.Value)
+                        Out = std::optional((*Answer.Value)->Stage);
+                      else if (Answer.Value)
+                        Out.emplace();
+                    });
     ControlLoop.runFor(2 * CallerTimeout);
     return Out;
   }
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -27,8 +27,8 @@
 class NoOwnedPools final : public OwnedPools {
 public:
   bool owns(std::string_view) const override { return false; }
-  std::optional<JobStage> stage(std::string_view,
-                                std::string_view) const override {
+  std::optional<JobStatus> status(std::string_view,
+                                  std::string_view) const override {
     return std::nullopt;
   }
   int pending(std::string_view, std::string_view) const override { return 0; }
--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cuminroad/base/Error.h"
+#include "cuminroad/pool/JobFailure.h"
 #include "cuminroad/pool/JobStage.h"
 
 namespace cuminroad {
@@ -23,6 +24,8 @@
   std::string Vm;
   std::int64_t VmIncarnation = 0;
   std::string Checkpoint;
+  /// Crashes of VMs that runs of the task may have caused.
+  int Crashes = 0;
 };
 
 /// Persisted progress of one step: the tasks whose state has changed since the
@@ -47,6 +50,8 @@
 /// Persisted progress of a job; its plan is stored separately.
 struct JobProgress {
   JobStage Stage = JobStage::Queued;
+  /// Why the job failed; None unless Stage is Failed.
+  JobFailure Failure = JobFailure::None;
   std::vector<OccurrenceProgress> Occurrences;
 };
 
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -46,11 +46,31 @@
   milliseconds Duration{0};
 };
 
+/// A VM that crashed, and what may have caused it.
+struct VmCrash {
+  std::string Vm;
+  int LostRuns = 0;
+  /// Runs that may have caused the crash.
+  std::vector<TaskRun> Suspects;
+  /// The runs of a single job are the only possible cause.
+  bool Conclusive = false;
+  /// Many VMs became unreachable at the same time.
+  bool CommonCause = false;
+};
+
+/// A task that may have caused several crashes, and whose job therefore fails.
+struct AbandonedTask {
+  TaskName Task;
+  int Crashes = 0;
+};
+
 /// Events for the log. They don't affect scheduling.
 struct PoolDiagnostics {
   std::vector<LostRun> LostRuns;
   std::vector<BlockedStep> BlockedSteps;
   std::vector<VmQuarantine> Quarantines;
+  std::vector<VmCrash> Crashes;
+  std::vector<AbandonedTask> AbandonedTasks;
 };
 
 } // namespace cuminroad
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -65,6 +65,27 @@
   milliseconds StuckAfter{3000};
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
+  /// A run that is younger than this when its VM crashes may be the cause. It
+  /// covers the time until the crash is seen.
+  milliseconds NewRunDuration{500};
+  /// If a VM crashes without new runs, runs up to this age may be the cause. A
+  /// run that lives longer clears its task of earlier crashes.
+  milliseconds CrashFreeRunTime{10000};
+  /// A job fails when a task may have caused this many crashes, and its run was
+  /// the only possible cause of the last one.
+  int ConclusiveCrashes = 2;
+  /// A job fails when a task may have caused this many crashes, even if there
+  /// are other possible causes for each of them.
+  int MaxCrashes = 4;
+  /// A VM is kept free of other new runs for at most this long, so that a task
+  /// that may have caused a crash can be tried on it.
+  milliseconds TrialReservation{1000};
+  /// VMs that become unreachable within this time of each other may have a
+  /// common cause, such as a power failure, if there are many of them.
+  milliseconds CommonCauseWindow{100};
+  /// A host whose VM crashed without new runs is suspected itself for this
+  /// long.
+  milliseconds HostSuspectDuration{30000};
   /// A job is very late, and of little value to its client, once this many
   /// latency objectives have passed since it was due.
   double VeryLateFactor = 3.0;
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -107,6 +107,8 @@
 
   /// \returns the stage of a job, or nothing if the job is unknown.
   virtual std::optional<JobStage> stage(std::string_view Job) const = 0;
+  /// \returns why a job failed; None if it didn't, or is unknown.
+  virtual JobFailure failure(std::string_view Job) const = 0;
   /// \returns the progress of a job to persist.
   virtual JobProgress progress(std::string_view Job) const = 0;
   /// \returns whether \p Run is its task's current run on \p Vm and isn't being
--- a/packages/pool/include/cuminroad/pool/PoolVm.h
+++ b/packages/pool/include/cuminroad/pool/PoolVm.h
@@ -15,6 +15,8 @@
 struct PoolVm {
   std::string Id;
   std::string Domain;
+  /// Network address. VMs that follow each other at an address share a host.
+  std::string Host;
   /// Includes the VM's kind and its rack.
   std::vector<std::string> Labels;
   Capacity Total;
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -12,14 +12,21 @@
 constexpr std::array<std::string_view, 5> StageNames{
     "queued", "running", "completed", "failed", "cancelled"};
 
+/// Indexed by JobFailure.
+constexpr std::array<std::string_view, 3> FailureNames{"", "attempts_used",
+                                                       "crashed_vms"};
+
 // Rows of the store hold arrays without field names, and only the index of a
 // task, step or occurrence that is done, to keep them small.
 
 nlohmann::json taskToJson(const TaskProgress &Task) {
   if (Task.Done)
     return Task.Index;
-  return {Task.Index, Task.Failures,      Task.Run,
-          Task.Vm,    Task.VmIncarnation, Task.Checkpoint};
+  nlohmann::json Out = {Task.Index, Task.Failures,      Task.Run,
+                        Task.Vm,    Task.VmIncarnation, Task.Checkpoint};
+  if (Task.Crashes > 0)
+    Out.push_back(Task.Crashes);
+  return Out;
 }
 
 TaskProgress taskFromJson(const nlohmann::json &Input) {
@@ -35,6 +42,8 @@
   Out.Vm = Input.at(3).get<std::string>();
   Out.VmIncarnation = Input.at(4).get<std::int64_t>();
   Out.Checkpoint = Input.at(5).get<std::string>();
+  if (Input.size() > 6)
+    Out.Crashes = Input.at(6).get<int>();
   return Out;
 }
 
@@ -83,6 +92,10 @@
   return StageNames[static_cast<std::size_t>(Stage)];
 }
 
+std::string_view jobFailureName(JobFailure Failure) {
+  return FailureNames[static_cast<std::size_t>(Failure)];
+}
+
 std::string encodeProgress(const JobProgress &Progress) {
   nlohmann::json Occurrences = nlohmann::json::array();
   for (const OccurrenceProgress &Entry : Progress.Occurrences) {
@@ -96,7 +109,8 @@
     Occurrences.push_back({Entry.Number, std::move(Steps)});
   }
   return packMessage(nlohmann::json::array(
-      {static_cast<int>(Progress.Stage), std::move(Occurrences)}));
+      {static_cast<int>(Progress.Stage), std::move(Occurrences),
+       static_cast<int>(Progress.Failure)}));
 }
 
 Result<JobProgress> decodeProgress(std::string_view Bytes) {
@@ -109,6 +123,13 @@
         Out.Stage = static_cast<JobStage>(Stage);
         for (const nlohmann::json &Entry : Input.at(1))
           Out.Occurrences.push_back(occurrenceFromJson(Entry));
+        // Rows of earlier versions lack this field.
+        if (Input.size() > 2) {
+          const auto Failure = Input.at(2).get<std::size_t>();
+          if (Failure >= FailureNames.size())
+            return failure(ErrorCode::ValueOutOfRange, "failure");
+          Out.Failure = static_cast<JobFailure>(Failure);
+        }
         return Out;
       });
 }
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -9,10 +9,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cuminroad/pool/JobFailure.h"
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobStage.h"
 #include "cuminroad/pool/PoolVm.h"
 #include "cuminroad/pool/QueueTerms.h"
+#include "cuminroad/pool/TaskName.h"
 
 // State of the pool scheduler. A job owns its occurrences, an occurrence owns
 // its steps, and a step owns its tasks. Pointers to owners and to VMs stay
@@ -44,8 +46,12 @@
   int Failures = 0;
   /// Number of the last run that may have been started.
   std::int64_t Run = 0;
+  /// Crashes of VMs that runs of the task may have caused.
+  int Crashes = 0;
   /// Set in the phases Placed, Running and Stopping.
   VmRecord *Vm = nullptr;
+  /// The incarnation of the VM on which the run was placed.
+  std::int64_t VmIncarnation = 0;
   std::string Checkpoint;
   TimePoint PlacedAt{};
   /// When the VM first confirmed that the run started or that it never will;
@@ -63,6 +69,15 @@
   TimePoint NotPlacedBefore{};
 
   bool isOnVm() const { return Vm != nullptr; }
+  /// \returns whether a run of the task may have crashed a VM.
+  bool isCrashSuspect() const { return Crashes > 0; }
+  /// \returns whether the current run started less than \p Duration before \p
+  /// When, or may only be about to start.
+  bool isNewRun(TimePoint When, milliseconds Duration) const {
+    if (!ConfirmedAt)
+      return true;
+    return *ConfirmedAt != TimePoint::min() && When - *ConfirmedAt < Duration;
+  }
 };
 
 /// The advisor's ticket for one VM.
@@ -125,6 +140,7 @@
   /// Estimated length of the critical path; see criticalPath().
   milliseconds CriticalPath{0};
   JobStage Stage = JobStage::Queued;
+  JobFailure Failure = JobFailure::None;
   std::map<int, std::unique_ptr<OccurrenceRecord>> Occurrences;
   std::set<int> DoneOccurrences;
   /// Number of occurrences that have become due.
@@ -140,12 +156,30 @@
   }
 };
 
+/// The loss of a VM of which it isn't certain yet whether it crashed.
+struct UnsettledLoss {
+  std::int64_t VmIncarnation = 0;
+  /// The loss was counted as a crash.
+  bool Counted = false;
+  /// Tasks whose runs may have caused the crash.
+  std::vector<TaskName> Suspects;
+};
+
 struct VmRecord {
   PoolVm Description;
   /// The VM's lease is held and all its runs are known.
   bool LeaseHeld = false;
   /// Since when the VM has not responded.
   std::optional<TimePoint> UnreachableSince;
+  std::optional<UnsettledLoss> LastLoss;
+  /// An earlier VM of the host crashed without new runs; until then the host is
+  /// suspected itself.
+  TimePoint HostSuspectUntil{};
+  /// A task on the VM that may have crashed an earlier one. No other job's
+  /// tasks are started while its run is new.
+  TaskRecord *Trial = nullptr;
+  /// Until then, only tasks that may have crashed a VM are started.
+  TimePoint TrialReservedUntil{};
   bool Listed = true;
   /// The incarnation of the last report; 0 before the first.
   std::int64_t ReportedIncarnation = 0;
@@ -177,6 +211,7 @@
   bool acceptsWork() const {
     return LeaseHeld && Listed && !Description.Leaving;
   }
+  bool hasSuspectHost(TimePoint Now) const { return Now < HostSuspectUntil; }
   bool inQuarantine(TimePoint Now) const { return Now < QuarantinedUntil; }
   /// \returns whether the last run or start failed, less than \p Duration ago.
   bool isSuspect(TimePoint Now, milliseconds Duration) const {
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_POOLSCHEDULERIMPL_H
 #define CUMINROAD_POOL_SRC_POOLSCHEDULERIMPL_H
 
+#include "CrashAttribution.h"
 #include "PoolTables.h"
 #include "cuminroad/pool/PoolScheduler.h"
 
@@ -47,6 +48,7 @@
   PoolDiagnostics takeDiagnostics() override;
 
   std::optional<JobStage> stage(std::string_view Job) const override;
+  JobFailure failure(std::string_view Job) const override;
   JobProgress progress(std::string_view Job) const override;
   bool isCurrentRun(std::string_view Vm, const TaskRun &Run) const override;
   int pendingJobs(std::string_view Queue) const override;
@@ -65,7 +67,22 @@
   /// Releases a task whose run was lost, and stops the other members of a gang.
   void loseRun(TaskRecord &Task, std::string_view Reason);
   /// All runs on the VM have ended without a report.
-  void clearVm(VmRecord &Vm, std::string_view Reason);
+  void clearVm(VmRecord &Vm, std::string_view Reason, bool Crashed);
+  /// Counts a crash of the VM for the tasks that may have caused it.
+  /// \returns the names of these tasks.
+  std::vector<TaskName> countCrash(VmRecord &Vm, const CrashVerdict &Verdict,
+                                   int LostRuns);
+  /// Fails the jobs of those suspects that may have caused too many crashes.
+  /// \p Conclusive whether they alone may have caused the last one.
+  void failCrashingJobs(std::span<const TaskName> Suspects, bool Conclusive);
+  /// Corrects the crashes counted for the VM's last loss, now that it is known
+  /// whether the VM crashed.
+  void settleLoss(VmRecord &Vm, bool Crashed);
+  /// \returns the tasks on a VM whose runs a report shows to be of an earlier
+  /// incarnation.
+  std::vector<TaskRecord *>
+  runsOfEarlierIncarnation(const VmRecord &Vm,
+                           std::span<const RunningTask> Running) const;
   /// Commands the VM to stop the task's current run.
   void stopTask(TaskRecord &Task);
   void applyRunReport(VmRecord &Vm, const RunningTask &Report);
@@ -98,6 +115,7 @@
   void updateSlowdown(const TaskRecord &Task, VmRecord &Vm) const;
   void finishOccurrence(OccurrenceRecord &Occurrence);
   void finishJob(JobRecord &Job, JobStage Stage);
+  void failJob(JobRecord &Job, JobFailure Reason);
   /// Discards the records of a finished job, except its final stage, once none
   /// of its tasks is on a VM.
   void archiveFinishedJob(JobRecord &Job);
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -32,7 +32,7 @@
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
   if (isFinal(Progress.Stage)) {
-    Tables_.FinishedJobs[Plan.Id] = Progress.Stage;
+    Tables_.FinishedJobs[Plan.Id] = JobStatus{Progress.Stage, Progress.Failure};
     return;
   }
   const std::string Id = Plan.Id;
@@ -80,21 +80,26 @@
     return;
   TaskRecord &Task = Step.Tasks[static_cast<std::size_t>(Progress.Index)];
   // A run that is only recorded may not have been started.
-  if (Progress.Done || Progress.Failures > 0 || !Progress.Checkpoint.empty())
+  if (Progress.Done || Progress.Failures > 0 || Progress.Crashes > 0 ||
+      !Progress.Checkpoint.empty())
     Step.Occurrence->Job->Started = true;
   if (Progress.Done)
     return Tables_.setPhase(Task, TaskPhase::Done);
   Task.Failures = Progress.Failures;
   Task.Run = Progress.Run;
   Task.Checkpoint = Progress.Checkpoint;
+  Task.Crashes = Progress.Crashes;
   if (Progress.Vm.empty())
     return;
   VmRecord &Vm = Tables_.findOrCreateVm(Progress.Vm);
   if (Vm.Description.Incarnation == 0)
     Vm.Description.Incarnation = Progress.VmIncarnation;
-  // The run doesn't exist in a later incarnation of the VM.
-  if (Vm.Description.Incarnation != Progress.VmIncarnation)
+  // The run doesn't exist in a later incarnation of the VM, which has crashed.
+  if (Vm.Description.Incarnation != Progress.VmIncarnation) {
+    ++Task.Crashes;
     return;
+  }
+  Task.VmIncarnation = Progress.VmIncarnation;
   Task.PlacedAt = MonotonicClock_.now();
   Task.ProgressedAt = Task.PlacedAt;
   Task.ConfirmedAt = TimePoint::min();
@@ -131,6 +136,12 @@
   Job.Occurrences.erase(Occurrence.Number);
 }
 
+void PoolSchedulerImpl::failJob(JobRecord &Job, JobFailure Reason) {
+  Job.Failure = Reason;
+  finishJob(Job, JobStage::Failed);
+  archiveFinishedJob(Job);
+}
+
 void PoolSchedulerImpl::finishJob(JobRecord &Job, JobStage Stage) {
   Job.Stage = Stage;
   Tables_.markChanged(Job);
@@ -148,7 +159,7 @@
     for (const StepRecord &Step : Occurrence->Steps)
       if (Step.TasksOnVms > 0)
         return;
-  Tables_.FinishedJobs[Job.Plan.Id] = Job.Stage;
+  Tables_.FinishedJobs[Job.Plan.Id] = JobStatus{Job.Stage, Job.Failure};
   Tables_.Jobs.erase(Job.Plan.Id);
 }
 
@@ -174,7 +185,15 @@
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found == Tables_.FinishedJobs.end())
     return std::nullopt;
-  return Found->second;
+  return Found->second.Stage;
+}
+
+JobFailure PoolSchedulerImpl::failure(std::string_view Id) const {
+  if (const JobRecord *Job = Tables_.job(Id))
+    return Job->Failure;
+  const auto Found = Tables_.FinishedJobs.find(Id);
+  return Found == Tables_.FinishedJobs.end() ? JobFailure::None
+                                             : Found->second.Failure;
 }
 
 JobProgress PoolSchedulerImpl::progress(std::string_view Id) const {
@@ -183,7 +202,7 @@
   JobProgress Out;
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found != Tables_.FinishedJobs.end())
-    Out.Stage = Found->second;
+    Out = JobProgress{Found->second.Stage, Found->second.Failure, {}};
   return Out;
 }
 
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -174,10 +174,8 @@
     Step.GangFailedRun = Task.Run;
     Failures = ++Step.GangFailures;
   }
-  if (Failures >= Job.Terms.MaxAttempts) {
-    finishJob(Job, JobStage::Failed);
-    archiveFinishedJob(Job);
-  }
+  if (Failures >= Job.Terms.MaxAttempts)
+    failJob(Job, JobFailure::AttemptsUsed);
 }
 
 void PoolSchedulerImpl::startAnswered(std::string_view Id, const TaskRun &Run,
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -21,6 +21,8 @@
 constexpr int PausedPercent = 0;
 /// A task with less expected time remaining is not moved off a leaving VM.
 constexpr milliseconds MinRemainingToMove{1500};
+/// Losses of VMs that are remembered to tell a common cause.
+constexpr std::size_t MaxRecordedLosses = 256;
 
 void forgetUnknownRuns(VmRecord &Vm) {
   for (const auto &[Run, Size] : Vm.UnknownRuns)
@@ -40,6 +42,9 @@
   const bool WasLeaving = Vm.Description.Leaving;
   Vm.Description = Listed;
   Vm.Listed = true;
+  if (const auto Crash = Tables_.UnexplainedCrashes.find(Listed.Host);
+      Crash != Tables_.UnexplainedCrashes.end())
+    Vm.HostSuspectUntil = Crash->second + Options_.HostSuspectDuration;
   ++Tables_.VmsVersion;
   if (Listed.Leaving && !WasLeaving)
     stopTasksOfLeavingVm(Vm);
@@ -75,8 +80,22 @@
   forgetUnknownRuns(*Vm);
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
+  settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
+  std::vector<TaskName> Suspects;
+  bool Conclusive = false;
+  if (const auto Lost = runsOfEarlierIncarnation(*Vm, Running);
+      !Lost.empty() && !Vm->Description.Leaving) {
+    const CrashVerdict Verdict =
+        attributeCrash(Tables_, *Vm, Lost, Options_, MonotonicClock_.now());
+    Suspects = countCrash(*Vm, Verdict, static_cast<int>(Lost.size()));
+    Conclusive = Verdict.Conclusive;
+    // A run that the VM has not confirmed stays, and is not counted again.
+    for (TaskRecord *Task : Lost)
+      Task->VmIncarnation = Incarnation;
+  }
   loseMissingRuns(*Vm, Running, RequestedAt,
                   Restarted ? "vm_restarted" : "not_on_vm");
+  failCrashingJobs(Suspects, Conclusive);
   Vm->UnreachableSince.reset();
   throttleBestEffortTasks(*Vm);
 }
@@ -108,6 +127,11 @@
   }
   Task->Measurement = Report.Measurement;
   recordCheckpoint(*Task, Report.Checkpoint);
+  if (Task->isCrashSuspect() &&
+      Now - Task->PlacedAt >= Options_.CrashFreeRunTime) {
+    Task->Crashes = 0;
+    Tables_.markChanged(*Task->Step->Occurrence->Job);
+  }
 }
 
 void PoolSchedulerImpl::stopUnknownRun(VmRecord &Vm, const TaskRun &Run,
@@ -188,14 +212,29 @@
   if (Vm == nullptr)
     return;
   Vm->LeaseHeld = false;
-  if (!Vm->UnreachableSince)
-    Vm->UnreachableSince = MonotonicClock_.now();
+  if (Vm->UnreachableSince)
+    return;
+  Vm->UnreachableSince = MonotonicClock_.now();
+  // A task that is tried on the VM explains the loss better than a cause that
+  // it has in common with others.
+  if (Vm->Trial != nullptr &&
+      Vm->Trial->isNewRun(*Vm->UnreachableSince, Options_.NewRunDuration))
+    return;
+  Tables_.Losses.push_back(*Vm->UnreachableSince);
+  if (Tables_.Losses.size() > MaxRecordedLosses)
+    Tables_.Losses.pop_front();
 }
 
 void PoolSchedulerImpl::vmTasksEnded(std::string_view Id,
                                      RunsEndedCause Cause) {
-  if (VmRecord *Vm = Tables_.vm(Id))
-    clearVm(*Vm, runsEndedCauseName(Cause));
+  VmRecord *Vm = Tables_.vm(Id);
+  if (Vm == nullptr)
+    return;
+  const bool Crashed =
+      Cause != RunsEndedCause::LeaseExpired && !Vm->Description.Leaving;
+  if (Crashed)
+    settleLoss(*Vm, true);
+  clearVm(*Vm, runsEndedCauseName(Cause), Crashed);
 }
 
 void PoolSchedulerImpl::vmRemoved(std::string_view Id) {
@@ -203,7 +242,9 @@
   if (Found == Tables_.Vms.end())
     return;
   VmRecord &Vm = *Found->second;
-  clearVm(Vm, "vm_gone");
+  // Runs are left if an earlier owner started them and the VM has never been
+  // seen since: it has crashed or was removed.
+  clearVm(Vm, "vm_gone", !Vm.Description.Leaving);
   for (const auto &[Name, Job] : Tables_.Jobs)
     for (const auto &[Number, Occurrence] : Job->Occurrences)
       for (StepRecord &Step : Occurrence->Steps) {
@@ -213,12 +254,27 @@
   Tables_.Vms.erase(Found);
 }
 
-void PoolSchedulerImpl::clearVm(VmRecord &Vm, std::string_view Reason) {
+void PoolSchedulerImpl::clearVm(VmRecord &Vm, std::string_view Reason,
+                                bool Crashed) {
   Vm.LeaseHeld = false;
   forgetUnknownRuns(Vm);
   const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
+  if (Tasks.empty())
+    return;
+  const CrashVerdict Verdict =
+      attributeCrash(Tables_, Vm, Tasks, Options_, MonotonicClock_.now());
+  std::vector<TaskName> Suspects;
+  if (Crashed)
+    Suspects = countCrash(Vm, Verdict, static_cast<int>(Tasks.size()));
+  else
+    for (const TaskRecord *Task : Verdict.Suspects)
+      Suspects.push_back(nameOf(*Task));
   for (TaskRecord *Task : Tasks)
     loseRun(*Task, Reason);
+  if (Crashed)
+    failCrashingJobs(Suspects, Verdict.Conclusive);
+  Vm.LastLoss =
+      UnsettledLoss{Vm.Description.Incarnation, Crashed, std::move(Suspects)};
 }
 
 void PoolSchedulerImpl::loseRun(TaskRecord &Task, std::string_view Reason) {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -88,6 +88,7 @@
 void PoolTables::place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run,
                        TimePoint Now) {
   Task.Run = Run;
+  Task.VmIncarnation = Vm.Description.Incarnation;
   Task.PlacedAt = Now;
   Task.ProgressedAt = Now;
   Task.ConfirmedAt.reset();
@@ -110,6 +111,8 @@
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
   Task.Vm->Tasks.erase(&Task);
+  if (Task.Vm->Trial == &Task)
+    Task.Vm->Trial = nullptr;
   Task.Vm = nullptr;
   --Task.Step->TasksOnVms;
 }
@@ -170,6 +173,7 @@
   Out.Failures = Task.Failures;
   Out.Run = Task.Run;
   Out.Checkpoint = Task.Checkpoint;
+  Out.Crashes = Task.Crashes;
   if (Task.Vm != nullptr) {
     Out.Vm = Task.Vm->Description.Id;
     Out.VmIncarnation = Task.Vm->Description.Incarnation;
@@ -193,6 +197,7 @@
 JobProgress progressOf(const JobRecord &Job) {
   JobProgress Out;
   Out.Stage = Job.Stage;
+  Out.Failure = Job.Failure;
   if (isFinal(Job.Stage))
     return Out;
   for (const int Number : Job.DoneOccurrences)
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -1,7 +1,9 @@
 #ifndef CUMINROAD_POOL_SRC_POOLTABLES_H
 #define CUMINROAD_POOL_SRC_POOLTABLES_H
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -11,6 +13,7 @@
 
 #include "PoolRecords.h"
 #include "cuminroad/pool/JobProgress.h"
+#include "cuminroad/pool/JobStatus.h"
 #include "cuminroad/pool/PoolScheduler.h"
 
 namespace cuminroad {
@@ -47,9 +50,13 @@
 
   /// Unfinished jobs, and finished jobs with runs that have not ended yet.
   JobMap Jobs;
-  /// Final stages of the other finished jobs.
-  std::map<std::string, JobStage, std::less<>> FinishedJobs;
+  /// Final statuses of the other finished jobs.
+  std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
+  /// When VMs became unreachable, most recent last.
+  std::deque<TimePoint> Losses;
+  /// When a VM of a host last crashed without new runs.
+  std::map<std::string, TimePoint, std::less<>> UnexplainedCrashes;
   /// Increases when a VM is added, changes or accepts work again.
   std::int64_t VmsVersion = 0;
   std::set<std::string> ChangedJobs;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -49,6 +49,14 @@
   return static_cast<int>(Count);
 }
 
+/// \returns whether a waiting task of the step may have crashed a VM.
+bool hasWaitingSuspect(const StepRecord &Step) {
+  return std::any_of(
+      Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
+        return Task.isCrashSuspect() && Task.Phase == TaskPhase::Waiting;
+      });
+}
+
 /// \returns whether the VM has best-effort tasks and the step is
 /// latency-sensitive, or the other way round.
 bool conflicts(const StepRecord &Step, const VmRecord &Vm) {
@@ -166,18 +174,82 @@
           tasksOnVm(Step, Vm) < Step.Plan->MaxPerVm);
 }
 
+bool SchedulingPass::hasOtherNewRuns(const StepRecord &Step,
+                                     const VmRecord &Vm) const {
+  return std::any_of(
+      Vm.Tasks.begin(), Vm.Tasks.end(), [&](const TaskRecord *Task) {
+        return Task->Step->Occurrence->Job != Step.Occurrence->Job &&
+               Task->isNewRun(Now_, Options_.NewRunDuration);
+      });
+}
+
+bool SchedulingPass::isOnTrial(const StepRecord &Step,
+                               const VmRecord &Vm) const {
+  if (Vm.Trial != nullptr &&
+      Vm.Trial->Step->Occurrence->Job != Step.Occurrence->Job &&
+      Vm.Trial->isNewRun(Now_, Options_.NewRunDuration))
+    return true;
+  return Now_ < Vm.TrialReservedUntil && !hasWaitingSuspect(Step);
+}
+
+bool SchedulingPass::reserveForTrial(const StepRecord &Step,
+                                     std::span<VmRecord *const> Vms) const {
+  bool AllFree = true;
+  for (VmRecord *Vm : Vms) {
+    Vm->TrialReservedUntil = Now_ + Options_.TrialReservation;
+    AllFree = AllFree && !hasOtherNewRuns(Step, *Vm);
+  }
+  return AllFree;
+}
+
+void SchedulingPass::placeCrashSuspects(StepRecord &Step) {
+  for (TaskRecord &Task : Step.Tasks) {
+    if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
+        Task.NotPlacedBefore > Now_)
+      continue;
+    // The VM with the fewest runs, since a crash takes them all.
+    VmRecord *Best = nullptr;
+    VmRecord *BestBusy = nullptr;
+    const auto Rank = [this](const VmRecord &Vm) {
+      return std::tuple{Vm.hasSuspectHost(Now_), Now_ >= Vm.TrialReservedUntil,
+                        Vm.Tasks.size()};
+    };
+    forEachPermittedVm(Step, [&](VmRecord &Vm) {
+      if (!isEligible(Step, Vm) || !canPlaceTask(Step, Vm))
+        return;
+      VmRecord *&Slot = hasOtherNewRuns(Step, Vm) ? BestBusy : Best;
+      if (Slot == nullptr || Rank(Vm) < Rank(*Slot))
+        Slot = &Vm;
+    });
+    if (Best != nullptr) {
+      Best->TrialReservedUntil = TimePoint{};
+      Best->Trial = &Task;
+      startRun(Task, *Best, Task.Run + 1);
+    } else if (BestBusy != nullptr) {
+      BestBusy->TrialReservedUntil = Now_ + Options_.TrialReservation;
+      return;
+    } else {
+      Step.Blocked = true;
+      return;
+    }
+  }
+}
+
 void SchedulingPass::placeTasks(StepRecord &Step) {
   if (!Step.Plan->reservedCapacity().fitsIn(largestFreeCapacity())) {
     Step.Blocked = true;
     return;
   }
+  if (hasWaitingSuspect(Step))
+    placeCrashSuspects(Step);
   std::vector<ScoredVm> FittingVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
     if (isEligible(Step, Vm) && canPlaceTask(Step, Vm))
       FittingVms.push_back(ScoredVm{score(Step, Vm), &Vm});
   });
   for (TaskRecord &Task : Step.Tasks) {
-    if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_)
+    if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
+        Task.isCrashSuspect())
       continue;
     const auto Best = std::min_element(
         FittingVms.begin(), FittingVms.end(),
@@ -224,8 +296,14 @@
     Step.Blocked = true;
     return;
   }
-  for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index)
+  if (hasWaitingSuspect(Step) && !reserveForTrial(Step, ChosenVms))
+    return;
+  for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+    if (Step.Tasks[Index].isCrashSuspect())
+      ChosenVms[Index]->Trial = &Step.Tasks[Index];
+    ChosenVms[Index]->TrialReservedUntil = TimePoint{};
     startRun(Step.Tasks[Index], *ChosenVms[Index], LastRun + 1);
+  }
 }
 
 bool SchedulingPass::chooseGangVms(StepRecord &Step, std::string_view Rack,
@@ -257,7 +335,7 @@
 
 bool SchedulingPass::isEligible(const StepRecord &Step,
                                 const VmRecord &Vm) const {
-  return Vm.acceptsWork() && canHost(*Step.Plan, Vm) &&
+  return Vm.acceptsWork() && canHost(*Step.Plan, Vm) && !isOnTrial(Step, Vm) &&
          (!Vm.inQuarantine(Now_) || mayProbe(Step, Vm));
 }
 
@@ -305,7 +383,7 @@
     Out += RemoteWeight * (Options_.RemoteFactor - 1.0);
   if (conflicts(Step, Vm))
     Out += ConflictWeight;
-  if (Vm.isSuspect(Now_, Options_.SuspectDuration))
+  if (Vm.isSuspect(Now_, Options_.SuspectDuration) || Vm.hasSuspectHost(Now_))
     Out += SuspectWeight;
   if (Vm.inQuarantine(Now_))
     Out += QuarantineWeight;
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
 #define CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
 
+#include <span>
 #include <vector>
 
 #include "WaitingSteps.h"
@@ -45,6 +46,19 @@
   bool canPlaceTask(const StepRecord &Step, const VmRecord &Vm) const;
   /// \returns whether the VM may run tasks of the step, regardless of room.
   bool isEligible(const StepRecord &Step, const VmRecord &Vm) const;
+  /// Places the step's tasks that may have crashed a VM, each on a VM without
+  /// new runs of other jobs, so that another crash tells whether they did.
+  void placeCrashSuspects(StepRecord &Step);
+  /// Keeps the VMs chosen for a gang free of other new runs, so that a member
+  /// that may have crashed a VM can be tried on them.
+  /// \returns whether they are free already.
+  bool reserveForTrial(const StepRecord &Step,
+                       std::span<VmRecord *const> Vms) const;
+  /// \returns whether new runs of other jobs are on the VM.
+  bool hasOtherNewRuns(const StepRecord &Step, const VmRecord &Vm) const;
+  /// \returns whether the VM must not get tasks of the step, since a task that
+  /// may have crashed a VM is tried on it or will be.
+  bool isOnTrial(const StepRecord &Step, const VmRecord &Vm) const;
   /// \returns whether the step may probe a VM in quarantine.
   bool mayProbe(const StepRecord &Step, const VmRecord &Vm) const;
   /// \returns whether a reservation of the VM, if any, admits a task of the
--- a/packages/pool/tests/CrashTest.cpp
+++ b/packages/pool/tests/CrashTest.cpp
@@ -15,7 +15,8 @@
 constexpr int MaxStartsOfDeadlyTask = 5;
 
 bool isFirstTaskOf(const TaskName &Task, std::string_view JobPrefix) {
-  return Task.Step.Job.starts_with(JobPrefix) && Task.Index == 0;
+  return Task.Step.Job.starts_with(JobPrefix) && Task.Step.Step == 0 &&
+         Task.Index == 0;
 }
 
 } // namespace
@@ -41,3 +42,209 @@
   BOOST_CHECK(stageOf("bad") == JobStage::Failed);
   BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
 }
+
+// Guards against tasks that crash their VM some time after their start, so that
+// a run is not new any more.
+BOOST_FIXTURE_TEST_CASE(taskThatCrashesVmsLateIsGivenUp, CrashingPool) {
+  CrashDelay = milliseconds(1500);
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(8);
+  submit("bad", {makeStep(4, SmallSize, 3000)});
+  runFor(milliseconds(60000));
+  BOOST_CHECK(stageOf("bad") == JobStage::Failed);
+  BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
+}
+
+BOOST_FIXTURE_TEST_CASE(gangThatCrashesVmsIsGivenUp, CrashingPool) {
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(8);
+  StepPlan Gang = makeStep(4, {8000, 1000, 4}, 2000);
+  Gang.Gang = true;
+  submit("bad", {Gang});
+  runFor(milliseconds(60000));
+  BOOST_CHECK(stageOf("bad") == JobStage::Failed);
+  BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
+}
+
+// Guards against long-running tasks, which are restarted however they end.
+BOOST_FIXTURE_TEST_CASE(longRunningTaskThatCrashesVmsIsGivenUp, CrashingPool) {
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(8);
+  StepPlan Step = makeStep(3, SmallSize);
+  Step.LongRunning = true;
+  submit("bad", {Step});
+  submit("good", {Step});
+  runFor(milliseconds(60000));
+  BOOST_CHECK(stageOf("bad") == JobStage::Failed);
+  BOOST_CHECK(stageOf("good") == JobStage::Running);
+  BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
+}
+
+// Guards against an owner that forgets the crashes that earlier owners saw, or
+// did not live to see.
+BOOST_FIXTURE_TEST_CASE(crashesAreCountedOverTakeovers, CrashingPool) {
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(8);
+  submit("bad", {makeStep(4, SmallSize, 700)});
+  for (int Round = 0; Round < 30; ++Round) {
+    runFor(milliseconds(1700));
+    takeOver();
+  }
+  BOOST_CHECK(stageOf("bad") == JobStage::Failed);
+  BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
+}
+
+// Load: a busy pool, one job in ten has a task that crashes VMs. Guards against
+// giving up the jobs that lose runs beside such a task.
+BOOST_FIXTURE_TEST_CASE(neighboursOfCrashingTasksAreNotGivenUp, CrashingPool) {
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(35);
+  std::vector<std::string> Good;
+  for (int Number = 0; Number < 400; ++Number) {
+    const bool Bad = Number % 10 == 3;
+    const std::string Job = fmt::format("{}{}", Bad ? "bad" : "good", Number);
+    StepPlan Second = makeStep(3, {1500, 100, 0}, 700);
+    Second.DependsOn = {0};
+    submit(Job, {makeStep(6, {1500, 100, 0}, 700), Second});
+    if (!Bad)
+      Good.push_back(Job);
+    runFor(milliseconds(70));
+  }
+  runFor(milliseconds(60000));
+  for (const std::string &Job : Good)
+    BOOST_CHECK_MESSAGE(stageOf(Job) == JobStage::Completed, Job);
+  for (int Number = 3; Number < 400; Number += 10)
+    BOOST_CHECK(stageOf(fmt::format("bad{}", Number)) == JobStage::Failed);
+  BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
+  // Two crashes show that it is the task.
+  BOOST_CHECK_LE(Crashes, 40 * 3);
+}
+
+// Guards against giving up jobs because their VM crashes again and again for
+// reasons of its own.
+BOOST_FIXTURE_TEST_CASE(crashingHostGivesUpNoJob, CrashingPool) {
+  addVms(3);
+  StepPlan Service = makeStep(6, {4000, 100, 0});
+  Service.LongRunning = true;
+  submit("service", {Service});
+  for (int Round = 0; Round < 20; ++Round) {
+    submit(fmt::format("good{}", Round), {makeStep(12, SmallSize, 2000)});
+    runFor(milliseconds(4500));
+    crash("host0");
+  }
+  runFor(milliseconds(30000));
+  BOOST_CHECK(stageOf("service") == JobStage::Running);
+  for (int Round = 0; Round < 20; ++Round)
+    BOOST_CHECK(stageOf(fmt::format("good{}", Round)) == JobStage::Completed);
+}
+
+// Guards against giving up jobs that lose runs in several racks' power
+// failures.
+BOOST_FIXTURE_TEST_CASE(rackThatLosesPowerGivesUpNoJob, CrashingPool) {
+  addVms(20, 4);
+  StepPlan Service = makeStep(30, {4000, 100, 0});
+  Service.LongRunning = true;
+  submit("service", {Service});
+  for (int Round = 0; Round < 10; ++Round) {
+    submit(fmt::format("good{}", Round), {makeStep(40, SmallSize, 2000)});
+    runFor(milliseconds(300));
+    for (int Vm = Round % 4; Vm < 20; Vm += 4)
+      crash(fmt::format("host{}", Vm));
+    runFor(milliseconds(4000));
+  }
+  runFor(milliseconds(30000));
+  BOOST_CHECK(stageOf("service") == JobStage::Running);
+  for (int Round = 0; Round < 10; ++Round)
+    BOOST_CHECK(stageOf(fmt::format("good{}", Round)) == JobStage::Completed);
+}
+
+// Guards against taking a VM behind a network partition for a crashed one.
+BOOST_FIXTURE_TEST_CASE(unreachableVmIsNoCrash, CrashingPool) {
+  addVm(makeVm("a", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  for (int Round = 0; Round < 6; ++Round) {
+    runPass();
+    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+    acceptStart(Starts[0]);
+    Scheduler->vmUnreachable("a");
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
+    reportRuns("a", {});
+  }
+  BOOST_CHECK(stageOf("j") == JobStage::Running);
+}
+
+// Guards against taking a partition that rejects connections for a crash: the
+// VM answers again, and its incarnation has not changed.
+BOOST_FIXTURE_TEST_CASE(crashIsWithdrawnIfTheVmAnswersUnchanged, CrashingPool) {
+  addVm(makeVm("a", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  for (int Round = 0; Round < 6; ++Round) {
+    runPass();
+    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+    acceptStart(Starts[0]);
+    Scheduler->vmUnreachable("a");
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded("a", RunsEndedCause::ConnectionsRefused);
+    reportRuns("a", {});
+  }
+  BOOST_CHECK(stageOf("j") == JobStage::Running);
+  BOOST_CHECK_EQUAL(Scheduler->progress("j")
+                        .Occurrences.at(0)
+                        .Steps.at(0)
+                        .Tasks.at(0)
+                        .Crashes,
+                    0);
+}
+
+// Guards against a silent VM of which only its restart tells that it crashed.
+BOOST_FIXTURE_TEST_CASE(restartAfterAnExpiredLeaseIsACrash, CrashingPool) {
+  PoolVm Vm = makeVm("a", SmallSize);
+  addVm(Vm);
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  int StartCount = 0;
+  for (int Round = 0; Round < 12; ++Round) {
+    runPass();
+    StartCount += static_cast<int>(Starts.size());
+    if (!Starts.empty())
+      acceptStart(Starts[0]);
+    Scheduler->vmUnreachable("a");
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
+    ++Vm.Incarnation;
+    Scheduler->vmListed(Vm);
+    Scheduler->vmReported("a", Vm.Incarnation, {}, MonotonicClock.now());
+  }
+  BOOST_CHECK(stageOf("j") == JobStage::Failed);
+  BOOST_CHECK_LE(StartCount, MaxStartsOfDeadlyTask);
+}
+
+// Guards against taking the planned end of a VM for a crash.
+BOOST_FIXTURE_TEST_CASE(endOfALeavingVmIsNoCrash, CrashingPool) {
+  addVm(makeVm("a", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  runPass();
+  acceptStart(Starts.at(0));
+  PoolVm Leaving = makeVm("a", SmallSize);
+  Leaving.Leaving = true;
+  Scheduler->vmListed(Leaving);
+  Scheduler->vmUnreachable("a");
+  Scheduler->vmTasksEnded("a", RunsEndedCause::ConnectionsRefused);
+  BOOST_CHECK(Scheduler->takeDiagnostics().Crashes.empty());
+}
+
+// Guards against a failed job that doesn't say why.
+BOOST_FIXTURE_TEST_CASE(failedJobTellsItsReason, CrashingPool) {
+  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+  addVms(8);
+  submit("bad", {makeStep(4, SmallSize, 700)});
+  runFor(milliseconds(40000));
+  BOOST_CHECK(Scheduler->failure("bad") == JobFailure::CrashedVms);
+  takeOver();
+  BOOST_CHECK(stageOf("bad") == JobStage::Failed);
+  BOOST_CHECK(Scheduler->failure("bad") == JobFailure::CrashedVms);
+}
--- a/packages/pool/tests/CrashingPool.cpp
+++ b/packages/pool/tests/CrashingPool.cpp
@@ -1,6 +1,7 @@
 #include "CrashingPool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -9,6 +10,7 @@
 PoolVm CrashingPool::describe(const std::string &Id,
                               const SimulatedVm &Vm) const {
   PoolVm Out = makeVm(Id, VmSize, Vm.Labels);
+  Out.Host = Vm.Host;
   Out.Incarnation = Vm.Incarnation;
   return Out;
 }
@@ -65,9 +67,7 @@
       continue;
     }
     ++StartCounts[Start.Run.Task];
-    const StepPlan &Step =
-        Plans_[Start.Run.Task.Step.Job]
-            .Steps[static_cast<std::size_t>(Start.Run.Task.Step.Step)];
+    const StepPlan &Step = stepPlan(Start.Run.Task.Step);
     Vm.Runs.push_back(SimulatedRun{
         Start, Now, Step.LongRunning ? TimePoint::max() : Now + Step.Estimate});
     acceptStart(Start);
@@ -105,13 +105,26 @@
 
 void CrashingPool::crashVm(SimulatedVm &Vm) {
   ++Crashes;
-  for (const SimulatedRun &Run : Vm.Runs)
-    ++CrashesUnder_[Run.Start.Run.Task];
-  Vm.Runs.clear();
+  for (const SimulatedRun &Run : std::exchange(Vm.Runs, {}))
+    breakGang(Run.Start.Run.Task.Step);
   Vm.CrashedAt = MonotonicClock.now();
   Vm.Noticed = false;
 }
 
+void CrashingPool::breakGang(const StepName &Step) {
+  if (!stepPlan(Step).Gang)
+    return;
+  // The other members make no progress.
+  for (auto &[Id, Vm] : Vms_)
+    for (SimulatedRun &Run : Vm.Runs)
+      if (Run.Start.Run.Task.Step == Step)
+        Run.EndsAt = TimePoint::max();
+}
+
+const StepPlan &CrashingPool::stepPlan(const StepName &Step) const {
+  return Plans_.at(Step.Job).Steps[static_cast<std::size_t>(Step.Step)];
+}
+
 void CrashingPool::crash(const std::string &Host) {
   for (auto &[Id, Vm] : Vms_)
     if (Vm.Host == Host && !Vm.CrashedAt)
@@ -165,16 +178,4 @@
   return Out;
 }
 
-int CrashingPool::crashesUnder(const TaskName &Task) const {
-  const auto Found = CrashesUnder_.find(Task);
-  return Found == CrashesUnder_.end() ? 0 : Found->second;
-}
-
-std::vector<std::string> CrashingPool::hosts() const {
-  std::set<std::string> Out;
-  for (const auto &[Id, Vm] : Vms_)
-    Out.insert(Vm.Host);
-  return {Out.begin(), Out.end()};
-}
-
 } // namespace cuminroad
--- a/packages/pool/tests/CrashingPool.h
+++ b/packages/pool/tests/CrashingPool.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,9 +26,6 @@
   void takeOver();
   /// The most starts of any task.
   int mostStarts() const;
-  /// Crashes of VMs under a run of the task.
-  int crashesUnder(const TaskName &Task) const;
-  std::vector<std::string> hosts() const;
   std::optional<JobStage> stageOf(const std::string &Job) const {
     return Scheduler->stage(Job);
   }
@@ -74,11 +70,12 @@
   void runVm(const std::string &Id, SimulatedVm &Vm);
   void noticeCrash(const std::string &Id, SimulatedVm &Vm);
   void crashVm(SimulatedVm &Vm);
+  void breakGang(const StepName &Step);
+  const StepPlan &stepPlan(const StepName &Step) const;
   void startRuns();
 
   std::map<std::string, SimulatedVm> Vms_;
   std::map<std::string, JobPlan> Plans_;
-  std::map<TaskName, int> CrashesUnder_;
   int NextId_ = 0;
 };
 
