Give up jobs only after crashes of VMs that confirmed the start

Callers saw: a job shown as failed after a single crash under one of its tasks, or without the second one (LOST).

Cause: a run whose start had not been answered when its VM was lost counted as a cause of the crash. Often the order never reached the VM, because another task had just crashed it, and two such counts were enough.

Change: the confirmed crashes are counted and stored apart. Two confirmed ones, the last of them conclusive, give a job up; the limit of four counts all, since a task may crash its VM before the answer arrives.

--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -26,6 +26,8 @@
   std::string Checkpoint;
   /// Crashes of VMs that runs of the task may have caused.
   int Crashes = 0;
+  /// Those of them before which the VM had confirmed the start of the run.
+  int ConfirmedCrashes = 0;
 };
 
 /// Persisted progress of one step: the tasks whose state has changed since the
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -71,11 +71,12 @@
   /// If a VM crashes without new runs, runs up to this age may be the cause. A
   /// run that lives longer clears its task of earlier crashes.
   milliseconds CrashFreeRunTime{10000};
-  /// A job fails when a task may have caused this many crashes, and its run was
-  /// the only possible cause of the last one.
+  /// A job fails when a task may have caused this many crashes after its start
+  /// was confirmed, and its run was the only possible cause of the last one.
   int ConclusiveCrashes = 2;
   /// A job fails when a task may have caused this many crashes, even if there
-  /// are other possible causes for each of them.
+  /// are other possible causes for each of them or its starts were not
+  /// confirmed.
   int MaxCrashes = 4;
   /// A VM is kept free of other new runs for at most this long, so that a task
   /// that may have caused a crash can be tried on it.
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -24,8 +24,10 @@
     return Task.Index;
   nlohmann::json Out = {Task.Index, Task.Failures,      Task.Run,
                         Task.Vm,    Task.VmIncarnation, Task.Checkpoint};
-  if (Task.Crashes > 0)
+  if (Task.Crashes > 0) {
     Out.push_back(Task.Crashes);
+    Out.push_back(Task.ConfirmedCrashes);
+  }
   return Out;
 }
 
@@ -42,8 +44,10 @@
   Out.Vm = Input.at(3).get<std::string>();
   Out.VmIncarnation = Input.at(4).get<std::int64_t>();
   Out.Checkpoint = Input.at(5).get<std::string>();
-  if (Input.size() > 6)
+  if (Input.size() > 6) {
     Out.Crashes = Input.at(6).get<int>();
+    Out.ConfirmedCrashes = Input.at(7).get<int>();
+  }
   return Out;
 }
 
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -48,6 +48,8 @@
   std::int64_t Run = 0;
   /// Crashes of VMs that runs of the task may have caused.
   int Crashes = 0;
+  /// Those of them before which the VM had confirmed the start of the run.
+  int ConfirmedCrashes = 0;
   /// Set in the phases Placed, Running and Stopping.
   VmRecord *Vm = nullptr;
   /// The incarnation of the VM on which the run was placed.
@@ -68,6 +70,9 @@
   /// The task must not be placed again before this time.
   TimePoint NotPlacedBefore{};
 
+  /// The VM has confirmed that the current run started.
+  bool StartConfirmed = false;
+
   bool isOnVm() const { return Vm != nullptr; }
   /// \returns whether a run of the task may have crashed a VM.
   bool isCrashSuspect() const { return Crashes > 0; }
@@ -156,13 +161,19 @@
   }
 };
 
+/// A task whose run may have crashed a VM.
+struct CrashSuspect {
+  TaskName Task;
+  /// The VM had confirmed that the run started.
+  bool StartConfirmed = false;
+};
+
 /// The loss of a VM of which it isn't certain yet whether it crashed.
 struct UnsettledLoss {
   std::int64_t VmIncarnation = 0;
   /// The loss was counted as a crash.
   bool Counted = false;
-  /// Tasks whose runs may have caused the crash.
-  std::vector<TaskName> Suspects;
+  std::vector<CrashSuspect> Suspects;
 };
 
 struct VmRecord {
--- a/packages/pool/src/PoolSchedulerCrashes.cpp
+++ b/packages/pool/src/PoolSchedulerCrashes.cpp
@@ -6,17 +6,18 @@
 
 namespace cuminroad {
 
-std::vector<TaskName> PoolSchedulerImpl::countCrash(VmRecord &Vm,
-                                                    const CrashVerdict &Verdict,
-                                                    int LostRuns) {
-  std::vector<TaskName> Names;
+std::vector<CrashSuspect>
+PoolSchedulerImpl::countCrash(VmRecord &Vm, const CrashVerdict &Verdict,
+                              int LostRuns) {
+  std::vector<CrashSuspect> Suspects;
   VmCrash Report{
       Vm.Description.Id, LostRuns, {}, Verdict.Conclusive, Verdict.CommonCause};
   for (TaskRecord *Task : Verdict.Suspects) {
     ++Task->Crashes;
+    Task->ConfirmedCrashes += Task->StartConfirmed;
     Tables_.markChanged(*Task->Step->Occurrence->Job);
-    Names.push_back(nameOf(*Task));
-    Report.Suspects.push_back(TaskRun{Names.back(), Task->Run});
+    Suspects.push_back(CrashSuspect{nameOf(*Task), Task->StartConfirmed});
+    Report.Suspects.push_back(TaskRun{Suspects.back().Task, Task->Run});
   }
   const TimePoint Now = MonotonicClock_.now();
   std::erase_if(Tables_.UnexplainedCrashes, [this, Now](const auto &Entry) {
@@ -25,23 +26,24 @@
   if (!Verdict.NewRuns && !Verdict.CommonCause)
     Tables_.UnexplainedCrashes[Vm.Description.Host] = Now;
   Tables_.Diagnostics.Crashes.push_back(std::move(Report));
-  return Names;
+  return Suspects;
 }
 
-void PoolSchedulerImpl::failCrashingJobs(std::span<const TaskName> Suspects,
+void PoolSchedulerImpl::failCrashingJobs(std::span<const CrashSuspect> Suspects,
                                          bool Conclusive) {
-  const int Limit =
-      Conclusive ? Options_.ConclusiveCrashes : Options_.MaxCrashes;
-  for (const TaskName &Name : Suspects) {
-    const TaskRecord *Task = Tables_.task(Name);
-    if (Task == nullptr || Task->Phase == TaskPhase::Done ||
-        Task->Crashes < Limit)
+  for (const CrashSuspect &Suspect : Suspects) {
+    const TaskRecord *Task = Tables_.task(Suspect.Task);
+    if (Task == nullptr || Task->Phase == TaskPhase::Done)
+      continue;
+    const bool Proven =
+        Conclusive && Task->ConfirmedCrashes >= Options_.ConclusiveCrashes;
+    if (!Proven && Task->Crashes < Options_.MaxCrashes)
       continue;
     JobRecord &Job = *Task->Step->Occurrence->Job;
     if (isFinal(Job.Stage))
       continue;
     Tables_.Diagnostics.AbandonedTasks.push_back(
-        AbandonedTask{Name, Task->Crashes});
+        AbandonedTask{Suspect.Task, Task->Crashes});
     failJob(Job, JobFailure::CrashedVms);
   }
 }
@@ -52,11 +54,14 @@
   const UnsettledLoss Loss = *std::exchange(Vm.LastLoss, std::nullopt);
   if (Loss.Counted == Crashed)
     return;
-  for (const TaskName &Name : Loss.Suspects) {
-    TaskRecord *Task = Tables_.task(Name);
+  const int Change = Crashed ? 1 : -1;
+  for (const CrashSuspect &Suspect : Loss.Suspects) {
+    TaskRecord *Task = Tables_.task(Suspect.Task);
     if (Task == nullptr || Task->Phase == TaskPhase::Done)
       continue;
-    Task->Crashes = std::max(Task->Crashes + (Crashed ? 1 : -1), 0);
+    Task->Crashes = std::max(Task->Crashes + Change, 0);
+    if (Suspect.StartConfirmed)
+      Task->ConfirmedCrashes = std::max(Task->ConfirmedCrashes + Change, 0);
     Tables_.markChanged(*Task->Step->Occurrence->Job);
   }
   if (Crashed)
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -69,12 +69,13 @@
   /// All runs on the VM have ended without a report.
   void clearVm(VmRecord &Vm, std::string_view Reason, bool Crashed);
   /// Counts a crash of the VM for the tasks that may have caused it.
-  /// \returns the names of these tasks.
-  std::vector<TaskName> countCrash(VmRecord &Vm, const CrashVerdict &Verdict,
-                                   int LostRuns);
+  /// \returns these tasks.
+  std::vector<CrashSuspect>
+  countCrash(VmRecord &Vm, const CrashVerdict &Verdict, int LostRuns);
   /// Fails the jobs of those suspects that may have caused too many crashes.
   /// \p Conclusive whether they alone may have caused the last one.
-  void failCrashingJobs(std::span<const TaskName> Suspects, bool Conclusive);
+  void failCrashingJobs(std::span<const CrashSuspect> Suspects,
+                        bool Conclusive);
   /// Corrects the crashes counted for the VM's last loss, now that it is known
   /// whether the VM crashed.
   void settleLoss(VmRecord &Vm, bool Crashed);
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -89,6 +89,7 @@
   Task.Run = Progress.Run;
   Task.Checkpoint = Progress.Checkpoint;
   Task.Crashes = Progress.Crashes;
+  Task.ConfirmedCrashes = Progress.ConfirmedCrashes;
   if (Progress.Vm.empty())
     return;
   VmRecord &Vm = Tables_.findOrCreateVm(Progress.Vm);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -190,6 +190,7 @@
     if (Task->Phase == TaskPhase::Placed)
       Tables_.setPhase(*Task, TaskPhase::Running);
     Task->ConfirmedAt = MonotonicClock_.now();
+    Task->StartConfirmed = Outcome == StartOutcome::Accepted;
     Task->Step->Occurrence->Job->Started = true;
     return;
   }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -81,7 +81,7 @@
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
   settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
-  std::vector<TaskName> Suspects;
+  std::vector<CrashSuspect> Suspects;
   bool Conclusive = false;
   if (const auto Lost = runsOfEarlierIncarnation(*Vm, Running);
       !Lost.empty() && !Vm->Description.Leaving) {
@@ -120,6 +120,7 @@
     Tables_.setPhase(*Task, TaskPhase::Running);
   if (!Task->ConfirmedAt)
     Task->ConfirmedAt = Now;
+  Task->StartConfirmed = true;
   Task->Step->Occurrence->Job->Started = true;
   if (Report.ProgressPercent != Task->ProgressPercent) {
     Task->ProgressPercent = Report.ProgressPercent;
@@ -130,6 +131,7 @@
   if (Task->isCrashSuspect() &&
       Now - Task->PlacedAt >= Options_.CrashFreeRunTime) {
     Task->Crashes = 0;
+    Task->ConfirmedCrashes = 0;
     Tables_.markChanged(*Task->Step->Occurrence->Job);
   }
 }
@@ -263,12 +265,12 @@
     return;
   const CrashVerdict Verdict =
       attributeCrash(Tables_, Vm, Tasks, Options_, MonotonicClock_.now());
-  std::vector<TaskName> Suspects;
+  std::vector<CrashSuspect> Suspects;
   if (Crashed)
     Suspects = countCrash(Vm, Verdict, static_cast<int>(Tasks.size()));
   else
     for (const TaskRecord *Task : Verdict.Suspects)
-      Suspects.push_back(nameOf(*Task));
+      Suspects.push_back(CrashSuspect{nameOf(*Task), Task->StartConfirmed});
   for (TaskRecord *Task : Tasks)
     loseRun(*Task, Reason);
   if (Crashed)
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -92,6 +92,7 @@
   Task.PlacedAt = Now;
   Task.ProgressedAt = Now;
   Task.ConfirmedAt.reset();
+  Task.StartConfirmed = false;
   Task.ProgressPercent = -1;
   Task.SpeedPercent = 100;
   assign(Task, Vm, TaskPhase::Placed);
@@ -174,6 +175,7 @@
   Out.Run = Task.Run;
   Out.Checkpoint = Task.Checkpoint;
   Out.Crashes = Task.Crashes;
+  Out.ConfirmedCrashes = Task.ConfirmedCrashes;
   if (Task.Vm != nullptr) {
     Out.Vm = Task.Vm->Description.Id;
     Out.VmIncarnation = Task.Vm->Description.Incarnation;
--- a/packages/pool/tests/CrashTest.cpp
+++ b/packages/pool/tests/CrashTest.cpp
@@ -237,6 +237,50 @@
   BOOST_CHECK(Scheduler->takeDiagnostics().Crashes.empty());
 }
 
+// Guards against giving up a job for crashes before which its starts may not
+// have reached the VM: the job was shown as failed after a single crash.
+BOOST_FIXTURE_TEST_CASE(unconfirmedStartsGiveUpNoJob, CrashingPool) {
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  const auto CrashUnderRun = [this](int Number, bool Confirmed) {
+    const std::string Vm = fmt::format("vm{}", Number);
+    addVm(makeVm(Vm, SmallSize));
+    runPass();
+    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+    if (Confirmed)
+      acceptStart(Starts[0]);
+    MonotonicClock.advance(milliseconds(30));
+    Scheduler->vmUnreachable(Vm);
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded(Vm, RunsEndedCause::AddressReused);
+  };
+  CrashUnderRun(1, true);
+  CrashUnderRun(2, false);
+  BOOST_CHECK(stageOf("j") == JobStage::Running);
+  CrashUnderRun(3, true);
+  BOOST_CHECK(stageOf("j") == JobStage::Failed);
+}
+
+// Guards against tasks whose starts are never confirmed, because the VM is gone
+// before its answer arrives.
+BOOST_FIXTURE_TEST_CASE(taskWithoutConfirmedStartsIsGivenUp, CrashingPool) {
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  int StartCount = 0;
+  for (int Number = 0; Number < 12; ++Number) {
+    const std::string Vm = fmt::format("vm{}", Number);
+    addVm(makeVm(Vm, SmallSize));
+    runPass();
+    StartCount += static_cast<int>(Starts.size());
+    MonotonicClock.advance(milliseconds(30));
+    Scheduler->vmUnreachable(Vm);
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded(Vm, RunsEndedCause::AddressReused);
+  }
+  BOOST_CHECK(stageOf("j") == JobStage::Failed);
+  BOOST_CHECK_LE(StartCount, MaxStartsOfDeadlyTask);
+}
+
 // Guards against a failed job that doesn't say why.
 BOOST_FIXTURE_TEST_CASE(failedJobTellsItsReason, CrashingPool) {
   IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
