Withdraw unconfirmed starts from VMs whose capacity has shrunk

Callers saw: nothing yet; a VM got more tasks than it had room for (LIMIT).

Cause: a start is placed against the capacity that is listed at that moment, and sent once its record is in the store. When the record took seconds, or the order was not answered and was repeated, the start went out although the VM's capacity had shrunk in the meantime. No test changed the capacity of a VM.

Change: when a VM's listed capacity falls below what is on it, runs whose start is not confirmed are stopped, the least urgent and newest first, gangs as a whole, and placed elsewhere. The stop makes the VM reject orders that arrive later. Confirmed runs run out: to stop them would throw work away, and only starts are limited.

--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -17,6 +17,10 @@
 
 constexpr int VmCount = 4;
 constexpr int TasksPerVm = 3;
+/// Time from a change of a VM's capacity until daemons read its entry.
+constexpr milliseconds HeartbeatInterval{500};
+/// A lower capacity binds this much later than it could have been read.
+constexpr milliseconds ContactTime{3000};
 
 QueueTerms testQueue(bool Advised) {
   QueueTerms Out;
@@ -53,6 +57,8 @@
   bool VmCuts = false;
   /// The owner loses the store, and the other daemon some of the VMs.
   bool SplitReachability = false;
+  /// The capacities of VMs shrink and grow again.
+  bool CapacityChanges = false;
 };
 
 class Scenario {
@@ -64,6 +70,7 @@
       Vms_.add(Id, 1);
       Entries_.push_back(StoredRow{RowName{"vms", "", Id},
                                    std::to_string(TasksPerVm), 1, false});
+      Rooms_[Id] = {{TimePoint{}, TasksPerVm}};
     }
     Vms_.PlanRun = [this](const TaskRun &) {
       const unsigned Longest = Faults_.SplitReachability ? 6000 : 900;
@@ -90,6 +97,8 @@
     }
     FaultsOver_ = true;
     UnreachableVms_.clear();
+    for (StoredRow &Entry : Entries_)
+      changeCapacity(Entry, TasksPerVm);
     // Long enough to finish all remaining jobs.
     ControlLoop_.runFor(
         milliseconds(Faults_.SplitReachability ? 150000 : 60000));
@@ -108,7 +117,7 @@
       BOOST_CHECK_MESSAGE(!Running.contains(Task),
                           "two runs at once: " << Task.Step.Job);
       Running[Task] = {Event.Vm, Event.Run};
-      BOOST_CHECK_LE(++OnVm[Event.Vm], TasksPerVm);
+      BOOST_CHECK_LE(++OnVm[Event.Vm], permittedTasks(Event.Vm, Event.Time));
       if (Task.Step.Step == 1)
         BOOST_CHECK_MESSAGE(
             firstStepDone(Task.Step.Job, Event.Time),
@@ -182,6 +191,35 @@
       splitReachability();
     if (Random_() % 40 == 0)
       UnreachableVms_.clear();
+    if (Faults_.CapacityChanges && Random_() % 3 == 0)
+      changeCapacity(Entries_[Random_() % VmCount],
+                     static_cast<int>(Random_() % (TasksPerVm + 1)));
+  }
+
+  void changeCapacity(StoredRow &Entry, int Tasks) {
+    Entry.Value = std::to_string(Tasks);
+    Rooms_[Entry.Name.Key].emplace_back(ControlLoop_.MonotonicClock.now(),
+                                        Tasks);
+    ControlLoop_.after(HeartbeatInterval, [this, Listed = Entries_] {
+      for (const auto &Daemon : Daemons_)
+        Daemon->listVms(Listed);
+    });
+  }
+
+  /// \returns how many tasks may be on the VM when one starts at \p Time: the
+  /// largest capacity that the owner may still have known.
+  int permittedTasks(const std::string &Vm, TimePoint Time) const {
+    int Out = 0;
+    TimePoint ReplacedAt = TimePoint::max();
+    const auto &Changes = Rooms_.at(Vm);
+    for (auto Change = Changes.rbegin(); Change != Changes.rend(); ++Change) {
+      if (Change->first <= Time &&
+          (ReplacedAt == TimePoint::max() ||
+           Time - ReplacedAt <= ContactTime + HeartbeatInterval))
+        Out = std::max(Out, Change->second);
+      ReplacedAt = Change->first;
+    }
+    return Out;
   }
 
   void splitReachability() {
@@ -225,6 +263,8 @@
   FakeRows Rows_;
   FakeVms Vms_;
   std::vector<StoredRow> Entries_;
+  /// For each VM, its capacity in tasks from each time on.
+  std::map<std::string, std::vector<std::pair<TimePoint, int>>> Rooms_;
   std::vector<std::unique_ptr<TestDaemon>> Daemons_;
   std::map<std::string, JobPlan> Jobs_;
   std::set<std::pair<std::size_t, std::string>> UnreachableVms_;
@@ -323,6 +363,21 @@
   runScenarios(601, 615, ScenarioFaults{false, false, false, false, true});
 }
 
+// Guards against starts on VMs whose capacity has shrunk meanwhile: of tasks
+// whose record or whose order takes long, and by a new owner.
+BOOST_AUTO_TEST_CASE(capacityShrinksAndGrows) {
+  runScenarios(701, 715, ScenarioFaults{.CapacityChanges = true});
+}
+
+BOOST_AUTO_TEST_CASE(capacityChangesWhileAllFaultsAreCombined) {
+  runScenarios(1341, 1370,
+               ScenarioFaults{.Store = true,
+                              .Orders = true,
+                              .DaemonRestarts = true,
+                              .VmCuts = true,
+                              .CapacityChanges = true});
+}
+
 BOOST_AUTO_TEST_CASE(allFaultsCombined) {
   runScenarios(501, 530, ScenarioFaults{true, true, true, true, false});
 }
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -84,6 +84,9 @@
   std::vector<TaskRecord *>
   runsOfEarlierIncarnation(const VmRecord &Vm,
                            std::span<const RunningTask> Running) const;
+  /// Stops runs whose start the VM has not confirmed, the least urgent and
+  /// newest first, until the others fit into the VM's capacity.
+  void withdrawStarts(const VmRecord &Vm);
   /// Commands the VM to stop the task's current run.
   void stopTask(TaskRecord &Task);
   void applyRunReport(VmRecord &Vm, const RunningTask &Report);
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -2,6 +2,7 @@
 #include "PoolSchedulerImpl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cuminroad {
 
@@ -46,10 +47,44 @@
       Crash != Tables_.UnexplainedCrashes.end())
     Vm.HostSuspectUntil = Crash->second + Options_.HostSuspectDuration;
   ++Tables_.VmsVersion;
+  withdrawStarts(Vm);
   if (Listed.Leaving && !WasLeaving)
     stopTasksOfLeavingVm(Vm);
 }
 
+void PoolSchedulerImpl::withdrawStarts(const VmRecord &Vm) {
+  if (Vm.Used.fitsIn(Vm.Description.Total))
+    return;
+  Capacity Used = Vm.Used;
+  std::vector<TaskRecord *> Unconfirmed;
+  for (TaskRecord *Task : Vm.Tasks) {
+    if (Task->ConfirmedAt)
+      continue;
+    if (Task->Phase == TaskPhase::Placed)
+      Unconfirmed.push_back(Task);
+    else
+      Used -= Task->Step->Plan->reservedCapacity();
+  }
+  std::sort(Unconfirmed.begin(), Unconfirmed.end(),
+            [](const TaskRecord *Left, const TaskRecord *Right) {
+              const auto Rank = [](const TaskRecord &Task) {
+                return std::tuple{Task.Step->Occurrence->Job->Terms.Priority,
+                                  Task.PlacedAt, Task.Index};
+              };
+              return Rank(*Left) > Rank(*Right);
+            });
+  for (TaskRecord *Task : Unconfirmed) {
+    if (Used.fitsIn(Vm.Description.Total))
+      return;
+    Used -= Task->Step->Plan->reservedCapacity();
+    stopTask(*Task);
+    if (Task->Step->Plan->Gang)
+      for (TaskRecord &Member : Task->Step->Tasks)
+        if (Member.isOnVm())
+          stopTask(Member);
+  }
+}
+
 void PoolSchedulerImpl::stopTasksOfLeavingVm(VmRecord &Vm) {
   const TimePoint Now = MonotonicClock_.now();
   const std::vector<TaskRecord *> Tasks(Vm.Tasks.begin(), Vm.Tasks.end());
--- /dev/null
+++ b/packages/pool/tests/CapacityTest.cpp
@@ -0,0 +1,96 @@
+// The capacities of VMs shrink and grow again while tasks run on them.
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "SchedulerFixture.h"
+
+using namespace cuminroad;
+
+namespace {
+
+struct CapacityFixture : SchedulerFixture {
+  void list(const std::string &Vm, int Tasks, std::int64_t Incarnation = 1) {
+    PoolVm Listed = makeVm(Vm, SmallSize * Tasks);
+    Listed.Incarnation = Incarnation;
+    Scheduler->vmListed(Listed);
+  }
+  void submit(const std::string &Job, int Tasks, bool Gang = false) {
+    StepPlan Step = makeStep(Tasks, SmallSize);
+    Step.Gang = Gang;
+    Scheduler->addJob(makeJob(Job, {Step}), Queue, MonotonicClock.now());
+  }
+  int startCount() {
+    runPass();
+    return static_cast<int>(Starts.size());
+  }
+  int wantedStarts(const std::vector<StartRun> &Sent) const {
+    return static_cast<int>(
+        std::count_if(Sent.begin(), Sent.end(), [this](const StartRun &Start) {
+          return Scheduler->isCurrentRun(Start.Vm, Start.Run);
+        }));
+  }
+
+  QueueTerms Queue = makeQueue();
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(shrunkVmGetsNoTasksUntilItHasRoom, CapacityFixture) {
+  addVm(makeVm("a", SmallSize * 3));
+  submit("j", 3);
+  BOOST_REQUIRE_EQUAL(startCount(), 3);
+  const std::vector<StartRun> Running = Starts;
+  for (const StartRun &Start : Running)
+    acceptStart(Start);
+  list("a", 1);
+  submit("k", 3);
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  BOOST_CHECK(Stops.empty());
+  endRun(Running[0], RunOutcome::Done);
+  endRun(Running[1], RunOutcome::Done);
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  endRun(Running[2], RunOutcome::Done);
+  BOOST_CHECK_EQUAL(startCount(), 1);
+  list("a", 3);
+  BOOST_CHECK_EQUAL(startCount(), 2);
+}
+
+// Guards against starts that are sent, or repeated, after their VM's capacity
+// has shrunk: their record took long, or they were not answered.
+BOOST_FIXTURE_TEST_CASE(unconfirmedStartsOnAShrunkVmAreWithdrawn,
+                        CapacityFixture) {
+  addVm(makeVm("a", SmallSize * 3));
+  submit("j", 3);
+  BOOST_REQUIRE_EQUAL(startCount(), 3);
+  const std::vector<StartRun> Sent = Starts;
+  acceptStart(Sent[0]);
+  list("a", 2);
+  BOOST_CHECK_EQUAL(wantedStarts(Sent), 2);
+  list("a", 0);
+  BOOST_CHECK_EQUAL(wantedStarts(Sent), 1);
+  runPass();
+  // The VM rejects orders that still reach it.
+  BOOST_CHECK_EQUAL(Stops.size(), 2);
+  BOOST_CHECK(Scheduler->isCurrentRun("a", Sent[0].Run));
+  addVm(makeVm("b", SmallSize * 3));
+  for (const StartRun &Start : Sent)
+    Scheduler->startAnswered("a", Start.Run, StartOutcome::NotSent);
+  MonotonicClock.advance(Options.RefusedStartDelay);
+  BOOST_CHECK_EQUAL(startCount(), 2);
+  for (const StartRun &Start : Starts)
+    BOOST_CHECK_EQUAL(Start.Vm, "b");
+}
+
+// Guards against a gang of which a part is withdrawn: the other members would
+// wait on their VMs.
+BOOST_FIXTURE_TEST_CASE(gangOnAShrunkVmIsWithdrawnWhole, CapacityFixture) {
+  addVm(makeVm("a", SmallSize * 2));
+  addVm(makeVm("b", SmallSize * 2));
+  submit("j", 4, true);
+  BOOST_REQUIRE_EQUAL(startCount(), 4);
+  const std::vector<StartRun> Sent = Starts;
+  list("a", 1);
+  BOOST_CHECK_EQUAL(wantedStarts(Sent), 0);
+}
