Use a restarted VM only once its new capacity is listed

Callers saw: nothing yet; a VM that restarts under its id, as another kind, could get more tasks than it has room for (LIMIT).

Cause: the VM's answer names its new incarnation before its entry in the store does. From then on it got tasks by the capacity and labels of the earlier one.

Evidence: pool.CapacityTest, restartedVmGetsNoTasksBeforeItIsListed: three starts on a VM of which only one fits; failed before.

Change: a VM accepts work only while the incarnation that is listed is the one that reported. RunsTest's restartedVmLosesItsEarlierRuns started a run by the capacity of the earlier incarnation; it now checks that nothing starts until the new one is listed, and that run 2 starts then.

--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -194,6 +194,8 @@
   bool Listed = true;
   /// The incarnation of the last report; 0 before the first.
   std::int64_t ReportedIncarnation = 0;
+  /// The incarnation whose capacity and labels are listed.
+  std::int64_t ListedIncarnation = 0;
   Capacity Used;
   std::set<TaskRecord *> Tasks;
   /// Runs on the VM that belong to no unfinished task, with the capacity that
@@ -218,9 +220,11 @@
   milliseconds ThrottleDuration{0};
 
   Capacity freeCapacity() const { return Description.Total - Used; }
-  /// \returns whether the VM may get new tasks, regardless of quarantine.
+  /// \returns whether the VM may get new tasks, regardless of quarantine. A new
+  /// incarnation may have less capacity than the listed one.
   bool acceptsWork() const {
-    return LeaseHeld && Listed && !Description.Leaving;
+    return LeaseHeld && Listed && !Description.Leaving &&
+           ListedIncarnation == ReportedIncarnation;
   }
   bool hasSuspectHost(TimePoint Now) const { return Now < HostSuspectUntil; }
   bool inQuarantine(TimePoint Now) const { return Now < QuarantinedUntil; }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -42,6 +42,7 @@
     Vm.LeaseHeld = false;
   const bool WasLeaving = Vm.Description.Leaving;
   Vm.Description = Listed;
+  Vm.ListedIncarnation = Listed.Incarnation;
   Vm.Listed = true;
   if (const auto Crash = Tables_.UnexplainedCrashes.find(Listed.Host);
       Crash != Tables_.UnexplainedCrashes.end())
--- a/packages/pool/tests/CapacityTest.cpp
+++ b/packages/pool/tests/CapacityTest.cpp
@@ -94,3 +94,16 @@
   list("a", 1);
   BOOST_CHECK_EQUAL(wantedStarts(Sent), 0);
 }
+
+// Guards against the use of the capacity of an earlier incarnation, which may
+// have been of another kind.
+BOOST_FIXTURE_TEST_CASE(restartedVmGetsNoTasksBeforeItIsListed,
+                        CapacityFixture) {
+  addVm(makeVm("a", SmallSize * 3));
+  submit("j", 3);
+  Scheduler->vmReported("a", 2, {}, MonotonicClock.now());
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  list("a", 1, 2);
+  Scheduler->vmReported("a", 2, {}, MonotonicClock.now());
+  BOOST_CHECK_EQUAL(startCount(), 1);
+}
--- a/packages/pool/tests/RunsTest.cpp
+++ b/packages/pool/tests/RunsTest.cpp
@@ -256,6 +256,12 @@
   // A report requested at the same instant may not include the start yet.
   MonotonicClock.advance(milliseconds(1));
   Scheduler->vmReported("a", 2, {}, MonotonicClock.now());
+  // The capacity of the new incarnation is not listed yet.
+  runPass();
+  BOOST_CHECK(Starts.empty());
+  PoolVm Restarted = makeVm("a", BigSize);
+  Restarted.Incarnation = 2;
+  addVm(Restarted);
   runPass();
   BOOST_REQUIRE_EQUAL(Starts.size(), 1);
   BOOST_CHECK_EQUAL(Starts[0].Run.Number, 2);
