--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -1,7 +1,6 @@
 #include "AdvicePlanner.h"
 
 #include <algorithm>
-#include <string_view>
 #include <tuple>
 
 #include "Forecast.h"
@@ -54,19 +53,6 @@
   Vms.resize(Size);
 }
 
-/// Keeps the \p MaxVms VMs with the fewest tasks.
-void keepEmptiest(std::vector<RankedVm> &Vms, std::size_t MaxVms) {
-  std::sort(Vms.begin(), Vms.end(),
-            [](const RankedVm &Left, const RankedVm &Right) {
-              const auto Rank = [](const RankedVm &Each) {
-                return std::tuple{Each.InQuarantine, Each.Vm->Tasks.size(),
-                                  std::string_view(Each.Vm->Description.Id)};
-              };
-              return Rank(Left) < Rank(Right);
-            });
-  Vms.resize(std::min(Vms.size(), MaxVms));
-}
-
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -185,13 +171,8 @@
     if (FittingTasks > 0)
       Candidates.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
   }
-  const auto MaxVms = static_cast<std::size_t>(Options_.MaxRenewedVms);
-  // A task that may have crashed a VM is tried apart from other new runs, which
-  // mostly get the tightest VMs.
-  if (Step.hasWaitingSuspect())
-    keepEmptiest(Candidates, MaxVms);
-  else
-    keepTightest(Candidates, Step.WaitingTasks, MaxVms);
+  keepTightest(Candidates, Step.WaitingTasks,
+               static_cast<std::size_t>(Options_.MaxRenewedVms));
   std::vector<VmRecord *> Out;
   Out.reserve(Candidates.size());
   for (const RankedVm &Each : Candidates)
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -1,7 +1,6 @@
 #ifndef CUMINROAD_POOL_SRC_POOLRECORDS_H
 #define CUMINROAD_POOL_SRC_POOLRECORDS_H
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -130,13 +129,6 @@
   bool isComplete() const {
     return DoneTasks == static_cast<int>(Tasks.size());
   }
-  /// \returns whether a waiting task may have crashed a VM.
-  bool hasWaitingSuspect() const {
-    return WaitingTasks > 0 &&
-           std::any_of(Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
-             return Task.isCrashSuspect() && Task.Phase == TaskPhase::Waiting;
-           });
-  }
 };
 
 struct OccurrenceRecord {
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -49,6 +49,14 @@
   return static_cast<int>(Count);
 }
 
+/// \returns whether a waiting task of the step may have crashed a VM.
+bool hasWaitingSuspect(const StepRecord &Step) {
+  return std::any_of(
+      Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
+        return Task.isCrashSuspect() && Task.Phase == TaskPhase::Waiting;
+      });
+}
+
 /// \returns whether the VM has best-effort tasks and the step is
 /// latency-sensitive, or the other way round.
 bool conflicts(const StepRecord &Step, const VmRecord &Vm) {
@@ -181,7 +189,7 @@
       Vm.Trial->Step->Occurrence->Job != Step.Occurrence->Job &&
       Vm.Trial->isNewRun(Now_, Options_.NewRunDuration))
     return true;
-  return Now_ < Vm.TrialReservedUntil && !Step.hasWaitingSuspect();
+  return Now_ < Vm.TrialReservedUntil && !hasWaitingSuspect(Step);
 }
 
 bool SchedulingPass::reserveForTrial(const StepRecord &Step,
@@ -232,7 +240,7 @@
     Step.Blocked = true;
     return;
   }
-  if (Step.hasWaitingSuspect())
+  if (hasWaitingSuspect(Step))
     placeCrashSuspects(Step);
   std::vector<ScoredVm> FittingVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
@@ -288,7 +296,7 @@
     Step.Blocked = true;
     return;
   }
-  if (Step.hasWaitingSuspect() && !reserveForTrial(Step, ChosenVms))
+  if (hasWaitingSuspect(Step) && !reserveForTrial(Step, ChosenVms))
     return;
   for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
     if (Step.Tasks[Index].isCrashSuspect())
