Keep a job whose record is too large from stopping its pool

Callers saw: nothing yet. A job with a step of thousands of tasks would stop its pool: no other job of the pool goes on, and no other daemon fares better. A submission over the size of a row would be retried to the caller's deadline.

The store refuses a row larger than row_bytes; a job's progress holds each task that has had a run, checkPlan() admits 5,000 a step, and the writer repeats a refused transaction, which also renews the ownership, without end. A refused write looks like a store that is away.

Evidence: TakeoverTest, widestJobsDoNotStopTheirPool, with a fake store that enforces the limit: a later job of two tasks doesn't complete in 20 s; failed before. JobFrontendTest, tooLargeJobIsRefusedAtOnce, needs the new outcome.

Change: a job starts no new task while 512 of its tasks have had a run and aren't done (MaxRowBytes / 96 bytes). A job whose progress is too large all the same, such as a gang of thousands, fails alone with the reason record_too_large. A submission that can't be stored is refused with 413 at once. row_bytes is read from the settings.

Result: both tests pass; the wide job completes. ctest -R '^(pool|fleet|platform)' passes.

--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -35,6 +35,8 @@
   /// Factor by which a task takes longer away from its data, or in a gang that
   /// spans racks.
   double RemoteFactor = 1.0;
+  /// Most bytes in the value of a row of the store.
+  std::size_t MaxRowBytes = 49152;
   /// How long the state of a finished job can be queried.
   seconds FinishedJobRetention{120};
   /// Time between SIGTERM and the forced end of the process.
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -21,6 +21,8 @@
   Accepted,
   /// The job was not accepted and will never run.
   NotAccepted,
+  /// The job is larger than a row of the store and can never be accepted.
+  TooLarge,
   /// Whether the job was accepted could not be determined. The client may send
   /// the same submission again.
   Unknown,
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -100,6 +100,7 @@
   void execute(const StopRun &Command);
   void execute(const ThrottleRun &Command);
   void execute(const RequestAdvice &Command);
+  bool isRecordTooLarge(const std::string &Job) const;
   void recordChanges();
   void logDiagnostics();
   void logCrash(const VmCrash &Crash);
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -89,6 +89,13 @@
       Now + milliseconds(static_cast<std::int64_t>(
                 RetryShare * static_cast<double>(CallerTimeout.count())));
   Pending->Done = std::move(Done);
+  // The store would refuse the row each time, as if it were away.
+  if (const std::size_t Bytes = encodeRequest(Pending->Request).size();
+      Bytes > Context_.Settings.MaxRowBytes) {
+    Context_.Events.record(EventId::JobRefused, Pending->Request.Plan.Id,
+                           fmt::format("too_large bytes {}", Bytes));
+    return reply(*Pending, SubmitReply{SubmitOutcome::TooLarge});
+  }
   writeRequest(std::move(Pending));
 }
 
@@ -156,7 +163,8 @@
 }
 
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
-  constexpr std::string_view Names[] = {"accepted", "not_accepted", "unknown"};
+  constexpr std::string_view Names[] = {"accepted", "not_accepted", "too_large",
+                                        "unknown"};
   Context_.Metrics.recordSubmission(
       Pending.Request.Queue, Names[static_cast<std::size_t>(Reply.Outcome)],
       std::chrono::duration_cast<milliseconds>(Context_.MonotonicClock.now() -
--- a/packages/fleet/src/PeerMessages.cpp
+++ b/packages/fleet/src/PeerMessages.cpp
@@ -40,7 +40,8 @@
         const int Stage = Input.at(0).get<int>();
         const int Failure = Input.at(1).get<int>();
         if (Stage < 0 || Stage > static_cast<int>(JobStage::Cancelled) ||
-            Failure < 0 || Failure > static_cast<int>(JobFailure::CrashedVms))
+            Failure < 0 ||
+            Failure > static_cast<int>(JobFailure::RecordTooLarge))
           return failure(ErrorCode::ValueOutOfRange, "status");
         return std::optional(JobStatus{static_cast<JobStage>(Stage),
                                        static_cast<JobFailure>(Failure)});
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -35,6 +35,8 @@
 /// the pool to another daemon. Several times the timeout of a page.
 constexpr milliseconds LoadStallLimit{4000};
 constexpr milliseconds CleanupInterval{10000};
+/// Most bytes that a task with a run takes in the stored progress of its job.
+constexpr std::size_t MaxTaskRecordBytes = 96;
 constexpr milliseconds LoadReportInterval{1000};
 /// Finished jobs remain readable this much longer than the retention time.
 constexpr milliseconds RetentionMargin{60000};
@@ -56,6 +58,8 @@
 PoolOptions poolOptions(const FleetSettings &Settings) {
   PoolOptions Out;
   Out.RemoteFactor = Settings.RemoteFactor;
+  Out.MaxRecordedTasks =
+      static_cast<int>(Settings.MaxRowBytes / MaxTaskRecordBytes);
   return Out;
 }
 
@@ -424,8 +428,27 @@
     Context_.Events.record(EventId::RunSuspected, formatRun(Run), Crash.Vm);
 }
 
+bool PoolOwner::isRecordTooLarge(const std::string &Job) const {
+  const JobPlan *Plan = Scheduler_->plan(Job);
+  if (Plan == nullptr)
+    return false;
+  std::size_t Tasks = 0;
+  for (const StepPlan &Step : Plan->Steps)
+    Tasks += static_cast<std::size_t>(Step.Tasks);
+  // Spares most jobs the encoding.
+  if (Plan->Occurrences == 0 &&
+      Tasks * MaxTaskRecordBytes < Context_.Settings.MaxRowBytes)
+    return false;
+  return encodeProgress(Scheduler_->progress(Job)).size() >
+         Context_.Settings.MaxRowBytes;
+}
+
 void PoolOwner::recordChanges() {
   const std::vector<std::string> Changed = Scheduler_->takeChangedJobs();
+  // One row that the store refuses would block all later ones.
+  for (const std::string &Job : Changed)
+    if (isRecordTooLarge(Job))
+      Scheduler_->failJob(Job, JobFailure::RecordTooLarge);
   std::vector<std::pair<std::string, JobStatus>> Finals;
   for (const std::string &Job : Changed) {
     Writer_->put(progressRow(Term_.Service, Job), [this, Job] {
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -41,9 +41,10 @@
     ControlLoop.runFor(milliseconds(1000));
   }
 
-  void submit(const std::string &Id) {
+  void submit(const std::string &Id, std::size_t SpecBytes = 0) {
     JobPlan Plan;
     Plan.Id = Id;
+    Plan.Spec = std::string(SpecBytes, 's');
     StepPlan Step;
     Step.Tasks = 1;
     Step.PerTask = TestTaskSize;
@@ -123,6 +124,16 @@
   BOOST_CHECK_EQUAL(Rows.find(requestRow("j"))->Version, Version);
 }
 
+// Guards against a submission that the store refuses on every daemon: it was
+// retried, and the daemons took the store for unreachable.
+BOOST_FIXTURE_TEST_CASE(tooLargeJobIsRefusedAtOnce, Fixture) {
+  submit("j", Settings.MaxRowBytes);
+  BOOST_REQUIRE_EQUAL(Replies, 1);
+  BOOST_CHECK(LastReply.Outcome == SubmitOutcome::TooLarge);
+  ControlLoop.runFor(CallerTimeout);
+  BOOST_CHECK_EQUAL(Store.CommitCalls, 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(refusedJobIsNeverWritten, Fixture) {
   setStoreFate({StoreFault::Refused, {}});
   submit("j");
--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -310,6 +310,41 @@
   BOOST_CHECK(Second.owns());
 }
 
+// Guards against a job that takes down every owner of its pool: the store
+// refuses the row of its progress, and with it the owner's renewals.
+BOOST_AUTO_TEST_CASE(widestJobsDoNotStopTheirPool) {
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeVms Vms(ControlLoop);
+  Vms.add("vm0", 1);
+  const auto Submit = [&Rows](int Number, int Tasks, bool Gang) {
+    std::mt19937 Random(1);
+    JobRequest Request = makeJob(Number, Random);
+    Request.Plan.Steps.resize(1);
+    Request.Plan.Steps[0].Tasks = Tasks;
+    Request.Plan.Steps[0].Gang = Gang;
+    RowTransaction Change;
+    Change.Puts.push_back(
+        RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
+    Rows.apply(Change);
+    return Request.Plan.Id;
+  };
+  const std::string Wide = Submit(1, 5000, false);
+  const std::string WideGang = Submit(2, 5000, true);
+  TestDaemon Daemon("a", ControlLoop, Rows, Vms, testQueue(false));
+  Daemon.listVms({StoredRow{RowName{"vms", "", "vm0"}, "9000", 1, false}});
+  ControlLoop.runFor(milliseconds(3000));
+  const std::string Small = Submit(3, 2, false);
+  ControlLoop.runFor(milliseconds(20000));
+  const auto Progress = [&Rows](const std::string &Job) {
+    const StoredRow *Row = Rows.find(progressRow(TestService, Job));
+    return Row == nullptr ? JobProgress{} : *decodeProgress(Row->Value);
+  };
+  BOOST_CHECK(Progress(Small).Stage == JobStage::Completed);
+  BOOST_CHECK(Progress(Wide).Stage == JobStage::Completed);
+  BOOST_CHECK(Progress(WideGang).Failure == JobFailure::RecordTooLarge);
+}
+
 // Load: a new owner of thousands of VMs with a quarter of a core. Guards
 // against owners that claim all VMs at once, are busy with the answers until
 // their ownership expires, and are replaced by another one that does the same.
--- a/packages/pool/include/cuminroad/pool/JobFailure.h
+++ b/packages/pool/include/cuminroad/pool/JobFailure.h
@@ -12,6 +12,8 @@
   AttemptsUsed = 1,
   /// A task has crashed several VMs.
   CrashedVms = 2,
+  /// The progress of the job is larger than a row of the store.
+  RecordTooLarge = 3,
 };
 
 /// \returns the name of the reason in the API and in logs; "" for None.
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -63,6 +63,9 @@
   milliseconds MinProbeInterval{1000};
   /// A task that makes no progress for this long is stopped and placed again.
   milliseconds StuckAfter{3000};
+  /// Most tasks of a job that have had a run and have not ended as done. The
+  /// stored progress of the job contains each of them.
+  int MaxRecordedTasks = 500;
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
   /// A run that is younger than this when its VM crashes may be the cause. It
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -72,6 +72,8 @@
   /// Updates the terms of a queue for its unfinished jobs.
   virtual void setTerms(const QueueTerms &Terms) = 0;
   virtual void cancelJob(std::string_view Job) = 0;
+  /// Fails an unfinished job.
+  virtual void failJob(std::string_view Job, JobFailure Reason) = 0;
   /// Discards the final stage of a finished job.
   virtual void forgetJob(std::string_view Job) = 0;
 
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -13,8 +13,8 @@
     "queued", "running", "completed", "failed", "cancelled"};
 
 /// Indexed by JobFailure.
-constexpr std::array<std::string_view, 3> FailureNames{"", "attempts_used",
-                                                       "crashed_vms"};
+constexpr std::array<std::string_view, 4> FailureNames{
+    "", "attempts_used", "crashed_vms", "record_too_large"};
 
 // Rows of the store hold arrays without field names, and only the index of a
 // task, step or occurrence that is done, to keep them small.
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -148,6 +148,9 @@
   JobFailure Failure = JobFailure::None;
   std::map<int, std::unique_ptr<OccurrenceRecord>> Occurrences;
   std::set<int> DoneOccurrences;
+  /// Unfinished tasks that have had a run, each of which takes room in the
+  /// job's stored progress.
+  int RecordedTasks = 0;
   /// Number of occurrences that have become due.
   int CreatedOccurrences = 0;
   /// Whether a VM has started any task, as far as is known.
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -27,6 +27,7 @@
   void restoreJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt,
                   const JobProgress &Progress) override;
   void setTerms(const QueueTerms &Terms) override;
+  void failJob(std::string_view Job, JobFailure Reason) override;
   void cancelJob(std::string_view Job) override;
   void forgetJob(std::string_view Job) override;
 
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -86,6 +86,7 @@
   if (Progress.Done)
     return Tables_.setPhase(Task, TaskPhase::Done);
   Task.Failures = Progress.Failures;
+  Step.Occurrence->Job->RecordedTasks += Progress.Run > 0;
   Task.Run = Progress.Run;
   Task.Checkpoint = Progress.Checkpoint;
   Task.Crashes = Progress.Crashes;
@@ -137,6 +138,12 @@
   Job.Occurrences.erase(Occurrence.Number);
 }
 
+void PoolSchedulerImpl::failJob(std::string_view Id, JobFailure Reason) {
+  JobRecord *Job = Tables_.job(Id);
+  if (Job != nullptr && !isFinal(Job->Stage))
+    failJob(*Job, Reason);
+}
+
 void PoolSchedulerImpl::failJob(JobRecord &Job, JobFailure Reason) {
   Job.Failure = Reason;
   finishJob(Job, JobStage::Failed);
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -87,6 +87,7 @@
 
 void PoolTables::place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run,
                        TimePoint Now) {
+  Task.Step->Occurrence->Job->RecordedTasks += Task.Run == 0;
   Task.Run = Run;
   Task.VmIncarnation = Vm.Description.Incarnation;
   Task.PlacedAt = Now;
@@ -127,6 +128,8 @@
 
 void PoolTables::finish(TaskRecord &Task) {
   releaseCapacity(Task);
+  if (Task.Run > 0 && Task.Phase != TaskPhase::Done)
+    --Task.Step->Occurrence->Job->RecordedTasks;
   setPhase(Task, TaskPhase::Done);
   markChanged(*Task.Step->Occurrence->Job);
 }
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -242,6 +242,7 @@
   }
   if (hasWaitingSuspect(Step))
     placeCrashSuspects(Step);
+  const JobRecord &Job = *Step.Occurrence->Job;
   std::vector<ScoredVm> FittingVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
     if (isEligible(Step, Vm) && canPlaceTask(Step, Vm))
@@ -261,6 +262,8 @@
       Step.Blocked = true;
       return;
     }
+    if (Task.Run == 0 && Job.RecordedTasks >= Options_.MaxRecordedTasks)
+      return;
     startRun(Task, *Best->Vm, Task.Run + 1);
     if (isEligible(Step, *Best->Vm) && canPlaceTask(Step, *Best->Vm))
       Best->Score = score(Step, *Best->Vm);
--- a/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
@@ -48,8 +48,13 @@
   void compact() { CompactedVersion = Version; }
   const StoredRow *find(const RowName &Name) const;
 
+  /// \returns whether the store accepts values of this size.
+  bool accepts(const RowTransaction &Transaction) const;
+
   std::int64_t Version = 1;
   std::int64_t CompactedVersion = 0;
+  /// Transactions with a larger value are refused.
+  std::size_t MaxValueBytes = 49152;
   std::map<Key, StoredRow> Rows;
 };
 
--- a/tests/fakes/src/FakeRowStore.cpp
+++ b/tests/fakes/src/FakeRowStore.cpp
@@ -21,6 +21,12 @@
                                                       : &Found->second;
 }
 
+bool FakeRows::accepts(const RowTransaction &Transaction) const {
+  return std::all_of(
+      Transaction.Puts.begin(), Transaction.Puts.end(),
+      [this](const RowPut &Put) { return Put.Value.size() <= MaxValueBytes; });
+}
+
 RowCommit FakeRows::apply(const RowTransaction &Transaction) {
   RowCommit Commit;
   bool ChecksHold = true;
@@ -103,6 +109,8 @@
   const auto ReportUnknownOutcome = [this, Timeout, Done] {
     failAfter(Timeout, ErrorCode::WriteOutcomeUnknown, Done);
   };
+  if (!Rows_.accepts(Transaction))
+    return failAfter(Latency, ErrorCode::PlatformUnavailable, Done);
   switch (Fault.Kind) {
   case StoreFault::None:
     ControlLoop_.after(Latency, [this, Transaction, Done] {
