Don't blame VMs for starts that they can't interpret

Callers saw: nothing yet. A task that VMs answer with 400 would put VM after VM in quarantine, where other tasks don't get to run, and be sent again seven times a second without end.

An order that was rejected as invalid counted as a failure of the VM, like one that an unhealthy VM refuses.

Change: such a start has an outcome of its own, which leaves the VM alone; the task waits 150 ms and then twice as long each time, up to 5 s. The job isn't failed: only ends of runs count as attempts.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -51,6 +51,8 @@
     return StartOutcome::OldRun;
   case OrderOutcome::TicketExpired:
     return StartOutcome::TicketExpired;
+  case OrderOutcome::Rejected:
+    return StartOutcome::Invalid;
   case OrderOutcome::OtherInstance:
   case OrderOutcome::Fenced:
     return StartOutcome::NotSent;
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -68,6 +68,9 @@
   int MaxRecordedTasks = 500;
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
+  /// Largest delay before a task whose start was invalid is placed again. The
+  /// delay is RefusedStartDelay at first, and doubles each time.
+  milliseconds MaxInvalidStartDelay{5000};
   /// A run that is younger than this when its VM crashes may be the cause. It
   /// covers the time until the crash is seen.
   milliseconds NewRunDuration{500};
--- a/packages/pool/include/cuminroad/pool/PoolVm.h
+++ b/packages/pool/include/cuminroad/pool/PoolVm.h
@@ -85,6 +85,8 @@
   /// The VM is unhealthy or full, or the command arrived too late; the VM did
   /// nothing.
   Refused,
+  /// The VM can't interpret the command, which says nothing about the VM.
+  Invalid,
   /// The command was not sent because the run is no longer current.
   NotSent,
   /// The ticket has expired.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -178,6 +178,16 @@
     failJob(Job, JobFailure::AttemptsUsed);
 }
 
+milliseconds
+PoolSchedulerImpl::invalidStartDelay(const TaskRecord &Task) const {
+  milliseconds Delay = Options_.RefusedStartDelay;
+  for (int Count = 0;
+       Count < Task.InvalidStarts && Delay < Options_.MaxInvalidStartDelay;
+       ++Count)
+    Delay *= 2;
+  return std::min(Delay, Options_.MaxInvalidStartDelay);
+}
+
 void PoolSchedulerImpl::startAnswered(std::string_view Id, const TaskRun &Run,
                                       StartOutcome Outcome) {
   VmRecord *Vm = Tables_.vm(Id);
@@ -191,6 +201,7 @@
       Tables_.setPhase(*Task, TaskPhase::Running);
     Task->ConfirmedAt = MonotonicClock_.now();
     Task->StartConfirmed = Outcome == StartOutcome::Accepted;
+    Task->InvalidStarts = 0;
     Task->Step->Occurrence->Job->Started = true;
     return;
   }
@@ -202,6 +213,9 @@
     Task->Step->AllowedVms.erase(Vm);
     Task->Step->QueriedVms.erase(Vm);
     Task->Step->SeenVmsVersion = -1;
+  } else if (Outcome == StartOutcome::Invalid) {
+    Task->NotPlacedBefore = MonotonicClock_.now() + invalidStartDelay(*Task);
+    ++Task->InvalidStarts;
   } else {
     Task->NotPlacedBefore = MonotonicClock_.now() + Options_.RefusedStartDelay;
   }
--- a/packages/pool/tests/QuarantineTest.cpp
+++ b/packages/pool/tests/QuarantineTest.cpp
@@ -8,6 +8,28 @@
 
 using namespace cuminroad;
 
+// Guards against a task that every VM rejects as invalid: it put VM after VM in
+// quarantine, and was sent again several times a second.
+BOOST_FIXTURE_TEST_CASE(startsRejectedAsInvalidAreNotTheVmsFault,
+                        SchedulerFixture) {
+  addVm(makeVm("a", SmallSize));
+  addVm(makeVm("b", SmallSize));
+  Scheduler->addJob(makeJob("invalid", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  int StartCount = 0;
+  for (int Elapsed = 0; Elapsed < 10000; Elapsed += 50) {
+    runPass();
+    for (const StartRun &Start : Starts) {
+      ++StartCount;
+      Scheduler->startAnswered(Start.Vm, Start.Run, StartOutcome::Invalid);
+    }
+    MonotonicClock.advance(milliseconds(50));
+  }
+  BOOST_CHECK(Scheduler->takeDiagnostics().Quarantines.empty());
+  BOOST_CHECK_LE(StartCount, 10);
+  BOOST_CHECK(Scheduler->stage("invalid") == JobStage::Running);
+}
+
 namespace {
 
 /// A fixture with a queue that needs advice and allows many attempts.
