Move the events of PoolOwner to a file, and share what crash tests repeat

Change: PoolOwnerLog.cpp has logDiagnostics(), logCrash() and reportLoad(), unchanged; LossFixture has the steps of the four tests, which keep their assertions.

--- /dev/null
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -0,0 +1,86 @@
+// The part of PoolOwner that writes events and metrics about its pool.
+#include "cuminroad/fleet/PoolOwner.h"
+
+#include <fmt/format.h>
+
+#include "RunFormat.h"
+
+namespace cuminroad {
+
+namespace {
+
+constexpr milliseconds LoadReportInterval{1000};
+
+std::string formatLoss(const LostRun &Loss) {
+  std::string Out = fmt::format("{} {}", Loss.Vm, Loss.Reason);
+  if (Loss.Age)
+    Out += fmt::format(" age_ms {}", Loss.Age->count());
+  return Out;
+}
+
+} // namespace
+
+void PoolOwner::logDiagnostics() {
+  const PoolDiagnostics Diagnostics = Scheduler_->takeDiagnostics();
+  for (const LostRun &Loss : Diagnostics.LostRuns)
+    Context_.Events.record(EventId::RunLost, formatRun(Loss.Run),
+                           formatLoss(Loss));
+  for (const VmCrash &Each : Diagnostics.Crashes)
+    logCrash(Each);
+  for (const AbandonedTask &Each : Diagnostics.AbandonedTasks) {
+    Context_.Metrics.recordAbandonedJob(Term_.Service);
+    Context_.Events.record(
+        EventId::JobGivenUp, Each.Task.Step.Job,
+        fmt::format("{}.{}.{} crashed_vms {}", Each.Task.Step.Occurrence,
+                    Each.Task.Step.Step, Each.Task.Index, Each.Crashes));
+  }
+  for (const VmQuarantine &Each : Diagnostics.Quarantines)
+    Context_.Events.record(EventId::VmQuarantined, Each.Vm,
+                           fmt::format("for_ms {}", Each.Duration.count()));
+  for (const BlockedStep &Each : Diagnostics.BlockedSteps)
+    Context_.Events.record(
+        EventId::StepBlocked, Each.Step.Job,
+        fmt::format(
+            "{}.{} waited_ms {} tasks {} vms allowed {} held {} usable {} "
+            "ticket {} room {}",
+            Each.Step.Occurrence, Each.Step.Step, Each.Waited.count(),
+            Each.WaitingTasks, Each.AllowedVms, Each.AvailableVms,
+            Each.UsableVms, Each.VmsWithTicket, Each.VmsWithRoom));
+}
+
+void PoolOwner::logCrash(const VmCrash &Crash) {
+  const std::string_view Cause = Crash.CommonCause        ? "common_cause"
+                                 : Crash.Conclusive       ? "one_job"
+                                 : Crash.Suspects.empty() ? "unknown"
+                                                          : "several_jobs";
+  Context_.Metrics.recordVmCrash(Term_.Service, Cause);
+  Context_.Events.record(EventId::VmCrashed, Crash.Vm,
+                         fmt::format("{} lost_runs {} suspects {} {}",
+                                     Term_.Service, Crash.LostRuns,
+                                     Crash.Suspects.size(), Cause));
+  for (const TaskRun &Run : Crash.Suspects)
+    Context_.Events.record(EventId::RunSuspected, formatRun(Run), Crash.Vm);
+}
+
+void PoolOwner::reportLoad() {
+  const TimePoint Now = Context_.MonotonicClock.now();
+  if (Now - LastLoadReportAt_ < LoadReportInterval)
+    return;
+  LastLoadReportAt_ = Now;
+  const PoolLoad Load = Scheduler_->load();
+  Context_.Metrics.setPoolLoad(Term_.Service, Load);
+  if (Load.Jobs == 0)
+    return;
+  Context_.Events.record(
+      EventId::PoolLoad, Term_.Service,
+      fmt::format("vms {} held {} jobs {} waiting {} placed {} running {} "
+                  "stopping {} unknown {} cpu {} of {} pass_ms {} "
+                  "write_ms {} advice_requests {}",
+                  Load.Vms, Load.LeasedVms, Load.Jobs, Load.WaitingTasks,
+                  Load.PlacedTasks, Load.RunningTasks, Load.StoppingTasks,
+                  Load.UnknownRuns, Load.UsedMilliCores, Load.TotalMilliCores,
+                  LastPassDuration_.count(), Writer_->expectedDelay().count(),
+                  AdviceDispatcher_->waiting()));
+}
+
+} // namespace cuminroad
--- a/packages/pool/tests/CrashTest.cpp
+++ b/packages/pool/tests/CrashTest.cpp
@@ -19,6 +19,44 @@
          Task.Index == 0;
 }
 
+/// A job of one task, and VMs that are lost under its runs.
+struct LossFixture : CrashingPool {
+  LossFixture() {
+    Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                      MonotonicClock.now());
+  }
+  /// Loses the same VM six times, which then answers as before.
+  void loseUnchangedVm(RunsEndedCause Reason) {
+    addVm(makeVm("a", SmallSize));
+    for (int Round = 0; Round < 6; ++Round) {
+      runPass();
+      BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+      acceptStart(Starts[0]);
+      Scheduler->vmUnreachable("a");
+      MonotonicClock.advance(DownTime);
+      Scheduler->vmTasksEnded("a", Reason);
+      reportRuns("a", {});
+    }
+  }
+  /// Adds a VM that crashes soon after the start, if there is one.
+  /// \returns the number of starts.
+  int startAndCrash(bool Confirmed) {
+    const std::string Vm = fmt::format("vm{}", VmCount++);
+    addVm(makeVm(Vm, SmallSize));
+    runPass();
+    if (Confirmed)
+      for (const StartRun &Start : Starts)
+        acceptStart(Start);
+    MonotonicClock.advance(NoticeDelay);
+    Scheduler->vmUnreachable(Vm);
+    MonotonicClock.advance(DownTime);
+    Scheduler->vmTasksEnded(Vm, RunsEndedCause::AddressReused);
+    return static_cast<int>(Starts.size());
+  }
+
+  int VmCount = 0;
+};
+
 } // namespace
 
 // Guards against a task that crashes VM after VM without end.
@@ -159,37 +197,15 @@
 }
 
 // Guards against taking a VM behind a network partition for a crashed one.
-BOOST_FIXTURE_TEST_CASE(unreachableVmIsNoCrash, CrashingPool) {
-  addVm(makeVm("a", SmallSize));
-  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
-                    MonotonicClock.now());
-  for (int Round = 0; Round < 6; ++Round) {
-    runPass();
-    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
-    acceptStart(Starts[0]);
-    Scheduler->vmUnreachable("a");
-    MonotonicClock.advance(DownTime);
-    Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
-    reportRuns("a", {});
-  }
+BOOST_FIXTURE_TEST_CASE(unreachableVmIsNoCrash, LossFixture) {
+  loseUnchangedVm(RunsEndedCause::LeaseExpired);
   BOOST_CHECK(stageOf("j") == JobStage::Running);
 }
 
 // Guards against taking a partition that rejects connections for a crash: the
 // VM answers again, and its incarnation has not changed.
-BOOST_FIXTURE_TEST_CASE(crashIsWithdrawnIfTheVmAnswersUnchanged, CrashingPool) {
-  addVm(makeVm("a", SmallSize));
-  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
-                    MonotonicClock.now());
-  for (int Round = 0; Round < 6; ++Round) {
-    runPass();
-    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
-    acceptStart(Starts[0]);
-    Scheduler->vmUnreachable("a");
-    MonotonicClock.advance(DownTime);
-    Scheduler->vmTasksEnded("a", RunsEndedCause::ConnectionsRefused);
-    reportRuns("a", {});
-  }
+BOOST_FIXTURE_TEST_CASE(crashIsWithdrawnIfTheVmAnswersUnchanged, LossFixture) {
+  loseUnchangedVm(RunsEndedCause::ConnectionsRefused);
   BOOST_CHECK(stageOf("j") == JobStage::Running);
   BOOST_CHECK_EQUAL(Scheduler->progress("j")
                         .Occurrences.at(0)
@@ -239,44 +255,20 @@
 
 // Guards against giving up a job for crashes before which its starts may not
 // have reached the VM: the job was shown as failed after a single crash.
-BOOST_FIXTURE_TEST_CASE(unconfirmedStartsGiveUpNoJob, CrashingPool) {
-  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
-                    MonotonicClock.now());
-  const auto CrashUnderRun = [this](int Number, bool Confirmed) {
-    const std::string Vm = fmt::format("vm{}", Number);
-    addVm(makeVm(Vm, SmallSize));
-    runPass();
-    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
-    if (Confirmed)
-      acceptStart(Starts[0]);
-    MonotonicClock.advance(milliseconds(30));
-    Scheduler->vmUnreachable(Vm);
-    MonotonicClock.advance(DownTime);
-    Scheduler->vmTasksEnded(Vm, RunsEndedCause::AddressReused);
-  };
-  CrashUnderRun(1, true);
-  CrashUnderRun(2, false);
+BOOST_FIXTURE_TEST_CASE(unconfirmedStartsGiveUpNoJob, LossFixture) {
+  BOOST_REQUIRE_EQUAL(startAndCrash(true), 1);
+  BOOST_REQUIRE_EQUAL(startAndCrash(false), 1);
   BOOST_CHECK(stageOf("j") == JobStage::Running);
-  CrashUnderRun(3, true);
+  BOOST_REQUIRE_EQUAL(startAndCrash(true), 1);
   BOOST_CHECK(stageOf("j") == JobStage::Failed);
 }
 
 // Guards against tasks whose starts are never confirmed, because the VM is gone
 // before its answer arrives.
-BOOST_FIXTURE_TEST_CASE(taskWithoutConfirmedStartsIsGivenUp, CrashingPool) {
-  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
-                    MonotonicClock.now());
+BOOST_FIXTURE_TEST_CASE(taskWithoutConfirmedStartsIsGivenUp, LossFixture) {
   int StartCount = 0;
-  for (int Number = 0; Number < 12; ++Number) {
-    const std::string Vm = fmt::format("vm{}", Number);
-    addVm(makeVm(Vm, SmallSize));
-    runPass();
-    StartCount += static_cast<int>(Starts.size());
-    MonotonicClock.advance(milliseconds(30));
-    Scheduler->vmUnreachable(Vm);
-    MonotonicClock.advance(DownTime);
-    Scheduler->vmTasksEnded(Vm, RunsEndedCause::AddressReused);
-  }
+  for (int Round = 0; Round < 12; ++Round)
+    StartCount += startAndCrash(false);
   BOOST_CHECK(stageOf("j") == JobStage::Failed);
   BOOST_CHECK_LE(StartCount, MaxStartsOfDeadlyTask);
 }
