Count a run that was given up until its start is settled

Callers saw: nothing; a VM got a task more than it has room for (LIMIT).

Cause: when an earlier run of a task ends as done, its current run is given up and stopped. Until its start was answered, the VM's next report, which could not list the run yet, was taken to say that it had ended: its capacity was used again, and the start could still be carried out before the stop.

Evidence: pool.CapacityTest, givenUpStartCountsUntilItIsSettled, failed before.

Change: an unknown run counts until its start or stop has been answered and a report requested later doesn't list it, the VM has restarted, or its leases have expired.

--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -181,6 +181,15 @@
   std::vector<CrashSuspect> Suspects;
 };
 
+/// A run on a VM that belongs to no unfinished task.
+struct UnknownRun {
+  /// The capacity that it occupies.
+  Capacity Size;
+  /// When the VM confirmed that the run started or that it never will; empty
+  /// while its start may still be carried out.
+  std::optional<TimePoint> SettledAt;
+};
+
 struct VmRecord {
   PoolVm Description;
   /// The VM's lease is held and all its runs are known.
@@ -203,9 +212,8 @@
   std::int64_t ListedIncarnation = 0;
   Capacity Used;
   std::set<TaskRecord *> Tasks;
-  /// Runs on the VM that belong to no unfinished task, with the capacity that
-  /// they occupy; they are being stopped.
-  std::map<TaskRun, Capacity> UnknownRuns;
+  /// They are being stopped.
+  std::map<TaskRun, UnknownRun> UnknownRuns;
   int ConsecutiveFailures = 0;
   TimePoint LastFailureAt{};
   TimePoint QuarantinedAt{};
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -114,8 +114,11 @@
   /// Turns the task's current run, if any, into an unknown run and stops it.
   void abandonRun(TaskRecord &Task);
   /// Stops a run that belongs to no unfinished task; it occupies \p Size of the
-  /// VM's capacity until it has ended.
-  void stopUnknownRun(VmRecord &Vm, const TaskRun &Run, const Capacity &Size);
+  /// VM's capacity until it has ended. \p SettledAt as in UnknownRun.
+  void stopUnknownRun(VmRecord &Vm, const TaskRun &Run, const Capacity &Size,
+                      std::optional<TimePoint> SettledAt);
+  /// The VM has answered the start or the stop of a run, if it is unknown.
+  void settleUnknownRun(VmRecord *Vm, const TaskRun &Run) const;
   void finishTask(TaskRecord &Task);
   void runFailed(TaskRecord &Task);
   /// Updates the VM's slowdown with the run time of a task that is done.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -54,7 +54,7 @@
     return;
   const auto UnknownRun = Vm->UnknownRuns.find(End.Run);
   if (UnknownRun != Vm->UnknownRuns.end()) {
-    Vm->Used -= UnknownRun->second;
+    Vm->Used -= UnknownRun->second.Size;
     Vm->UnknownRuns.erase(UnknownRun);
   }
   if (TaskRecord *Task = findCurrentTask(Vm, End.Run))
@@ -82,8 +82,9 @@
     return;
   VmRecord &Vm = *Task.Vm;
   const TaskRun Run{nameOf(Task), Task.Run};
+  const std::optional<TimePoint> SettledAt = Task.ConfirmedAt;
   Tables_.release(Task);
-  stopUnknownRun(Vm, Run, Task.Step->Plan->reservedCapacity());
+  stopUnknownRun(Vm, Run, Task.Step->Plan->reservedCapacity(), SettledAt);
 }
 
 void PoolSchedulerImpl::runEnded(TaskRecord &Task, const TaskEnd &End,
@@ -193,7 +194,7 @@
   VmRecord *Vm = Tables_.vm(Id);
   TaskRecord *Task = findCurrentTask(Vm, Run);
   if (Task == nullptr)
-    return;
+    return settleUnknownRun(Vm, Run);
   // An old run was started by an earlier attempt to send the command and may
   // have ended since; the VM's reports will show that.
   if (Outcome == StartOutcome::Accepted || Outcome == StartOutcome::OldRun) {
@@ -223,12 +224,24 @@
 }
 
 void PoolSchedulerImpl::stopAnswered(std::string_view Id, const TaskRun &Run) {
-  TaskRecord *Task = findCurrentTask(Tables_.vm(Id), Run);
+  VmRecord *Vm = Tables_.vm(Id);
+  TaskRecord *Task = findCurrentTask(Vm, Run);
   // If the run had not started, the VM now refuses to start it.
-  if (Task != nullptr && !Task->ConfirmedAt)
+  if (Task == nullptr)
+    settleUnknownRun(Vm, Run);
+  else if (!Task->ConfirmedAt)
     Task->ConfirmedAt = MonotonicClock_.now();
 }
 
+void PoolSchedulerImpl::settleUnknownRun(VmRecord *Vm,
+                                         const TaskRun &Run) const {
+  if (Vm == nullptr)
+    return;
+  const auto Found = Vm->UnknownRuns.find(Run);
+  if (Found != Vm->UnknownRuns.end() && !Found->second.SettledAt)
+    Found->second.SettledAt = MonotonicClock_.now();
+}
+
 void PoolSchedulerImpl::adviceReceived(const StepName &Name,
                                        std::span<const std::string> QueriedVms,
                                        std::span<const AdviceTicket> Tickets,
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -26,11 +26,23 @@
 constexpr std::size_t MaxRecordedLosses = 256;
 
 void forgetUnknownRuns(VmRecord &Vm) {
-  for (const auto &[Run, Size] : Vm.UnknownRuns)
-    Vm.Used -= Size;
+  for (const auto &[Run, Unknown] : Vm.UnknownRuns)
+    Vm.Used -= Unknown.Size;
   Vm.UnknownRuns.clear();
 }
 
+/// Forgets the unknown runs of which a report requested at \p RequestedAt tells
+/// whether they are still there.
+void forgetSettledRuns(VmRecord &Vm, TimePoint RequestedAt) {
+  std::erase_if(Vm.UnknownRuns, [&](const auto &Entry) {
+    const UnknownRun &Unknown = Entry.second;
+    if (!Unknown.SettledAt || *Unknown.SettledAt >= RequestedAt)
+      return false;
+    Vm.Used -= Unknown.Size;
+    return true;
+  });
+}
+
 } // namespace
 
 void PoolSchedulerImpl::vmListed(const PoolVm &Listed) {
@@ -113,7 +125,10 @@
   if (!Vm->LeaseHeld)
     ++Tables_.VmsVersion;
   Vm->LeaseHeld = true;
-  forgetUnknownRuns(*Vm);
+  if (Restarted)
+    forgetUnknownRuns(*Vm);
+  else
+    forgetSettledRuns(*Vm, RequestedAt);
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
   settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
@@ -145,7 +160,8 @@
     const StepRecord *Step = Tables_.step(Report.Run.Task.Step);
     stopUnknownRun(Vm, Report.Run,
                    Step != nullptr ? Step->Plan->reservedCapacity()
-                                   : Vm.Description.Total);
+                                   : Vm.Description.Total,
+                   MonotonicClock_.now());
     return;
   }
   const TimePoint Now = MonotonicClock_.now();
@@ -173,9 +189,14 @@
 }
 
 void PoolSchedulerImpl::stopUnknownRun(VmRecord &Vm, const TaskRun &Run,
-                                       const Capacity &Size) {
-  if (Vm.UnknownRuns.emplace(Run, Size).second)
+                                       const Capacity &Size,
+                                       std::optional<TimePoint> SettledAt) {
+  const auto [Entry, IsNew] =
+      Vm.UnknownRuns.emplace(Run, UnknownRun{Size, SettledAt});
+  if (IsNew)
     Vm.Used += Size;
+  else if (!Entry->second.SettledAt)
+    Entry->second.SettledAt = SettledAt;
   Tables_.Commands.push_back(StopRun{Vm.Description.Id, Run});
 }
 
--- a/packages/pool/tests/CapacityTest.cpp
+++ b/packages/pool/tests/CapacityTest.cpp
@@ -107,3 +107,29 @@
   Scheduler->vmReported("a", 2, {}, MonotonicClock.now());
   BOOST_CHECK_EQUAL(startCount(), 1);
 }
+
+// Guards against capacity that is used again while a start may still be carried
+// out: its task ended in an earlier run, and the start is not answered yet.
+BOOST_FIXTURE_TEST_CASE(givenUpStartCountsUntilItIsSettled, CapacityFixture) {
+  addVm(makeVm("a", SmallSize));
+  submit("j", 1);
+  BOOST_REQUIRE_EQUAL(startCount(), 1);
+  const StartRun First = Starts[0];
+  acceptStart(First);
+  Scheduler->vmUnreachable("a");
+  Scheduler->vmTasksEnded("a", RunsEndedCause::LeaseExpired);
+  addVm(makeVm("b", SmallSize));
+  BOOST_REQUIRE_EQUAL(startCount(), 1);
+  const StartRun Second = Starts[0];
+  BOOST_REQUIRE_EQUAL(Second.Vm, "b");
+  endRun(First, RunOutcome::Done);
+  BOOST_CHECK(Scheduler->stage("j") == JobStage::Completed);
+  // The report was requested before the start could reach the VM.
+  reportRuns("b", {});
+  submit("k", 1);
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  // From now on the VM rejects the start.
+  Scheduler->stopAnswered("b", Second.Run);
+  reportRuns("b", {});
+  BOOST_CHECK_EQUAL(startCount(), 1);
+}
