Keep a step that the advisor fails for from blocking the advice of others

Callers saw: nothing yet. A job whose advice requests fail on every daemon would have stopped the advice, and with it the starts, of all other jobs of its pool.

A failed request went to the next daemon, each daemon was set aside as faulty, and the step was requested again in the next pass.

Evidence: pool.AdviceTest, failedAdviceIsRequestedLessAndLessOften: 500 requests in 10 s. fleet.AdviceDispatcherTest, requestThatFailsEverywhereDelaysNoOther: of 40 requests for other steps, 0 are answered with one daemon and 1 with three. Both failed before.

Change: a failed step waits 0.1 s, then twice as long each time up to 1.5 s. A failure counts against a daemon only if the request has not failed elsewhere and the step's last request succeeded; daemons that were set aside are probed with requests that have not failed. So a daemon that is cut off is still set aside, by the first new request that it fails.

Result: all 40 answered; ctest -R '^(pool|fleet|platform|store)' passes.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
@@ -60,6 +60,9 @@
     int Attempts = 0;
     int OpenCalls = 0;
     bool Answered = false;
+    /// A call for the step failed, so that another failure need not be the
+    /// daemon's.
+    bool Failed = false;
   };
   using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
@@ -71,6 +74,8 @@
   std::vector<std::string> idleDaemons(bool ShortDecision) const;
   /// \returns a daemon whose last call failed and whose backoff is over, or "".
   std::string failedDaemonToProbe() const;
+  /// Leaves the daemon out for a while.
+  void setAside(DaemonState &Daemon);
   void send(const std::string &Name, const PendingRequestPtr &Request);
   void hedge(const PendingRequestPtr &Request);
   void handleAnswer(const std::string &Name, const PendingRequestPtr &Request,
--- a/packages/fleet/src/AdviceDispatcher.cpp
+++ b/packages/fleet/src/AdviceDispatcher.cpp
@@ -72,6 +72,7 @@
 void AdviceDispatcher::requestAdvice(const RequestAdvice &Command) {
   auto Request = std::make_shared<PendingRequest>();
   Request->Command = Command;
+  Request->Failed = Command.AfterFailure;
   Queue_.push_back(std::move(Request));
   dispatch();
 }
@@ -133,6 +134,10 @@
       });
   std::vector<PendingRequestPtr> Waiting;
   std::vector<StepName> Obsolete;
+  const bool AnyUntried = std::any_of(
+      Queue_.begin(), Queue_.end(), [](const PendingRequestPtr &Request) {
+        return !Request->Failed && !Request->Answered;
+      });
   for (const PendingRequestPtr &Request : std::exchange(Queue_, {})) {
     if (Request->Answered)
       continue;
@@ -143,10 +148,11 @@
     const std::vector<std::string> Idle =
         idleDaemons(Request->Command.ExpectedLatencyMs <= MaxShortDecisionMs);
     // A failed daemon is probed with a request that is also sent to another one
-    // or stays queued.
-    const std::string FailedDaemon = failedDaemonToProbe();
-    if (!FailedDaemon.empty())
-      send(FailedDaemon, Request);
+    // or stays queued. One that has failed itself would tell little.
+    if (!Request->Failed || !AnyUntried)
+      if (const std::string FailedDaemon = failedDaemonToProbe();
+          !FailedDaemon.empty())
+        send(FailedDaemon, Request);
     if (Idle.empty())
       Waiting.push_back(Request);
     else
@@ -206,20 +212,24 @@
   DaemonState &Source = Daemons_[Name];
   --Source.OpenCalls;
   --Request->OpenCalls;
-  if (Allowed) {
+  if (Allowed)
     Source.Backoff = milliseconds(0);
-  } else {
-    Source.Backoff = std::clamp(Source.Backoff * 2, MinFailedDaemonBackoff,
-                                MaxFailedDaemonBackoff);
-    Source.RetryAt = MonotonicClock_.now() + Source.Backoff;
-    ControlLoop_.after(Source.Backoff,
-                       [Self = shared_from_this()] { Self->dispatch(); });
-  }
+  else if (!Request->Failed || Source.Backoff.count() > 0)
+    setAside(Source);
+  Request->Failed = Request->Failed || !Allowed;
   if (!Request->Answered && (Allowed || Request->OpenCalls == 0))
     completeOrRetry(Request, std::move(Allowed));
   dispatch();
 }
 
+void AdviceDispatcher::setAside(DaemonState &Daemon) {
+  Daemon.Backoff = std::clamp(Daemon.Backoff * 2, MinFailedDaemonBackoff,
+                              MaxFailedDaemonBackoff);
+  Daemon.RetryAt = MonotonicClock_.now() + Daemon.Backoff;
+  ControlLoop_.after(Daemon.Backoff,
+                     [Self = shared_from_this()] { Self->dispatch(); });
+}
+
 void AdviceDispatcher::completeOrRetry(
     const PendingRequestPtr &Request,
     Result<std::vector<AdviceTicket>> Allowed) {
--- a/packages/fleet/tests/AdviceDispatcherTest.cpp
+++ b/packages/fleet/tests/AdviceDispatcherTest.cpp
@@ -3,20 +3,24 @@
 #include <boost/test/unit_test.hpp>
 
 #include "PoolTestSupport.h"
+#include "cuminroad/fakes/FakeRowStore.h"
 #include "cuminroad/fleet/AdviceDispatcher.h"
+#include "cuminroad/fleet/PeerService.h"
+#include "cuminroad/pool/PoolOptions.h"
 
 using namespace cuminroad;
 
 namespace {
 
-/// Fails while Failing is set; allows all VMs otherwise.
+/// Fails while Failing is set, and for one job always; allows all VMs
+/// otherwise.
 class FlakyAdvisor final : public PlacementAdvisor {
 public:
   explicit FlakyAdvisor(FakeLoop &ControlLoop) : ControlLoop_(ControlLoop) {}
   void advise(const StepName &Step, std::span<const std::string> Vms,
               milliseconds, Done Done) override {
     ++Calls;
-    if (Failing) {
+    if (Failing || Step.Job == FailingJob) {
       ControlLoop_.after(milliseconds(20),
                          [Done] { Done(failure(ErrorCode::ConnectFailed)); });
       return;
@@ -27,6 +31,7 @@
     ControlLoop_.after(milliseconds(20), [Allowed, Done] { Done(Allowed); });
   }
   bool Failing = false;
+  std::string FailingJob;
   int Calls = 0;
 
 private:
@@ -34,7 +39,12 @@
 };
 
 struct Fixture {
-  Fixture() : Advisor(ControlLoop), Peers(Http) {
+  explicit Fixture(bool PeersWork = false)
+      : Advisor(ControlLoop), PeerStore(Rows, ControlLoop),
+        PeerHttp(makePeerHandler(Pools, Advisor, PeerStore,
+                                 ControlLoop.MonotonicClock),
+                 ControlLoop),
+        Peers(PeersWork ? static_cast<HttpClient &>(PeerHttp) : Http) {
     Dispatcher = std::make_shared<AdviceDispatcher>(
         Advisor, Peers, ControlLoop, ControlLoop.MonotonicClock, "self",
         [this](const StepName &) { return Needed; },
@@ -43,12 +53,20 @@
           if (Answer)
             AnswerReceivedAt = ControlLoop.MonotonicClock.now();
           else
-            Dispatcher->requestAdvice(adviceRequest(Step));
+            requestAgain(Step);
+          AnswerCounts[Step.Job] += Answer ? 1 : 0;
           QueriedVmCount = Answer ? Answer->QueriedVms.size() : 0;
         });
   }
   ~Fixture() { Dispatcher->close(); }
 
+  /// As the pool scheduler does, but with the shortest delay each time.
+  void requestAgain(const StepName &Step) {
+    RequestAdvice Request = adviceRequest(Step);
+    Request.AfterFailure = true;
+    ControlLoop.after(PoolOptions{}.AdviceRetryMin,
+                      [this, Request] { Dispatcher->requestAdvice(Request); });
+  }
   static RequestAdvice adviceRequest(const StepName &Step) {
     return RequestAdvice{Step, {"vm1", "vm2"}, 20, 0, false};
   }
@@ -56,11 +74,16 @@
   FakeLoop ControlLoop;
   FlakyAdvisor Advisor;
   FailingHttpClient Http;
+  FakeRows Rows;
+  FakeRowStore PeerStore;
+  NoOwnedPools Pools;
+  PeerHttpClient PeerHttp;
   PeerCalls Peers;
   std::shared_ptr<AdviceDispatcher> Dispatcher;
   bool Needed = true;
   std::optional<TimePoint> AnswerReceivedAt;
   std::size_t QueriedVmCount = 0;
+  std::map<std::string, int> AnswerCounts;
 };
 
 const StepName Step{"j", 0, 0};
@@ -105,3 +128,26 @@
   BOOST_REQUIRE(AnswerReceivedAt);
   BOOST_CHECK_EQUAL(QueriedVmCount, 2);
 }
+
+// Guards against a step that the advisor fails for on every daemon: each daemon
+// in turn was set aside for its request, and other steps got no advice.
+BOOST_AUTO_TEST_CASE(requestThatFailsEverywhereDelaysNoOther) {
+  constexpr int Requests = 40;
+  constexpr milliseconds RequestInterval{100};
+  constexpr milliseconds LongestWait{2000};
+  for (const bool PeersWork : {false, true}) {
+    Fixture Setup(PeersWork);
+    if (PeersWork)
+      Setup.Dispatcher->setPeers({{"b", {"b:1", "x"}}, {"c", {"c:1", "y"}}});
+    Setup.Advisor.FailingJob = "bad";
+    Setup.Dispatcher->requestAdvice(Fixture::adviceRequest({"bad", 0, 0}));
+    for (int Number = 0; Number < Requests; ++Number) {
+      RequestAdvice Request = Fixture::adviceRequest({"good", 0, Number});
+      Request.Priority = 1;
+      Setup.Dispatcher->requestAdvice(Request);
+      Setup.ControlLoop.runFor(RequestInterval);
+    }
+    Setup.ControlLoop.runFor(LongestWait);
+    BOOST_CHECK_EQUAL(Setup.AnswerCounts["good"], Requests);
+  }
+}
--- a/packages/fleet/tests/RelayedStoreTest.cpp
+++ b/packages/fleet/tests/RelayedStoreTest.cpp
@@ -20,38 +20,6 @@
   }
 };
 
-/// Passes calls to the peer's handler, fails them with Failure, or lets them
-/// time out.
-class PeerHttpClient final : public HttpClient {
-public:
-  PeerHttpClient(HttpHandler Peer, FakeLoop &ControlLoop)
-      : Peer_(std::move(Peer)), ControlLoop_(ControlLoop) {}
-  void send(HttpCall Call, HttpCallback Done) override {
-    ++CallCount;
-    if (Hang)
-      return ControlLoop_.after(Call.Timeout,
-                                [Done] { Done(failure(ErrorCode::Timeout)); });
-    if (Failure)
-      return ControlLoop_.post(
-          [Done, Code = *Failure] { Done(failure(Code)); });
-    HttpRequest Request;
-    Request.Method = Call.Method;
-    Request.Path = Call.Url.substr(Call.Url.find("/peer/"));
-    Request.Body = Call.Body;
-    Peer_(Request,
-          [Done](HttpResponse Response) { Done(std::move(Response)); });
-  }
-  HttpTraffic traffic() const override { return {}; }
-  std::optional<ErrorCode> Failure;
-  /// Calls get no response until they time out.
-  bool Hang = false;
-  int CallCount = 0;
-
-private:
-  HttpHandler Peer_;
-  FakeLoop &ControlLoop_;
-};
-
 struct RelayedStoreFixture {
   RelayedStoreFixture()
       : Direct(Rows, ControlLoop), PeerStore(Rows, ControlLoop),
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -46,6 +46,8 @@
   int Priority = 0;
   /// The VMs are known to be allowed; the request is for new tickets only.
   bool Renewal = false;
+  /// The step's last request failed.
+  bool AfterFailure = false;
 };
 
 using PoolCommand = std::variant<StartRun, StopRun, ThrottleRun, RequestAdvice>;
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -45,6 +45,10 @@
   /// Advice for a step is requested when its dependencies are expected to end
   /// within the advisor's latency plus this time.
   milliseconds AdviceLead{300};
+  /// Delay before advice that failed is requested again; it doubles with each
+  /// further failure of the step, up to the maximum.
+  milliseconds AdviceRetryMin{100};
+  milliseconds AdviceRetryMax{1500};
   /// Consecutive failed starts and runs after which a VM is put in quarantine,
   /// where it gets no new tasks.
   int FailuresToQuarantine = 3;
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -71,7 +71,7 @@
     StepRecord &Step = *Entry;
     // The scheduling pass may have placed all tasks of the step.
     if (Step.WaitingTasks == 0 || Step.AdvicePending ||
-        !Step.Occurrence->Job->Terms.Advice)
+        Now_ < Step.NoAdviceBefore || !Step.Occurrence->Job->Terms.Advice)
       continue;
     const bool Ready = isReady(Step);
     if (!Ready && !isReadySoon(Step))
@@ -207,7 +207,8 @@
   const double ExpectedLatencyMs = expectedLatencyMs(Step, Vms.size());
   Tables_.Commands.push_back(
       RequestAdvice{nameOf(Step), std::move(Vms), ExpectedLatencyMs,
-                    Step.Occurrence->Job->Terms.Priority, Renewal});
+                    Step.Occurrence->Job->Terms.Priority, Renewal,
+                    Step.AdviceRetryDelay > milliseconds(0)});
 }
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -117,6 +117,10 @@
   std::int64_t SeenVmsVersion = -1;
   /// An advice request has not been answered yet.
   bool AdvicePending = false;
+  /// The delay after the last advice request, if it failed, and when it is
+  /// over.
+  milliseconds AdviceRetryDelay{0};
+  TimePoint NoAdviceBefore{};
   /// VMs that the last pass reserved for the step, and from when on.
   std::vector<VmRecord *> ReservedVms;
   TimePoint ReservationStart{};
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -253,6 +253,8 @@
   // The request was dropped: it must be made again.
   if (QueriedVms.empty())
     Step->SeenVmsVersion = -1;
+  else
+    Step->AdviceRetryDelay = milliseconds(0);
   for (const std::string &Id : QueriedVms)
     if (const VmRecord *Vm = Tables_.vm(Id))
       Step->QueriedVms[Vm] = Vm->Description.Incarnation;
@@ -268,6 +270,10 @@
     return;
   Step->AdvicePending = false;
   Step->SeenVmsVersion = -1;
+  Step->AdviceRetryDelay =
+      std::clamp(Step->AdviceRetryDelay * 2, Options_.AdviceRetryMin,
+                 Options_.AdviceRetryMax);
+  Step->NoAdviceBefore = MonotonicClock_.now() + Step->AdviceRetryDelay;
 }
 
 bool PoolSchedulerImpl::needsAdvice(const StepName &Name) const {
--- a/packages/pool/tests/AdviceTest.cpp
+++ b/packages/pool/tests/AdviceTest.cpp
@@ -48,6 +48,35 @@
   BOOST_CHECK_EQUAL(AdviceRequests.size(), 1);
 }
 
+// Guards against a step that the advisor always fails for: its advice was
+// requested again in each pass, and kept the daemons busy.
+BOOST_FIXTURE_TEST_CASE(failedAdviceIsRequestedLessAndLessOften,
+                        SchedulerFixture) {
+  constexpr milliseconds PassInterval{20};
+  constexpr milliseconds Duration{10000};
+  // After the first few, less than two in a second.
+  constexpr int MostRequests = 20;
+  addVm(makeVm("a", SmallSize));
+  QueueTerms Queue = makeQueue();
+  Queue.Advice = AdviceTerms{milliseconds(100), 1.0, milliseconds(2000)};
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  const auto CountRequests = [&](milliseconds Span) {
+    int Out = 0;
+    for (milliseconds At{0}; At < Span; At += PassInterval) {
+      runPass();
+      Out += static_cast<int>(AdviceRequests.size());
+      for (const RequestAdvice &Request : AdviceRequests)
+        Scheduler->adviceFailed(Request.Step);
+      MonotonicClock.advance(PassInterval);
+    }
+    return Out;
+  };
+  BOOST_CHECK_LE(CountRequests(Duration), MostRequests);
+  // The step is requested again soon after the advisor has recovered.
+  BOOST_CHECK_GE(CountRequests(milliseconds(2000)), 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(ticketsOfGangsWithReservedVmsAreRenewed,
                         SchedulerFixture) {
   // Guards against a pool that was idle for 20 s after a period of high load:
