Start no gang on a VM that is over its capacity in another dimension

Callers saw: nothing yet; a VM whose accelerators have shrunk below those in use got the tasks of a gang that needs none, though it is over its capacity (LIMIT).

Cause: countFits() took a dimension that a task doesn't need for unlimited, also when the VM has less than nothing free in it. Single tasks go by fitsIn(), which compares all dimensions.

Evidence: pool.CapacityTest, gangAvoidsVmThatIsOverItsCapacity: two starts where none is allowed; failed before.

Change: nothing fits where a dimension is negative.

--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -13,9 +13,10 @@
 
 /// Counts how many tasks fit in one dimension of a capacity.
 std::int64_t fits(std::int64_t Free, std::int64_t Need) {
-  if (Need <= 0)
-    return std::numeric_limits<int>::max();
-  return std::max<std::int64_t>(Free, 0) / Need;
+  // A VM whose capacity has shrunk below what is on it has no room at all.
+  if (Free < 0)
+    return 0;
+  return Need <= 0 ? std::numeric_limits<int>::max() : Free / Need;
 }
 
 } // namespace
--- a/packages/pool/tests/CapacityTest.cpp
+++ b/packages/pool/tests/CapacityTest.cpp
@@ -95,6 +95,21 @@
   BOOST_CHECK_EQUAL(wantedStarts(Sent), 0);
 }
 
+// Guards against a gang on a VM that is over its capacity in a dimension which
+// the gang doesn't need.
+BOOST_FIXTURE_TEST_CASE(gangAvoidsVmThatIsOverItsCapacity, CapacityFixture) {
+  constexpr Capacity Accelerated{1000, 100, 2};
+  constexpr Capacity Shrunk{8000, 800, 1};
+  addVm(makeVm("a", {8000, 800, 2}));
+  Scheduler->addJob(makeJob("j", {makeStep(1, Accelerated)}), Queue,
+                    MonotonicClock.now());
+  BOOST_REQUIRE_EQUAL(startCount(), 1);
+  acceptStart(Starts[0]);
+  Scheduler->vmListed(makeVm("a", Shrunk));
+  submit("k", 2, true);
+  BOOST_CHECK_EQUAL(startCount(), 0);
+}
+
 // Guards against the use of the capacity of an earlier incarnation, which may
 // have been of another kind.
 BOOST_FIXTURE_TEST_CASE(restartedVmGetsNoTasksBeforeItIsListed,
