Renew the tickets of gangs that have room without reserved VMs

Cause, one of several: VMs are reserved for six blocked steps, and tickets of gangs were renewed for reserved VMs only. A gang behind six others that wait for occupied VMs never got new tickets, however many VMs were free.

Evidence: pool.AdviceTest, ticketsOfGangsWithRoomAreRenewed: 12 gangs wait for occupied VMs, three more have room, none of these is started. Failed before.

Change: a gang without reserved VMs requests tickets for VMs that have room for all of it now, beside what gangs ahead of it claimed in the same pass.

Result: the test passes.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -149,14 +149,50 @@
 }
 
 std::vector<VmRecord *>
-AdvicePlanner::vmsForNextTasks(const StepRecord &Step) const {
+AdvicePlanner::vmsWithRoomForGang(const StepRecord &Step) {
+  const Capacity TaskSize = Step.Plan->reservedCapacity();
+  int MissingTasks = Step.WaitingTasks;
+  std::vector<RankedVm> Candidates;
+  for (const auto &[Vm, Ticket] : Step.AllowedVms) {
+    if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
+        Ticket.VmIncarnation != Vm->Description.Incarnation ||
+        Vm->inQuarantine(Now_))
+      continue;
+    Capacity Free =
+        Vm->ReservationStart ? Vm->BackfillRoom : Vm->freeCapacity();
+    if (const auto Claim = Claimed_.find(Vm); Claim != Claimed_.end())
+      Free -= Claim->second;
+    int FittingTasks = countFits(Free, TaskSize);
+    if (Step.Plan->MaxPerVm > 0)
+      FittingTasks = std::min(FittingTasks, Step.Plan->MaxPerVm);
+    if (FittingTasks > 0)
+      Candidates.push_back(RankedVm{false, FittingTasks, Vm});
+  }
+  sortByRoom(Candidates);
+  std::vector<VmRecord *> Out;
+  for (RankedVm &Each : Candidates) {
+    if (MissingTasks <= 0)
+      break;
+    Each.FittingTasks = std::min(Each.FittingTasks, MissingTasks);
+    MissingTasks -= Each.FittingTasks;
+    Out.push_back(Each.Vm);
+  }
+  if (MissingTasks > 0)
+    return {};
+  for (std::size_t Index = 0; Index < Out.size(); ++Index)
+    Claimed_[Out[Index]] += TaskSize * Candidates[Index].FittingTasks;
+  return Out;
+}
+
+std::vector<VmRecord *> AdvicePlanner::vmsForNextTasks(const StepRecord &Step) {
   const TimePoint AnswerTime =
       Now_ +
       toMillis(expectedLatencyMs(
           Step, static_cast<std::size_t>(Options_.MaxRenewedVms))) +
       Options_.RenewalLead;
-  // A gang waits for its reserved VMs. Requests for a gang without reservations
-  // would only delay the requests of those that have them.
+  if (Step.Plan->Gang && Step.ReservedVms.empty())
+    return vmsWithRoomForGang(Step);
+  // A gang waits for its reserved VMs.
   if (Step.Plan->Gang)
     return Step.ReservationStart <= AnswerTime ? Step.ReservedVms
                                                : std::vector<VmRecord *>();
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -1,6 +1,9 @@
 #ifndef CUMINROAD_POOL_SRC_ADVICEPLANNER_H
 #define CUMINROAD_POOL_SRC_ADVICEPLANNER_H
 
+#include <map>
+#include <vector>
+
 #include "WaitingSteps.h"
 #include "cuminroad/pool/PoolOptions.h"
 
@@ -28,7 +31,10 @@
   bool renewTickets(StepRecord &Step);
   /// \returns the VMs that are expected to have room for the step's next tasks
   /// when the advisor responds.
-  std::vector<VmRecord *> vmsForNextTasks(const StepRecord &Step) const;
+  std::vector<VmRecord *> vmsForNextTasks(const StepRecord &Step);
+  /// \returns VMs that have room for the whole gang now, beside the gangs ahead
+  /// of it; none if there are not enough.
+  std::vector<VmRecord *> vmsWithRoomForGang(const StepRecord &Step);
   /// \returns whether the step's dependencies are expected to be done by the
   /// time the advisor responds.
   bool isReadySoon(const StepRecord &Step) const;
@@ -42,6 +48,8 @@
   const WaitingSteps &Waiting_;
   const PoolOptions &Options_;
   TimePoint Now_;
+  /// Capacity of VMs whose tickets are renewed for gangs without reserved VMs.
+  std::map<const VmRecord *, Capacity> Claimed_;
 };
 
 } // namespace cuminroad
--- a/packages/pool/tests/AdviceTest.cpp
+++ b/packages/pool/tests/AdviceTest.cpp
@@ -133,6 +133,64 @@
   BOOST_CHECK_EQUAL(Started, Vms);
 }
 
+// Load: more gangs wait for occupied VMs than get VMs reserved. Guards against
+// a gang behind them that waits with enough VMs free, since its tickets are not
+// renewed.
+BOOST_FIXTURE_TEST_CASE(ticketsOfGangsWithRoomAreRenewed, SchedulerFixture) {
+  const int OccupiedVms = 2 * Options.MaxReservedSteps;
+  constexpr int FreeGangs = 3;
+  const milliseconds AdvisorLatency{120};
+  for (int Number = 0; Number < OccupiedVms; ++Number)
+    addVm(makeVm("x" + std::to_string(Number), BigSize, {"x"}));
+  for (int Number = 0; Number < 2 * FreeGangs; ++Number)
+    addVm(makeVm("y" + std::to_string(Number), BigSize));
+  Scheduler->addJob(
+      makeJob("first", {makeStep(OccupiedVms + 2 * FreeGangs, BigSize, 60000)}),
+      makeQueue(), MonotonicClock.now());
+  runPass();
+  const auto BlockingRuns = Starts;
+  for (const StartRun &Start : BlockingRuns)
+    acceptStart(Start);
+  QueueTerms Queue = makeQueue();
+  Queue.Advice = AdviceTerms{milliseconds(100), 1.0, milliseconds(1500)};
+  Queue.Stretch = 20;
+  const auto AddGang = [&](const std::string &Job, const std::string &Label) {
+    StepPlan Gang = makeStep(2, BigSize, 5000);
+    Gang.Gang = true;
+    Gang.RequiredLabel = Label;
+    Scheduler->addJob(makeJob(Job, {Gang}), Queue, MonotonicClock.now());
+    MonotonicClock.advance(milliseconds(1));
+  };
+  for (int Number = 0; Number < 2 * Options.MaxReservedSteps; ++Number)
+    AddGang("ahead" + std::to_string(Number), "x");
+  for (int Number = 0; Number < FreeGangs; ++Number)
+    AddGang("behind" + std::to_string(Number), "");
+  std::size_t Started = 0;
+  const auto RunRounds = [&](int Rounds) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      runPass();
+      Started += Starts.size();
+      MonotonicClock.advance(AdvisorLatency);
+      for (const RequestAdvice &Request : AdviceRequests) {
+        std::vector<AdviceTicket> Tickets;
+        for (const std::string &Vm : Request.Vms)
+          Tickets.push_back({Vm, "t"});
+        Scheduler->adviceReceived(Request.Step, Request.Vms, Tickets,
+                                  MonotonicClock.now() +
+                                      Queue.Advice->ValidFor);
+      }
+    }
+  };
+  RunRounds(20);
+  BOOST_REQUIRE_EQUAL(Started, 0);
+  for (const StartRun &Start : BlockingRuns)
+    if (Start.Vm.starts_with("y"))
+      endRun(Start, RunOutcome::Done);
+  // A request and a pass for each gang.
+  RunRounds(2 * FreeGangs);
+  BOOST_CHECK_EQUAL(Started, 2 * FreeGangs);
+}
+
 BOOST_FIXTURE_TEST_CASE(ticketsOfTheTightestVmsAreRenewed, SchedulerFixture) {
   // Small tasks placed on empty VMs would block gangs that need whole VMs.
   Options.MaxRenewedVms = 2;
