--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -53,6 +53,12 @@
   Vms.resize(Size);
 }
 
+bool isReservedForOthers(const StepRecord &Step, const VmRecord &Vm) {
+  return Vm.ReservationStart &&
+         std::find(Step.ReservedVms.begin(), Step.ReservedVms.end(), &Vm) ==
+             Step.ReservedVms.end();
+}
+
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -158,8 +164,9 @@
         Ticket.VmIncarnation != Vm->Description.Incarnation ||
         Vm->inQuarantine(Now_))
       continue;
-    Capacity Free =
-        Vm->ReservationStart ? Vm->BackfillRoom : Vm->freeCapacity();
+    Capacity Free = Vm->freeCapacity();
+    if (isReservedForOthers(Step, *Vm))
+      Free = componentwiseMin(Free, Vm->BackfillRoom);
     if (const auto Claim = Claimed_.find(Vm); Claim != Claimed_.end())
       Free -= Claim->second;
     int FittingTasks = countFits(Free, TaskSize);
@@ -202,8 +209,10 @@
     if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
         Ticket.VmIncarnation != Vm->Description.Incarnation)
       continue;
-    const int FittingTasks =
-        countFits(freeCapacityAt(*Vm, AnswerTime, Now_), TaskSize);
+    Capacity Free = freeCapacityAt(*Vm, AnswerTime, Now_);
+    if (isReservedForOthers(Step, *Vm))
+      Free = componentwiseMin(Free, Vm->BackfillRoom);
+    const int FittingTasks = countFits(Free, TaskSize);
     if (FittingTasks > 0)
       Candidates.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
   }
