--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -53,12 +53,6 @@
   Vms.resize(Size);
 }
 
-bool isReservedForOthers(const StepRecord &Step, const VmRecord &Vm) {
-  return Vm.ReservationStart &&
-         std::find(Step.ReservedVms.begin(), Step.ReservedVms.end(), &Vm) ==
-             Step.ReservedVms.end();
-}
-
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -164,9 +158,8 @@
         Ticket.VmIncarnation != Vm->Description.Incarnation ||
         Vm->inQuarantine(Now_))
       continue;
-    Capacity Free = Vm->freeCapacity();
-    if (isReservedForOthers(Step, *Vm))
-      Free = componentwiseMin(Free, Vm->BackfillRoom);
+    Capacity Free =
+        Vm->ReservationStart ? Vm->BackfillRoom : Vm->freeCapacity();
     if (const auto Claim = Claimed_.find(Vm); Claim != Claimed_.end())
       Free -= Claim->second;
     int FittingTasks = countFits(Free, TaskSize);
@@ -209,10 +202,8 @@
     if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
         Ticket.VmIncarnation != Vm->Description.Incarnation)
       continue;
-    Capacity Free = freeCapacityAt(*Vm, AnswerTime, Now_);
-    if (isReservedForOthers(Step, *Vm))
-      Free = componentwiseMin(Free, Vm->BackfillRoom);
-    const int FittingTasks = countFits(Free, TaskSize);
+    const int FittingTasks =
+        countFits(freeCapacityAt(*Vm, AnswerTime, Now_), TaskSize);
     if (FittingTasks > 0)
       Candidates.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
   }
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -123,9 +123,6 @@
   TimePoint NoAdviceBefore{};
   /// VMs that the last pass reserved for the step, and from when on.
   std::vector<VmRecord *> ReservedVms;
-  /// VMs that the pass before it reserved; only for comparison, since they may
-  /// have been removed.
-  std::vector<VmRecord *> EarlierReservedVms;
   TimePoint ReservationStart{};
   /// Whether the last pass left some tasks of the step unplaced for lack of
   /// VMs.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -1,8 +1,6 @@
 #include "SchedulingPass.h"
 
 #include <algorithm>
-#include <tuple>
-#include <utility>
 
 #include "Forecast.h"
 
@@ -82,7 +80,7 @@
   }
   for (StepRecord *Step : Waiting_.Steps) {
     Step->Blocked = false;
-    Step->EarlierReservedVms = std::exchange(Step->ReservedVms, {});
+    Step->ReservedVms.clear();
   }
   int BlockedSteps = 0;
   for (StepRecord *Step : Waiting_.Steps) {
@@ -457,29 +455,18 @@
   if (EarliestStart == CandidateTimes.end())
     return;
   ++ReservationCount_;
-  struct Candidate {
-    /// Tickets for these VMs may have been requested.
-    bool ReservedBefore;
-    int FittingTasks;
-    VmRecord *Vm;
-  };
-  std::vector<Candidate> Candidates;
+  std::vector<std::pair<int, VmRecord *>> VmsByRoom;
+  VmsByRoom.reserve(UsableVms.size());
   for (VmRecord *Vm : UsableVms)
-    if (const int Fits = countFitsAt(Step, *Vm, *EarliestStart); Fits > 0)
-      Candidates.push_back(
-          Candidate{std::find(Step.EarlierReservedVms.begin(),
-                              Step.EarlierReservedVms.end(),
-                              Vm) != Step.EarlierReservedVms.end(),
-                    Fits, Vm});
-  std::stable_sort(Candidates.begin(), Candidates.end(),
-                   [](const Candidate &Left, const Candidate &Right) {
-                     return std::tie(Right.ReservedBefore, Right.FittingTasks) <
-                            std::tie(Left.ReservedBefore, Left.FittingTasks);
+    VmsByRoom.emplace_back(-countFitsAt(Step, *Vm, *EarliestStart), Vm);
+  std::stable_sort(VmsByRoom.begin(), VmsByRoom.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
                    });
   int RemainingTasks = WantedTasks;
   Step.ReservationStart = *EarliestStart;
-  for (const auto &[ReservedBefore, FittingTasks, Vm] : Candidates) {
-    const int TasksHere = std::min(FittingTasks, RemainingTasks);
+  for (const auto &[NegatedRoom, Vm] : VmsByRoom) {
+    const int TasksHere = std::min(-NegatedRoom, RemainingTasks);
     if (TasksHere <= 0)
       return;
     Vm->ReservationStart = *EarliestStart;
