End a stopping daemon only after it has had no request for 0.3 s

Callers saw: a connection that closed without a response, though the request was sent 0.22 s before the daemon ended (LOST at a SIGTERM).

Cause, inferred: a stopping daemon ended 50 ms after no request was in flight. A request that has arrived counts as in flight once it has been read; on a daemon with a quarter of a core that may take longer.

No line shows when the request was read.

--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "DrainTimer.h"
 #include "cuminroad/base/Ids.h"
 #include "cuminroad/fleet/DaemonRow.h"
 #include "cuminroad/fleet/PoolLease.h"
@@ -35,6 +36,8 @@
 constexpr milliseconds BalancerNoticeTime{2600};
 /// How often a stopping daemon checks whether all requests are answered.
 constexpr milliseconds DrainPollInterval{50};
+/// A stopping daemon ends once it has had no request for this long.
+constexpr milliseconds IdleTimeBeforeStop{300};
 /// Part of StopGracePeriod that is kept in reserve for the end of the shutdown.
 constexpr milliseconds StopMargin{700};
 constexpr const char *MetricsContentType = "text/plain; version=0.0.4";
@@ -128,7 +131,7 @@
   void registerSelf();
   void checkStore();
   bool ready() const;
-  void drain(TimePoint Deadline);
+  void drain(DrainTimer Timer);
   void finishStop();
   std::vector<std::string> otherDaemonAddresses() const;
 
@@ -363,16 +366,16 @@
   FrontendServer_->announceClose();
   Dependencies_.ControlLoop.after(BalancerNoticeTime, [this, Deadline] {
     FrontendServer_->drain();
-    drain(Deadline);
+    drain(DrainTimer(IdleTimeBeforeStop, Deadline));
   });
 }
 
-void FleetDaemonImpl::drain(TimePoint Deadline) {
-  if (FrontendServer_->inFlight() == 0 ||
-      Dependencies_.MonotonicClock.now() >= Deadline)
+void FleetDaemonImpl::drain(DrainTimer Timer) {
+  if (Timer.isOver(FrontendServer_->inFlight(),
+                   Dependencies_.MonotonicClock.now()))
     return finishStop();
   Dependencies_.ControlLoop.after(DrainPollInterval,
-                                  [this, Deadline] { drain(Deadline); });
+                                  [this, Timer] { drain(Timer); });
 }
 
 void FleetDaemonImpl::finishStop() {
