Simplify what the last reading of the change found

A submission's row was encoded once for its size and again at each write. Two loops of AdvicePlanner filtered VMs alike, and one kept two vectors in step by index. The delay after an invalid start was worked out in a loop from a count, where the tree elsewhere doubles a delay within bounds. Each step was searched for crash suspects before a loop that does the same. Seven crash tests began with the same lines.

No assertion and no bound changes.

--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -56,6 +56,8 @@
 
 struct JobFrontend::Submission {
   JobRequest Request;
+  /// Encoded once: a write is repeated with the same bytes.
+  std::string EncodedRequest;
   TimePoint ReceivedAt;
   /// The answer must be given by this time.
   TimePoint Deadline;
@@ -89,11 +91,12 @@
       Now + milliseconds(static_cast<std::int64_t>(
                 RetryShare * static_cast<double>(CallerTimeout.count())));
   Pending->Done = std::move(Done);
+  Pending->EncodedRequest = encodeRequest(Pending->Request);
   // The store would refuse the row each time, as if it were away.
-  if (const std::size_t Bytes = encodeRequest(Pending->Request).size();
-      Bytes > Context_.Settings.MaxRowBytes) {
-    Context_.Events.record(EventId::JobRefused, Pending->Request.Plan.Id,
-                           fmt::format("too_large bytes {}", Bytes));
+  if (Pending->EncodedRequest.size() > Context_.Settings.MaxRowBytes) {
+    Context_.Events.record(
+        EventId::JobRefused, Pending->Request.Plan.Id,
+        fmt::format("too_large bytes {}", Pending->EncodedRequest.size()));
     return reply(*Pending, SubmitReply{SubmitOutcome::TooLarge});
   }
   writeRequest(std::move(Pending));
@@ -120,7 +123,7 @@
   const RowName Row = requestRow(Pending->Request.Plan.Id);
   RowTransaction Change;
   Change.Checks.push_back(RowCheck{Row, 0});
-  Change.Puts.push_back(RowPut{Row, encodeRequest(Pending->Request)});
+  Change.Puts.push_back(RowPut{Row, Pending->EncodedRequest});
   const milliseconds Timeout =
       std::clamp(remaining(Pending->Deadline), RetryInterval, WriteTimeout);
   Context_.Store.commit(std::move(Change), Timeout,
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "Forecast.h"
 
@@ -53,6 +54,14 @@
   Vms.resize(Size);
 }
 
+/// \returns whether the VM, for which the advisor has issued \p Ticket, can
+/// still take tasks of the step.
+bool isUsable(const StepRecord &Step, const VmRecord &Vm,
+              const TicketRecord &Ticket) {
+  return Vm.acceptsWork() && canHost(*Step.Plan, Vm) &&
+         Ticket.VmIncarnation == Vm.Description.Incarnation;
+}
+
 milliseconds toMillis(double Ms) {
   return milliseconds(static_cast<std::int64_t>(Ms));
 }
@@ -154,9 +163,7 @@
   int MissingTasks = Step.WaitingTasks;
   std::vector<RankedVm> Candidates;
   for (const auto &[Vm, Ticket] : Step.AllowedVms) {
-    if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
-        Ticket.VmIncarnation != Vm->Description.Incarnation ||
-        Vm->inQuarantine(Now_))
+    if (!isUsable(Step, *Vm, Ticket) || Vm->inQuarantine(Now_))
       continue;
     Capacity Free =
         Vm->ReservationStart ? Vm->BackfillRoom : Vm->freeCapacity();
@@ -169,18 +176,20 @@
       Candidates.push_back(RankedVm{false, FittingTasks, Vm});
   }
   sortByRoom(Candidates);
-  std::vector<VmRecord *> Out;
-  for (RankedVm &Each : Candidates) {
-    if (MissingTasks <= 0)
+  std::vector<std::pair<VmRecord *, int>> TasksOnVms;
+  for (const RankedVm &Each : Candidates) {
+    if (MissingTasks == 0)
       break;
-    Each.FittingTasks = std::min(Each.FittingTasks, MissingTasks);
-    MissingTasks -= Each.FittingTasks;
-    Out.push_back(Each.Vm);
+    TasksOnVms.emplace_back(Each.Vm, std::min(Each.FittingTasks, MissingTasks));
+    MissingTasks -= TasksOnVms.back().second;
   }
   if (MissingTasks > 0)
     return {};
-  for (std::size_t Index = 0; Index < Out.size(); ++Index)
-    Claimed_[Out[Index]] += TaskSize * Candidates[Index].FittingTasks;
+  std::vector<VmRecord *> Out;
+  for (const auto &[Vm, Tasks] : TasksOnVms) {
+    Claimed_[Vm] += TaskSize * Tasks;
+    Out.push_back(Vm);
+  }
   return Out;
 }
 
@@ -199,8 +208,7 @@
   const Capacity TaskSize = Step.Plan->reservedCapacity();
   std::vector<RankedVm> Candidates;
   for (const auto &[Vm, Ticket] : Step.AllowedVms) {
-    if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
-        Ticket.VmIncarnation != Vm->Description.Incarnation)
+    if (!isUsable(Step, *Vm, Ticket))
       continue;
     const int FittingTasks =
         countFits(freeCapacityAt(*Vm, AnswerTime, Now_), TaskSize);
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -67,8 +67,8 @@
   double Measurement = 0;
   /// As last commanded with ThrottleRun.
   int SpeedPercent = 100;
-  /// Consecutive starts that a VM could not interpret.
-  int InvalidStarts = 0;
+  /// The delay after the last start, if a VM could not interpret it.
+  milliseconds InvalidStartDelay{0};
   /// The task must not be placed again before this time.
   TimePoint NotPlacedBefore{};
 
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -66,7 +66,6 @@
   /// nullptr.
   TaskRecord *findCurrentTask(const VmRecord *Vm, const TaskRun &Run) const;
   /// \returns the delay before a task whose start was invalid is placed again.
-  milliseconds invalidStartDelay(const TaskRecord &Task) const;
   /// Releases a task whose run was lost, and stops the other members of a gang.
   void loseRun(TaskRecord &Task, std::string_view Reason);
   /// All runs on the VM have ended without a report.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -179,16 +179,6 @@
     failJob(Job, JobFailure::AttemptsUsed);
 }
 
-milliseconds
-PoolSchedulerImpl::invalidStartDelay(const TaskRecord &Task) const {
-  milliseconds Delay = Options_.RefusedStartDelay;
-  for (int Count = 0;
-       Count < Task.InvalidStarts && Delay < Options_.MaxInvalidStartDelay;
-       ++Count)
-    Delay *= 2;
-  return std::min(Delay, Options_.MaxInvalidStartDelay);
-}
-
 void PoolSchedulerImpl::startAnswered(std::string_view Id, const TaskRun &Run,
                                       StartOutcome Outcome) {
   VmRecord *Vm = Tables_.vm(Id);
@@ -202,7 +192,7 @@
       Tables_.setPhase(*Task, TaskPhase::Running);
     Task->ConfirmedAt = MonotonicClock_.now();
     Task->StartConfirmed = Outcome == StartOutcome::Accepted;
-    Task->InvalidStarts = 0;
+    Task->InvalidStartDelay = milliseconds(0);
     Task->Step->Occurrence->Job->Started = true;
     return;
   }
@@ -215,8 +205,10 @@
     Task->Step->QueriedVms.erase(Vm);
     Task->Step->SeenVmsVersion = -1;
   } else if (Outcome == StartOutcome::Invalid) {
-    Task->NotPlacedBefore = MonotonicClock_.now() + invalidStartDelay(*Task);
-    ++Task->InvalidStarts;
+    Task->InvalidStartDelay =
+        std::clamp(Task->InvalidStartDelay * 2, Options_.RefusedStartDelay,
+                   Options_.MaxInvalidStartDelay);
+    Task->NotPlacedBefore = MonotonicClock_.now() + Task->InvalidStartDelay;
   } else {
     Task->NotPlacedBefore = MonotonicClock_.now() + Options_.RefusedStartDelay;
   }
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -240,8 +240,7 @@
     Step.Blocked = true;
     return;
   }
-  if (hasWaitingSuspect(Step))
-    placeCrashSuspects(Step);
+  placeCrashSuspects(Step);
   const JobRecord &Job = *Step.Occurrence->Job;
   std::vector<ScoredVm> FittingVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
--- a/packages/pool/tests/CrashTest.cpp
+++ b/packages/pool/tests/CrashTest.cpp
@@ -19,6 +19,15 @@
          Task.Index == 0;
 }
 
+/// VMs, and a task that crashes each VM that starts it: the first one of a job
+/// whose name begins with "bad".
+struct DeadlyTaskFixture : CrashingPool {
+  DeadlyTaskFixture() {
+    IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
+    addVms(8);
+  }
+};
+
 /// A job of one task, and VMs that are lost under its runs.
 struct LossFixture : CrashingPool {
   LossFixture() {
@@ -60,9 +69,7 @@
 } // namespace
 
 // Guards against a task that crashes VM after VM without end.
-BOOST_FIXTURE_TEST_CASE(taskThatCrashesVmsIsGivenUp, CrashingPool) {
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
+BOOST_FIXTURE_TEST_CASE(taskThatCrashesVmsIsGivenUp, DeadlyTaskFixture) {
   submit("bad", {makeStep(4, SmallSize, 700)});
   runFor(milliseconds(40000));
   BOOST_CHECK(stageOf("bad") == JobStage::Failed);
@@ -71,10 +78,8 @@
 
 // Guards against crashes of VMs that keep their ids, which are seen as a new
 // incarnation only.
-BOOST_FIXTURE_TEST_CASE(taskThatRestartsVmsIsGivenUp, CrashingPool) {
+BOOST_FIXTURE_TEST_CASE(taskThatRestartsVmsIsGivenUp, DeadlyTaskFixture) {
   KeepIds = true;
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
   submit("bad", {makeStep(4, SmallSize, 700)});
   runFor(milliseconds(40000));
   BOOST_CHECK(stageOf("bad") == JobStage::Failed);
@@ -83,19 +88,15 @@
 
 // Guards against tasks that crash their VM some time after their start, so that
 // a run is not new any more.
-BOOST_FIXTURE_TEST_CASE(taskThatCrashesVmsLateIsGivenUp, CrashingPool) {
+BOOST_FIXTURE_TEST_CASE(taskThatCrashesVmsLateIsGivenUp, DeadlyTaskFixture) {
   CrashDelay = milliseconds(1500);
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
   submit("bad", {makeStep(4, SmallSize, 3000)});
   runFor(milliseconds(60000));
   BOOST_CHECK(stageOf("bad") == JobStage::Failed);
   BOOST_CHECK_LE(mostStarts(), MaxStartsOfDeadlyTask);
 }
 
-BOOST_FIXTURE_TEST_CASE(gangThatCrashesVmsIsGivenUp, CrashingPool) {
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
+BOOST_FIXTURE_TEST_CASE(gangThatCrashesVmsIsGivenUp, DeadlyTaskFixture) {
   StepPlan Gang = makeStep(4, {8000, 1000, 4}, 2000);
   Gang.Gang = true;
   submit("bad", {Gang});
@@ -105,9 +106,8 @@
 }
 
 // Guards against long-running tasks, which are restarted however they end.
-BOOST_FIXTURE_TEST_CASE(longRunningTaskThatCrashesVmsIsGivenUp, CrashingPool) {
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
+BOOST_FIXTURE_TEST_CASE(longRunningTaskThatCrashesVmsIsGivenUp,
+                        DeadlyTaskFixture) {
   StepPlan Step = makeStep(3, SmallSize);
   Step.LongRunning = true;
   submit("bad", {Step});
@@ -120,9 +120,7 @@
 
 // Guards against an owner that forgets the crashes that earlier owners saw, or
 // did not live to see.
-BOOST_FIXTURE_TEST_CASE(crashesAreCountedOverTakeovers, CrashingPool) {
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
+BOOST_FIXTURE_TEST_CASE(crashesAreCountedOverTakeovers, DeadlyTaskFixture) {
   submit("bad", {makeStep(4, SmallSize, 700)});
   for (int Round = 0; Round < 30; ++Round) {
     runFor(milliseconds(1700));
@@ -274,9 +272,7 @@
 }
 
 // Guards against a failed job that doesn't say why.
-BOOST_FIXTURE_TEST_CASE(failedJobTellsItsReason, CrashingPool) {
-  IsDeadly = [](const TaskName &Task) { return isFirstTaskOf(Task, "bad"); };
-  addVms(8);
+BOOST_FIXTURE_TEST_CASE(failedJobTellsItsReason, DeadlyTaskFixture) {
   submit("bad", {makeStep(4, SmallSize, 700)});
   runFor(milliseconds(40000));
   BOOST_CHECK(Scheduler->failure("bad") == JobFailure::CrashedVms);
