Spread an owner's connections over several caches

Cause: libcurl goes through all cached connections of a multi handle at the end of each call (curl_multi_remove_handle). The client had one multi handle for all, so that the price of a call grew with the number of VMs.

Destinations are now spread over multi handles of 32 destinations each; new ones take the places of those that were not called for 30 s, and a multi handle without any is closed. A multi handle has its share of the 3,000 connections, by its destinations.

A multi handle also has a pair of descriptors: 32 a handle is 94 pairs at 3,000, one a destination would be 3,000 pairs and, at 35 kB each, 105 MB (computed, not run).

--- a/packages/net/src/LoopHttpClient.cpp
+++ b/packages/net/src/LoopHttpClient.cpp
@@ -1,183 +1,130 @@
-// Drives libcurl's multi interface from the loop's io_context. Calls need no
-// switch to another thread, which would be most of the cost of a small call.
+// Drives libcurl from the loop's io_context. Calls need no switch to another
+// thread, which would be most of the cost of a small call.
 #include "cuminroad/net/LoopHttp.h"
 
-#include <unordered_map>
-
-#include <asio/posix/stream_descriptor.hpp>
-#include <asio/steady_timer.hpp>
+#include <algorithm>
+#include <vector>
 
 #include "AsioLoop.h"
-#include "CurlTransfer.h"
+#include "LoopCurlMulti.h"
 
 namespace cuminroad {
 
 namespace {
 
 /// Covers the connections of an owner to the VMs of a large pool.
-constexpr long MaxIdleConnections = 3000;
-
-/// A socket on which libcurl waits for events.
-struct SocketWatch {
-  explicit SocketWatch(asio::io_context &Context) : Descriptor(Context) {}
-  asio::posix::stream_descriptor Descriptor;
-  /// The events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT or both.
-  int RequestedEvents = 0;
-  /// Whether an asynchronous wait is pending.
-  bool AwaitsRead = false;
-  bool AwaitsWrite = false;
+constexpr std::size_t MaxIdleConnections = 3000;
+/// libcurl goes through all connections of a multi handle at the end of each
+/// call.
+constexpr std::size_t MaxDestinationsPerMulti = 32;
+/// A destination that was not called for this long, at most twice, is
+/// forgotten. Its connections are too old for another call.
+constexpr milliseconds ForgetInterval{30000};
+
+/// \returns the part of \p Url before the path.
+std::string_view destinationOf(std::string_view Url) {
+  const std::size_t Scheme = Url.find("://");
+  const std::size_t Host = Scheme == std::string_view::npos ? 0 : Scheme + 3;
+  return Url.substr(0, Url.find_first_of("/?#", Host));
+}
+
+struct StringHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view Text) const {
+    return std::hash<std::string_view>()(Text);
+  }
 };
 
+/// Spreads its destinations over as many multi handles as they need.
 class LoopHttpClient final : public HttpClient {
 public:
   explicit LoopHttpClient(asio::io_context &Context)
-      : Context_(Context), Timer_(Context), Multi_(curl_multi_init()) {
-    curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, socketCallback);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, timerCallback);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
-  }
+      : Context_(Context), ForgetTimer_(Context) {}
 
   ~LoopHttpClient() override {
-    for (auto &[Handle, Transfer] : Transfers_) {
-      curl_multi_remove_handle(Multi_, Handle);
-      curl_easy_cleanup(Handle);
-    }
-    for (auto &[Socket, Watch] : Watches_)
-      Watch->Descriptor.release();
-    curl_multi_cleanup(Multi_);
+    for (const std::shared_ptr<Group> &Each : Groups_)
+      Each->Multi->close();
   }
 
   void send(HttpCall Call, HttpCallback Done) override {
-    auto Transfer =
-        std::make_unique<CurlTransfer>(std::move(Call), std::move(Done));
-    CURL *Handle = HandlePool_.acquire();
-    Transfer->configure(Handle);
+    Group &Target = groupOf(destinationOf(Call.Url));
     ++Traffic_.Calls;
-    Transfers_.emplace(Handle, std::move(Transfer));
-    curl_multi_add_handle(Multi_, Handle);
+    Target.Multi->limitConnections(std::max<std::size_t>(
+        1, MaxIdleConnections * Target.Destinations / Destinations_.size()));
+    Target.Multi->send(
+        std::make_unique<CurlTransfer>(std::move(Call), std::move(Done)));
   }
 
   HttpTraffic traffic() const override { return Traffic_; }
 
 private:
-  static int socketCallback(CURL *, curl_socket_t Socket, int Events,
-                            void *Client, void *) {
-    static_cast<LoopHttpClient *>(Client)->updateWatch(Socket, Events);
-    return 0;
-  }
-
-  static int timerCallback(CURLM *, long DelayMs, void *Client) {
-    static_cast<LoopHttpClient *>(Client)->setTimer(DelayMs);
-    return 0;
-  }
-
-  void updateWatch(curl_socket_t Socket, int Events) {
-    const auto Found = Watches_.find(Socket);
-    if (Events == CURL_POLL_REMOVE) {
-      if (Found == Watches_.end())
-        return;
-      // libcurl closes the socket itself, so the descriptor must not.
-      Found->second->Descriptor.release();
-      Watches_.erase(Found);
-      return;
-    }
-    std::shared_ptr<SocketWatch> Watch;
-    if (Found == Watches_.end()) {
-      Watch = std::make_shared<SocketWatch>(Context_);
-      Watch->Descriptor.assign(Socket);
-      Watches_.emplace(Socket, Watch);
-    } else {
-      Watch = Found->second;
+  struct Group {
+    std::shared_ptr<LoopCurlMulti> Multi;
+    std::size_t Destinations = 0;
+  };
+
+  struct Destination {
+    std::shared_ptr<Group> AssignedGroup;
+    bool CalledSinceLastCheck = true;
+  };
+
+  Group &groupOf(std::string_view Name) {
+    const auto Found = Destinations_.find(Name);
+    if (Found != Destinations_.end()) {
+      Found->second.CalledSinceLastCheck = true;
+      return *Found->second.AssignedGroup;
     }
-    Watch->RequestedEvents = Events;
-    startWaits(Socket, Watch);
+    auto Free = std::find_if(
+        Groups_.begin(), Groups_.end(), [](const std::shared_ptr<Group> &Each) {
+          return Each->Destinations < MaxDestinationsPerMulti;
+        });
+    if (Free == Groups_.end())
+      Free = Groups_.insert(
+          Groups_.end(),
+          std::make_shared<Group>(Group{std::make_shared<LoopCurlMulti>(
+              Context_, HandlePool_, Traffic_)}));
+    ++(*Free)->Destinations;
+    Destinations_.emplace(Name, Destination{*Free});
+    if (Destinations_.size() == 1)
+      startForgetTimer();
+    return **Free;
   }
 
-  void startWaits(curl_socket_t Socket,
-                  const std::shared_ptr<SocketWatch> &Watch) {
-    if ((Watch->RequestedEvents & CURL_POLL_IN) != 0 && !Watch->AwaitsRead) {
-      Watch->AwaitsRead = true;
-      Watch->Descriptor.async_wait(
-          asio::posix::descriptor_base::wait_read,
-          [this, Socket, Watch](const asio::error_code &WaitError) {
-            Watch->AwaitsRead = false;
-            onSocketReady(Socket, Watch, CURL_CSELECT_IN, WaitError);
-          });
-    }
-    if ((Watch->RequestedEvents & CURL_POLL_OUT) != 0 && !Watch->AwaitsWrite) {
-      Watch->AwaitsWrite = true;
-      Watch->Descriptor.async_wait(
-          asio::posix::descriptor_base::wait_write,
-          [this, Socket, Watch](const asio::error_code &WaitError) {
-            Watch->AwaitsWrite = false;
-            onSocketReady(Socket, Watch, CURL_CSELECT_OUT, WaitError);
-          });
-    }
-  }
-
-  bool isCurrent(curl_socket_t Socket,
-                 const std::shared_ptr<SocketWatch> &Watch) {
-    const auto Found = Watches_.find(Socket);
-    return Found != Watches_.end() && Found->second == Watch;
-  }
-
-  void onSocketReady(curl_socket_t Socket,
-                     const std::shared_ptr<SocketWatch> &Watch, int Events,
-                     const asio::error_code &WaitError) {
-    if (WaitError == asio::error::operation_aborted ||
-        !isCurrent(Socket, Watch))
-      return;
-    int Running = 0;
-    curl_multi_socket_action(Multi_, Socket,
-                             WaitError ? CURL_CSELECT_ERR : Events, &Running);
-    finishCompleted();
-    if (isCurrent(Socket, Watch))
-      startWaits(Socket, Watch);
-  }
-
-  void setTimer(long DelayMs) {
-    Timer_.cancel();
-    if (DelayMs < 0)
-      return;
-    Timer_.expires_after(milliseconds(DelayMs));
-    Timer_.async_wait([this](const asio::error_code &WaitError) {
+  void startForgetTimer() {
+    ForgetTimer_.expires_after(ForgetInterval);
+    ForgetTimer_.async_wait([this](const asio::error_code &WaitError) {
       if (WaitError)
         return;
-      int Running = 0;
-      curl_multi_socket_action(Multi_, CURL_SOCKET_TIMEOUT, 0, &Running);
-      finishCompleted();
+      forgetUncalled();
+      if (!Destinations_.empty() || !Groups_.empty())
+        startForgetTimer();
     });
   }
 
-  void finishCompleted() {
-    int Remaining = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Remaining)) {
-      if (Message->msg != CURLMSG_DONE)
-        continue;
-      const CURLcode Code = Message->data.result;
-      finish(Message->easy_handle, Code);
+  void forgetUncalled() {
+    for (auto Each = Destinations_.begin(); Each != Destinations_.end();) {
+      if (std::exchange(Each->second.CalledSinceLastCheck, false)) {
+        ++Each;
+      } else {
+        --Each->second.AssignedGroup->Destinations;
+        Each = Destinations_.erase(Each);
+      }
     }
-  }
-
-  void finish(CURL *Handle, CURLcode Code) {
-    const auto Found = Transfers_.find(Handle);
-    std::unique_ptr<CurlTransfer> Transfer = std::move(Found->second);
-    Transfers_.erase(Found);
-    HttpResult Result = Transfer->takeResult(Handle, Code, Traffic_);
-    curl_multi_remove_handle(Multi_, Handle);
-    HandlePool_.release(Handle);
-    Transfer->complete(std::move(Result));
+    std::erase_if(Groups_, [](const std::shared_ptr<Group> &Each) {
+      if (Each->Destinations > 0 || Each->Multi->callsInFlight() > 0)
+        return false;
+      Each->Multi->close();
+      return true;
+    });
   }
 
   asio::io_context &Context_;
-  asio::steady_timer Timer_;
-  CURLM *Multi_;
+  asio::steady_timer ForgetTimer_;
   CurlHandlePool HandlePool_;
-  std::unordered_map<CURL *, std::unique_ptr<CurlTransfer>> Transfers_;
-  std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches_;
   HttpTraffic Traffic_;
+  std::vector<std::shared_ptr<Group>> Groups_;
+  std::unordered_map<std::string, Destination, StringHash, std::equal_to<>>
+      Destinations_;
 };
 
 } // namespace
