Read the answers that have arrived before calls time out

Callers saw jobs with a short chain late or failed once an owner was overloaded, long after the load was over. Cause: libcurl ends all calls whose timeout has passed when it handles the first socket that is ready, before it reads the other sockets. An owner whose loop was late by the timeout of a start (0.35 s) thus took answers that lay in its sockets for missing: it sent the starts again, on new connections, and took those that were refused as old for lost. That is work for the loop that was late.

Ruled out: a slow VM or network; in the test the answers are there 150 ms before the timeout.

The timeouts of calls on a loop are now kept beside libcurl: what has arrived for a call is read before it times out. net.LateLoopTest failed before (0 of 20 answers, 20 timeouts) and holds now; a call without an answer still times out.

--- a/packages/net/src/CurlHttpClient.cpp
+++ b/packages/net/src/CurlHttpClient.cpp
@@ -72,6 +72,7 @@
   void start(std::unique_ptr<CurlTransfer> Transfer) {
     CURL *Handle = HandlePool_.acquire();
     Transfer->configure(Handle);
+    Transfer->setTimeouts(Handle);
     ++Calls_;
     curl_multi_add_handle(Multi_, Handle);
     Transfers_.emplace(Handle, std::move(Transfer));
--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -25,11 +25,16 @@
   return Size * Count;
 }
 
-int CurlTransfer::sendCallback(void *Transfer, char *, char *, int, int) {
+bool CurlTransfer::isSent(CURL *Handle) {
   long BytesSent = 0;
-  curl_easy_getinfo(static_cast<CurlTransfer *>(Transfer)->Handle_,
-                    CURLINFO_REQUEST_SIZE, &BytesSent);
-  return BytesSent > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &BytesSent);
+  return BytesSent > 0;
+}
+
+int CurlTransfer::sendCallback(void *Transfer, char *, char *, int, int) {
+  return isSent(static_cast<CurlTransfer *>(Transfer)->Handle_)
+             ? CURL_PREREQFUNC_ABORT
+             : CURL_PREREQFUNC_OK;
 }
 
 size_t CurlTransfer::headerCallback(char *Data, size_t Size, size_t Count,
@@ -88,10 +93,6 @@
     curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   }
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
-  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(Call_.ConnectTimeout.count()));
-  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(Call_.Timeout.count()));
   curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(Handle, CURLOPT_PROXY, "");
@@ -104,6 +105,13 @@
   curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, UseOwnConnection);
 }
 
+void CurlTransfer::setTimeouts(CURL *Handle) const {
+  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(Call_.ConnectTimeout.count()));
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Call_.Timeout.count()));
+}
+
 HttpResult CurlTransfer::takeResult(CURL *Handle, CURLcode Code,
                                     HttpTraffic &Traffic) {
   long HeaderBytesSent = 0;
--- a/packages/net/src/CurlTransfer.h
+++ b/packages/net/src/CurlTransfer.h
@@ -22,6 +22,12 @@
   /// Sets the call's options on \p Handle. This object must live until the
   /// handle is removed from libcurl's multi handle.
   void configure(CURL *Handle);
+  /// Lets libcurl end the transfer at its timeouts. Otherwise the caller does.
+  void setTimeouts(CURL *Handle) const;
+  /// \returns whether any of the request has been sent on \p Handle.
+  static bool isSent(CURL *Handle);
+  milliseconds connectTimeout() const { return Call_.ConnectTimeout; }
+  milliseconds timeout() const { return Call_.Timeout; }
   /// Adds the bytes sent and received to \p Traffic.
   /// \returns the result of the transfer, which has ended with \p Code.
   HttpResult takeResult(CURL *Handle, CURLcode Code, HttpTraffic &Traffic);
--- a/packages/net/src/LoopCurlMulti.cpp
+++ b/packages/net/src/LoopCurlMulti.cpp
@@ -1,11 +1,13 @@
 #include "LoopCurlMulti.h"
 
+#include <algorithm>
+
 namespace cuminroad {
 
 LoopCurlMulti::LoopCurlMulti(asio::io_context &Context,
                              CurlHandlePool &HandlePool, HttpTraffic &Traffic)
     : Context_(Context), HandlePool_(HandlePool), Traffic_(Traffic),
-      Timer_(Context), Multi_(curl_multi_init()) {
+      Timer_(Context), DeadlineTimer_(Context), Multi_(curl_multi_init()) {
   curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, socketCallback);
   curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, timerCallback);
@@ -15,33 +17,101 @@
 void LoopCurlMulti::close() {
   if (Multi_ == nullptr)
     return;
-  for (auto &[Handle, Transfer] : Transfers_) {
+  for (auto &[Handle, Entry] : Calls_) {
     curl_multi_remove_handle(Multi_, Handle);
     curl_easy_cleanup(Handle);
   }
-  Transfers_.clear();
+  Calls_.clear();
+  Deadlines_.clear();
   for (auto &[Socket, Watch] : Watches_)
     Watch->Descriptor.release();
   Watches_.clear();
   curl_multi_cleanup(Multi_);
   Multi_ = nullptr;
   Timer_.cancel();
+  DeadlineTimer_.cancel();
 }
 
 void LoopCurlMulti::send(std::unique_ptr<CurlTransfer> Transfer) {
   CURL *Handle = HandlePool_.acquire();
   Transfer->configure(Handle);
-  Transfers_.emplace(Handle, std::move(Transfer));
+  const milliseconds FirstTimeout =
+      std::min(Transfer->connectTimeout(), Transfer->timeout());
+  Call &Entry = Calls_[Handle];
+  Entry.Transfer = std::move(Transfer);
+  Entry.StartedAt = DeadlineClock::now();
+  addDeadline(Handle, Entry, FirstTimeout);
   curl_multi_add_handle(Multi_, Handle);
 }
 
+void LoopCurlMulti::addDeadline(CURL *Handle, Call &Entry,
+                                milliseconds SinceStart) {
+  Entry.Deadline = Entry.StartedAt + SinceStart;
+  Deadlines_.emplace(Entry.Deadline, Handle);
+  armDeadlineTimer();
+}
+
+void LoopCurlMulti::armDeadlineTimer() {
+  if (Deadlines_.empty() || Deadlines_.begin()->first >= NextCheck_)
+    return;
+  NextCheck_ = Deadlines_.begin()->first;
+  DeadlineTimer_.expires_at(NextCheck_);
+  DeadlineTimer_.async_wait(
+      [Self = shared_from_this()](const asio::error_code &Error) {
+        if (Error || Self->Multi_ == nullptr)
+          return;
+        Self->NextCheck_ = DeadlineClock::time_point::max();
+        Self->checkDeadlines();
+      });
+}
+
+void LoopCurlMulti::checkDeadlines() {
+  const DeadlineClock::time_point Now = DeadlineClock::now();
+  while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
+    CURL *Handle = Deadlines_.begin()->second;
+    Deadlines_.erase(Deadlines_.begin());
+    checkDeadline(Handle);
+    // A callback may have closed this object.
+    if (Multi_ == nullptr)
+      return;
+  }
+  armDeadlineTimer();
+}
+
+void LoopCurlMulti::checkDeadline(CURL *Handle) {
+  const auto Found = Calls_.find(Handle);
+  const DeadlineClock::time_point Deadline = Found->second.Deadline;
+  if (Found->second.Socket != CURL_SOCKET_BAD) {
+    int Running = 0;
+    curl_multi_socket_action(Multi_, Found->second.Socket,
+                             CURL_CSELECT_IN | CURL_CSELECT_OUT, &Running);
+    finishCompleted();
+  }
+  if (Multi_ == nullptr)
+    return;
+  // The call may have ended, and its handle may be in use for another one.
+  const auto Entry = Calls_.find(Handle);
+  if (Entry == Calls_.end() || Entry->second.Deadline != Deadline)
+    return;
+  const CurlTransfer &Transfer = *Entry->second.Transfer;
+  if (Deadline < Entry->second.StartedAt + Transfer.timeout() &&
+      Transfer.isSent(Handle))
+    return addDeadline(Handle, Entry->second, Transfer.timeout());
+  finish(Handle, CURLE_OPERATION_TIMEDOUT);
+}
+
 void LoopCurlMulti::limitConnections(std::size_t Count) {
   curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, static_cast<long>(Count));
 }
 
-int LoopCurlMulti::socketCallback(CURL *, curl_socket_t Socket, int Events,
-                                  void *Multi, void *) {
-  static_cast<LoopCurlMulti *>(Multi)->updateWatch(Socket, Events);
+int LoopCurlMulti::socketCallback(CURL *Handle, curl_socket_t Socket,
+                                  int Events, void *Multi, void *) {
+  auto &Self = *static_cast<LoopCurlMulti *>(Multi);
+  const auto Found = Self.Calls_.find(Handle);
+  if (Found != Self.Calls_.end())
+    Found->second.Socket =
+        Events == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : Socket;
+  Self.updateWatch(Socket, Events);
   return 0;
 }
 
@@ -141,9 +211,11 @@
 }
 
 void LoopCurlMulti::finish(CURL *Handle, CURLcode Code) {
-  const auto Found = Transfers_.find(Handle);
-  std::unique_ptr<CurlTransfer> Transfer = std::move(Found->second);
-  Transfers_.erase(Found);
+  const auto Found = Calls_.find(Handle);
+  const std::unique_ptr<CurlTransfer> Transfer =
+      std::move(Found->second.Transfer);
+  Deadlines_.erase({Found->second.Deadline, Handle});
+  Calls_.erase(Found);
   HttpResult Result = Transfer->takeResult(Handle, Code, Traffic_);
   curl_multi_remove_handle(Multi_, Handle);
   HandlePool_.release(Handle);
