Measure what the messages of a start cost

A start with its end, hold and record has a budget of 0.35 ms in docs/CAPACITY.md, which nothing measured by part. start_cost_benchmark measures processor time of the thread and allocations of encoding and decoding the calls, the progress record, the transaction and a log line, without a network; make bench runs it.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 bench: all
 	$(BUILD)/benchmark/scheduling_benchmark
+	$(BUILD)/benchmark/start_cost_benchmark
 	python3 benchmark/front_door.py --build $(BUILD)
 	python3 benchmark/takeover.py --build $(BUILD)
 
