--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -5,7 +5,8 @@
 #include <unistd.h>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "cuminroad/base/JsonObjectWriter.h"
 
 namespace cuminroad {
 
@@ -13,6 +14,8 @@
 
 /// Interval between log lines that report the number of dropped lines.
 constexpr seconds DropReportInterval{1};
+/// Expected bytes of a line without its texts.
+constexpr std::size_t LineBytes = 160;
 
 } // namespace
 
@@ -23,15 +26,16 @@
                              std::string_view Subject,
                              std::string_view Detail) const {
   const EventInfo &Info = eventInfo(Id);
-  const nlohmann::json Line{{"stamp", Stamp},
-                            {"process", Process_},
-                            {"level", severityName(Info.Level)},
-                            {"event", static_cast<int>(Id)},
-                            {"name", Info.Name},
-                            {"subject", Subject},
-                            {"detail", Detail}};
-  return Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-         "\n";
+  JsonObjectWriter Line(LineBytes + Process_.size() + Subject.size() +
+                        Detail.size());
+  Line.add("detail", Detail);
+  Line.add("event", static_cast<int>(Id));
+  Line.add("level", severityName(Info.Level));
+  Line.add("name", Info.Name);
+  Line.add("process", Process_);
+  Line.add("stamp", Stamp);
+  Line.add("subject", Subject);
+  return Line.finish() + "\n";
 }
 
 void EventLog::record(EventId Id, std::string_view Subject,
--- a/packages/base/tests/EventLogTest.cpp
+++ b/packages/base/tests/EventLogTest.cpp
@@ -1,10 +1,13 @@
-// Checks that the log bounds its volume under load, and that a reader that
-// stops reading does not block the process.
+// Checks the log's lines, that the log bounds its volume under load, and that a
+// reader that stops reading does not block the process.
+
+#include <algorithm>
 
 #include <fcntl.h>
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "cuminroad/base/EventLog.h"
 
@@ -23,14 +26,18 @@
     fclose(Writer);
     close(Ends[0]);
   }
-  std::size_t readLines() const {
-    std::size_t Lines = 0;
+  /// \returns what was written since the last call.
+  std::string readText() const {
+    std::string Text;
     char Buffer[4096];
     for (ssize_t ByteCount = 0;
          (ByteCount = read(Ends[0], Buffer, sizeof Buffer)) > 0;)
-      for (ssize_t Index = 0; Index < ByteCount; ++Index)
-        Lines += Buffer[Index] == '\n';
-    return Lines;
+      Text.append(Buffer, static_cast<std::size_t>(ByteCount));
+    return Text;
+  }
+  std::size_t readLines() const {
+    const std::string Text = readText();
+    return static_cast<std::size_t>(std::count(Text.begin(), Text.end(), '\n'));
   }
   int Ends[2] = {-1, -1};
   std::FILE *Writer = nullptr;
@@ -64,3 +71,41 @@
   BOOST_CHECK_EQUAL(Limiter.takeDropCount(), 8000 - InfoLines - WarningLines);
   BOOST_CHECK(Limiter.tryAcquire(EventId::RunStarted, Now + seconds(1)));
 }
+
+// Guards against lines that readers of the log can't parse, or in which a field
+// is lost or changes.
+BOOST_AUTO_TEST_CASE(linesMatchJsonLibrary) {
+  const Pipe LogPipe;
+  std::vector<std::string> Texts{"",
+                                 "i-1 cpu 1500/16000",
+                                 "\"quoted\" \\ /",
+                                 "line\r\nline\ttab",
+                                 std::string("a\0b", 3),
+                                 "\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80",
+                                 "cut \xe2\x82",
+                                 "\xff\xfe",
+                                 std::string(3000, 'x')};
+  for (int Byte = 0; Byte < 256; ++Byte)
+    Texts.push_back(std::string("a") + static_cast<char>(Byte) + "z");
+  for (const std::string Process : {"p", "\"p\"\n"}) {
+    EventLog Log(Process, 10, LogPipe.Writer);
+    for (std::size_t Index = 0; Index < Texts.size(); ++Index) {
+      const EventInfo &Info = eventCatalogue()[Index % eventCatalogue().size()];
+      const std::string &Subject = Texts[Index];
+      const std::string &Detail = Texts[(Index + 1) % Texts.size()];
+      Log.record(Info.Id, Subject, Detail);
+      const nlohmann::json Expected{{"stamp", Log.since(0).back().Stamp},
+                                    {"process", Process},
+                                    {"level", severityName(Info.Level)},
+                                    {"event", static_cast<int>(Info.Id)},
+                                    {"name", Info.Name},
+                                    {"subject", Subject},
+                                    {"detail", Detail}};
+      BOOST_CHECK_EQUAL(
+          LogPipe.readText(),
+          Expected.dump(-1, ' ', false,
+                        nlohmann::json::error_handler_t::replace) +
+              "\n");
+    }
+  }
+}
