--- a/benchmark/StartCostBenchmark.cpp
+++ b/benchmark/StartCostBenchmark.cpp
@@ -4,6 +4,7 @@
 // docs/CAPACITY.md has the budget of a start with its end, hold and record.
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
@@ -179,6 +180,13 @@
          Start(std::string(LargeSpecBytes, 's')));
   report("start call, specification of 4,000 bytes of JSON",
          Start(makeJsonSpec()));
+  report("start call, 4,000 bytes of JSON unlike those of the call before",
+         [&Calls, Number = 0,
+          Orders = std::array{makeStartOrder("[" + makeJsonSpec()),
+                              makeStartOrder("{" + makeJsonSpec())}]() mutable {
+           Calls.start(Vm, Orders.at(static_cast<std::size_t>(++Number % 2)),
+                       CallTimeout, [](const Result<OrderAnswer> &) {});
+         });
   Client.Response = HttpResponse{200, {}, R"({"clock_ms":482113})"};
   Add(report("start call and its answer, specification of 200 bytes",
              Start(std::string(200, 's'))));
--- a/packages/base/include/cuminroad/base/JsonObjectWriter.h
+++ b/packages/base/include/cuminroad/base/JsonObjectWriter.h
@@ -10,6 +10,10 @@
 
 namespace cuminroad {
 
+/// Appends \p Text to \p Json as a JSON string. Bytes that are not valid UTF-8
+/// are replaced by U+FFFD.
+void appendJsonString(std::string &Json, std::string_view Text);
+
 /// Writes one JSON object without spaces, member by member, into a string. The
 /// names of members must need no escaping.
 class JsonObjectWriter {
@@ -17,7 +21,7 @@
   /// \param Capacity expected number of bytes; more are allocated if needed.
   explicit JsonObjectWriter(std::size_t Capacity);
 
-  /// Adds a string. Bytes that are not valid UTF-8 are replaced by U+FFFD.
+  /// Adds a string, as appendJsonString() does.
   void add(std::string_view Name, std::string_view Text);
   /// Adds a whole number.
   template <std::integral T> void add(std::string_view Name, T Number) {
--- a/packages/base/src/JsonObjectWriter.cpp
+++ b/packages/base/src/JsonObjectWriter.cpp
@@ -22,6 +22,18 @@
 
 } // namespace
 
+void appendJsonString(std::string &Json, std::string_view Text) {
+  if (needsNoEscaping(Text)) {
+    Json += '"';
+    Json += Text;
+    Json += '"';
+    return;
+  }
+  // By default, dump() throws on strings that are not valid UTF-8.
+  Json += nlohmann::json(Text).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
+}
+
 JsonObjectWriter::JsonObjectWriter(std::size_t Capacity) {
   Text_.reserve(Capacity);
   Text_ += '{';
@@ -29,15 +41,7 @@
 
 void JsonObjectWriter::add(std::string_view Name, std::string_view Text) {
   addName(Name);
-  if (needsNoEscaping(Text)) {
-    Text_ += '"';
-    Text_ += Text;
-    Text_ += '"';
-    return;
-  }
-  // By default, dump() throws on strings that are not valid UTF-8.
-  Text_ += nlohmann::json(Text).dump(-1, ' ', false,
-                                     nlohmann::json::error_handler_t::replace);
+  appendJsonString(Text_, Text);
 }
 
 void JsonObjectWriter::addJson(std::string_view Name, std::string_view Json) {
