Keep the expected ends of a VM's tasks between the steps of a pass

The ends depend on the tasks on the VM only, so that they are now sorted once with running sums, until a task is placed or leaves. A search for enough room stops when it has found enough.

--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -28,21 +28,41 @@
                 fits(Free.Accelerators, Need.Accelerators)}));
 }
 
-TimePoint expectedEnd(const TaskRecord &Task, TimePoint Now) {
-  const StepPlan &Plan = *Task.Step->Plan;
-  if (Plan.LongRunning)
-    return TimePoint::max();
-  const TimePoint End =
-      Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
-                          Plan.Estimate * Task.Vm->Slowdown);
-  return std::max(End, Now + MinRemaining);
+std::span<const ExpectedEnd> expectedEnds(const VmRecord &Vm) {
+  if (Vm.ExpectedEndsKnown)
+    return Vm.ExpectedEnds;
+  Vm.ExpectedEnds.clear();
+  for (const TaskRecord *Task : Vm.Tasks) {
+    const StepPlan &Plan = *Task->Step->Plan;
+    if (!Plan.LongRunning)
+      Vm.ExpectedEnds.push_back(
+          ExpectedEnd{Task->PlacedAt + std::chrono::duration_cast<milliseconds>(
+                                           Plan.Estimate * Vm.Slowdown),
+                      Plan.reservedCapacity()});
+  }
+  std::sort(Vm.ExpectedEnds.begin(), Vm.ExpectedEnds.end(),
+            [](const ExpectedEnd &Left, const ExpectedEnd &Right) {
+              return Left.At < Right.At;
+            });
+  Capacity Released;
+  for (ExpectedEnd &Each : Vm.ExpectedEnds)
+    Each.ReleasedUntilThen = Released += Each.ReleasedUntilThen;
+  Vm.ExpectedEndsKnown = true;
+  return Vm.ExpectedEnds;
 }
 
+TimePoint earliestEnd(TimePoint Now) { return Now + MinRemaining; }
+
 Capacity freeCapacityAt(const VmRecord &Vm, TimePoint When, TimePoint Now) {
   Capacity Out = Vm.freeCapacity();
-  for (const TaskRecord *Task : Vm.Tasks)
-    if (expectedEnd(*Task, Now) <= When)
-      Out += Task->Step->Plan->reservedCapacity();
+  if (When < earliestEnd(Now))
+    return Out;
+  const std::span<const ExpectedEnd> Ends = expectedEnds(Vm);
+  const auto After = std::upper_bound(
+      Ends.begin(), Ends.end(), When,
+      [](TimePoint Left, const ExpectedEnd &Right) { return Left < Right.At; });
+  if (After != Ends.begin())
+    Out += std::prev(After)->ReleasedUntilThen;
   return Out;
 }
 
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -195,6 +195,14 @@
   std::optional<TimePoint> SettledAt;
 };
 
+/// When a task on a VM is expected to end, regardless of the current time, and
+/// the capacity that it then releases together with the tasks that are expected
+/// to end before it.
+struct ExpectedEnd {
+  TimePoint At{};
+  Capacity ReleasedUntilThen;
+};
+
 struct VmRecord {
   PoolVm Description;
   /// The VM's lease is held and all its runs are known.
@@ -218,6 +226,10 @@
   std::optional<TimePoint> CapacityListedAt;
   Capacity Used;
   std::set<TaskRecord *> Tasks;
+  /// The expected ends of Tasks in order of time, if they are known; see
+  /// expectedEnds().
+  mutable std::vector<ExpectedEnd> ExpectedEnds;
+  mutable bool ExpectedEndsKnown = false;
   /// They are being stopped.
   std::map<TaskRun, UnknownRun> UnknownRuns;
   int ConsecutiveFailures = 0;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -127,6 +127,7 @@
       std::clamp(ElapsedMs / static_cast<double>(Plan.Estimate.count()),
                  MinSlowdown, MaxSlowdown);
   Vm.Slowdown += (Ratio - Vm.Slowdown) * SlowdownSmoothing;
+  Vm.ExpectedEndsKnown = false;
 }
 
 void PoolSchedulerImpl::runSucceeded(TaskRecord &Task, VmRecord &Vm) {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -104,6 +104,7 @@
   setPhase(Task, Phase);
   Task.Vm = &Vm;
   Vm.Tasks.insert(&Task);
+  Vm.ExpectedEndsKnown = false;
   Vm.Used += Task.Step->Plan->reservedCapacity();
   ++Task.Step->TasksOnVms;
 }
@@ -113,6 +114,7 @@
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
   Task.Vm->Tasks.erase(&Task);
+  Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
     Task.Vm->Trial = nullptr;
   Task.Vm = nullptr;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -449,18 +449,19 @@
         Vm->ReservationStart || (NeedsAdvice && !Step.AllowedVms.contains(Vm)))
       continue;
     UsableVms.push_back(Vm);
-    for (const TaskRecord *Task : Vm->Tasks)
-      if (const TimePoint End = expectedEnd(*Task, Now_);
-          End != TimePoint::max())
-        CandidateTimes.push_back(End);
+    for (const ExpectedEnd &End : expectedEnds(*Vm))
+      CandidateTimes.push_back(std::max(End.At, earliestEnd(Now_)));
   }
   const int WantedTasks =
       Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
   const auto EnoughRoom = [&](TimePoint When) {
     int FittingTasks = 0;
-    for (const VmRecord *Vm : UsableVms)
+    for (const VmRecord *Vm : UsableVms) {
       FittingTasks += std::min(countFitsAt(Step, *Vm, When), WantedTasks);
-    return FittingTasks >= WantedTasks;
+      if (FittingTasks >= WantedTasks)
+        return true;
+    }
+    return false;
   };
   std::sort(CandidateTimes.begin(), CandidateTimes.end());
   const auto EarliestStart = std::partition_point(
