Stop looking for VMs to ask the advisor about once no better can follow

Cause: each step's first request ranked all VMs of the pool and sorted them by room and id, comparing strings that share most characters: 14 % of all time at 252 VMs, and some 50 % at 3,000 (perf: sort, memcmp and the search itself). VMs are now visited in the order of their ids and carry their position in it, so that the search ends at the wanted number of VMs with room for the whole step, and only the wanted VMs are sorted.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -23,15 +23,14 @@
   VmRecord *Vm;
 };
 
-/// Sorts by decreasing room, VMs in quarantine last.
+/// Orders by decreasing room, VMs in quarantine last.
+bool hasMoreRoom(const RankedVm &Left, const RankedVm &Right) {
+  return std::tie(Left.InQuarantine, Right.FittingTasks, Left.Vm->Position) <
+         std::tie(Right.InQuarantine, Left.FittingTasks, Right.Vm->Position);
+}
+
 void sortByRoom(std::vector<RankedVm> &Vms) {
-  std::sort(Vms.begin(), Vms.end(),
-            [](const RankedVm &Left, const RankedVm &Right) {
-              return std::tie(Left.InQuarantine, Right.FittingTasks,
-                              Left.Vm->Description.Id) <
-                     std::tie(Right.InQuarantine, Left.FittingTasks,
-                              Right.Vm->Description.Id);
-            });
+  std::sort(Vms.begin(), Vms.end(), hasMoreRoom);
 }
 
 /// Keeps the \p MaxVms VMs with the least room that together fit all \p Tasks,
@@ -126,21 +125,6 @@
   // Advice on enough VMs is known until the step has been blocked for long.
   if (!Step.QueriedVms.empty() && !BlockedLong)
     return;
-  const Capacity TaskSize = Step.Plan->reservedCapacity();
-  std::vector<RankedVm> NewVms;
-  for (const auto &[Id, Vm] : Tables_.Vms) {
-    const auto Queried = Step.QueriedVms.find(Vm.get());
-    if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
-        (Queried != Step.QueriedVms.end() &&
-         Queried->second == Vm->Description.Incarnation))
-      continue;
-    const int FittingTasks =
-        std::min(countFits(Vm->freeCapacity(), TaskSize), Step.Plan->Tasks);
-    NewVms.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm.get()});
-  }
-  if (NewVms.empty())
-    return;
-  sortByRoom(NewVms);
   // Most of a call's latency is independent of the number of VMs, so a step
   // that has been blocked for long requests as many of the remaining VMs as
   // possible.
@@ -149,7 +133,34 @@
           ? MaxVmsPerCall
           : std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
                        Options_.InitialAdviceVms, MaxVmsPerCall);
-  NewVms.resize(std::min(NewVms.size(), MaxVms));
+  const Capacity TaskSize = Step.Plan->reservedCapacity();
+  std::vector<RankedVm> NewVms;
+  std::size_t VmsWithMostRoom = 0;
+  for (VmRecord *Vm : Tables_.OrderedVms) {
+    if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm))
+      continue;
+    if (!Step.QueriedVms.empty()) {
+      const auto Queried = Step.QueriedVms.find(Vm);
+      if (Queried != Step.QueriedVms.end() &&
+          Queried->second == Vm->Description.Incarnation)
+        continue;
+    }
+    const int FittingTasks =
+        std::min(countFits(Vm->freeCapacity(), TaskSize), Step.Plan->Tasks);
+    NewVms.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
+    // No VM after these can be ranked before them.
+    VmsWithMostRoom += !NewVms.back().InQuarantine &&
+                       NewVms.back().FittingTasks == Step.Plan->Tasks;
+    if (VmsWithMostRoom == MaxVms)
+      break;
+  }
+  if (NewVms.empty())
+    return;
+  const std::size_t Size = std::min(NewVms.size(), MaxVms);
+  std::partial_sort(NewVms.begin(),
+                    NewVms.begin() + static_cast<std::ptrdiff_t>(Size),
+                    NewVms.end(), hasMoreRoom);
+  NewVms.resize(Size);
   std::vector<std::string> Vms;
   Vms.reserve(NewVms.size());
   for (const RankedVm &Each : NewVms)
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -205,6 +205,8 @@
 
 struct VmRecord {
   PoolVm Description;
+  /// Position among the VMs of the pool in the order of their ids.
+  std::size_t Position = 0;
   /// The VM's lease is held and all its runs are known.
   bool LeaseHeld = false;
   /// Since when the VM has not responded.
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -346,7 +346,7 @@
         Step.AllowedVms.erase(&Vm);
         Step.QueriedVms.erase(&Vm);
       }
-  Tables_.Vms.erase(Found);
+  Tables_.removeVm(Found);
 }
 
 void PoolSchedulerImpl::clearVm(VmRecord &Vm, std::string_view Reason,
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -23,14 +23,34 @@
 VmRecord *PoolTables::vm(std::string_view Id) const { return lookUp(Vms, Id); }
 
 VmRecord &PoolTables::findOrCreateVm(std::string_view Id) {
+  if (VmRecord *Known = vm(Id))
+    return *Known;
   std::unique_ptr<VmRecord> &Slot = Vms[std::string(Id)];
-  if (!Slot) {
-    Slot = std::make_unique<VmRecord>();
-    Slot->Description.Id = Id;
-  }
+  Slot = std::make_unique<VmRecord>();
+  Slot->Description.Id = Id;
+  const auto Next =
+      std::lower_bound(OrderedVms.begin(), OrderedVms.end(), Id,
+                       [](const VmRecord *Vm, std::string_view Wanted) {
+                         return Vm->Description.Id < Wanted;
+                       });
+  const auto Position = static_cast<std::size_t>(Next - OrderedVms.begin());
+  OrderedVms.insert(Next, Slot.get());
+  renumberVms(Position);
   return *Slot;
 }
 
+void PoolTables::removeVm(VmMap::iterator Entry) {
+  const std::size_t Position = Entry->second->Position;
+  OrderedVms.erase(OrderedVms.begin() + static_cast<std::ptrdiff_t>(Position));
+  renumberVms(Position);
+  Vms.erase(Entry);
+}
+
+void PoolTables::renumberVms(std::size_t First) {
+  for (std::size_t Index = First; Index < OrderedVms.size(); ++Index)
+    OrderedVms[Index]->Position = Index;
+}
+
 StepRecord *PoolTables::step(const StepName &Name) const {
   const JobRecord *Job = job(Name.Job);
   if (Job == nullptr)
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -29,6 +29,7 @@
   JobRecord *job(std::string_view Id) const;
   VmRecord *vm(std::string_view Id) const;
   VmRecord &findOrCreateVm(std::string_view Id);
+  void removeVm(VmMap::iterator Entry);
   StepRecord *step(const StepName &Name) const;
   TaskRecord *task(const TaskName &Name) const;
   /// Creates the records of an occurrence, with all tasks waiting.
@@ -53,6 +54,8 @@
   /// Final statuses of the other finished jobs.
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
+  /// The same VMs in the same order, each at its Position.
+  std::vector<VmRecord *> OrderedVms;
   /// When VMs became unreachable, most recent last.
   std::deque<TimePoint> Losses;
   /// When a VM of a host last crashed without new runs.
@@ -62,6 +65,10 @@
   std::set<std::string> ChangedJobs;
   std::vector<PoolCommand> Commands;
   PoolDiagnostics Diagnostics;
+
+private:
+  /// Updates the positions of the VMs from \p First on.
+  void renumberVms(std::size_t First);
 };
 
 /// \returns the name that identifies the record in commands and messages.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -77,12 +77,12 @@
 } // namespace
 
 void SchedulingPass::run() {
-  for (auto &[Id, Vm] : Tables_.Vms) {
+  for (VmRecord *Vm : Tables_.OrderedVms) {
     Vm->ReservationStart.reset();
     for (const auto &[Run, Unknown] : Vm->UnknownRuns)
       TasksWithOtherRuns_.insert(Run.Task);
     if (Vm->acceptsWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
-      AvailableVms_.push_back(Vm.get());
+      AvailableVms_.push_back(Vm);
   }
   for (StepRecord *Step : Waiting_.Steps) {
     Step->Blocked = false;
@@ -264,12 +264,12 @@
     if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
         Task.isCrashSuspect() || hasOtherRun(Task))
       continue;
-    const auto Best = std::min_element(
-        FittingVms.begin(), FittingVms.end(),
-        [](const ScoredVm &Left, const ScoredVm &Right) {
-          return std::tie(Left.Score, Left.Vm->Description.Id) <
-                 std::tie(Right.Score, Right.Vm->Description.Id);
-        });
+    const auto Best =
+        std::min_element(FittingVms.begin(), FittingVms.end(),
+                         [](const ScoredVm &Left, const ScoredVm &Right) {
+                           return std::tie(Left.Score, Left.Vm->Position) <
+                                  std::tie(Right.Score, Right.Vm->Position);
+                         });
     if (Best == FittingVms.end()) {
       Step.Blocked = true;
       return;
@@ -333,8 +333,8 @@
   });
   std::sort(UsableVms.begin(), UsableVms.end(),
             [](const ScoredVm &Left, const ScoredVm &Right) {
-              return std::tie(Left.Score, Left.Vm->Description.Id) <
-                     std::tie(Right.Score, Right.Vm->Description.Id);
+              return std::tie(Left.Score, Left.Vm->Position) <
+                     std::tie(Right.Score, Right.Vm->Position);
             });
   ChosenVms.clear();
   const std::size_t WantedTasks = Step.Tasks.size();
