Look for VMs to reserve among those allowed, and keep the largest free capacity

Cause: a blocked step that needs advice looked through all available VMs for the few that the advisor allows it, and each placement discarded the largest free capacity of the pool, which is known to stay unless the VM had that much. A VM that is eligible is available, so that the allowed VMs alone decide; they are sorted into the order of before.

--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -159,6 +159,20 @@
   return LargestFree_;
 }
 
+bool SchedulingPass::reducesMaximum(const Capacity &FreeBefore,
+                                    const Capacity &FreeNow) const {
+  const auto Reduces = [](std::int64_t Before, std::int64_t Now,
+                          std::int64_t Largest) {
+    return Now < Before && Before >= Largest;
+  };
+  return Reduces(FreeBefore.MilliCores, FreeNow.MilliCores,
+                 LargestFree_.MilliCores) ||
+         Reduces(FreeBefore.MemoryMb, FreeNow.MemoryMb,
+                 LargestFree_.MemoryMb) ||
+         Reduces(FreeBefore.Accelerators, FreeNow.Accelerators,
+                 LargestFree_.Accelerators);
+}
+
 template <typename F>
 void SchedulingPass::forEachPermittedVm(const StepRecord &Step, F Visit) const {
   if (!Step.Occurrence->Job->Terms.Advice) {
@@ -416,8 +430,10 @@
     Vm.BackfillRoom -= Step.Plan->reservedCapacity();
   if (Vm.inQuarantine(Now_))
     Vm.NextProbe = Now_ + Options_.MinProbeInterval;
+  const Capacity FreeBefore = Vm.freeCapacity();
   Tables_.place(Task, Vm, Run, Now_);
-  LargestFreeKnown_ = false;
+  LargestFreeKnown_ =
+      LargestFreeKnown_ && !reducesMaximum(FreeBefore, Vm.freeCapacity());
   JobRecord &Job = *Step.Occurrence->Job;
   if (Job.Stage == JobStage::Queued)
     Job.Stage = JobStage::Running;
@@ -443,15 +459,24 @@
 void SchedulingPass::reserveVms(StepRecord &Step) {
   const bool NeedsAdvice = Step.Occurrence->Job->Terms.Advice.has_value();
   std::vector<VmRecord *> UsableVms;
+  const auto AddIfUsable = [&](VmRecord *Vm) {
+    if (isEligible(Step, *Vm) && hasValidCapacity(*Vm) && !Vm->ReservationStart)
+      UsableVms.push_back(Vm);
+  };
+  if (NeedsAdvice) {
+    for (const auto &[Vm, Ticket] : Step.AllowedVms)
+      AddIfUsable(Vm);
+    std::sort(UsableVms.begin(), UsableVms.end(),
+              [](const VmRecord *Left, const VmRecord *Right) {
+                return Left->Position < Right->Position;
+              });
+  } else {
+    std::for_each(AvailableVms_.begin(), AvailableVms_.end(), AddIfUsable);
+  }
   std::vector<TimePoint> CandidateTimes{Now_};
-  for (VmRecord *Vm : AvailableVms_) {
-    if (!isEligible(Step, *Vm) || !hasValidCapacity(*Vm) ||
-        Vm->ReservationStart || (NeedsAdvice && !Step.AllowedVms.contains(Vm)))
-      continue;
-    UsableVms.push_back(Vm);
+  for (const VmRecord *Vm : UsableVms)
     for (const ExpectedEnd &End : expectedEnds(*Vm))
       CandidateTimes.push_back(std::max(End.At, earliestEnd(Now_)));
-  }
   const int WantedTasks =
       Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
   const auto EnoughRoom = [&](TimePoint When) {
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -38,6 +38,10 @@
   /// \returns an upper bound of any available VM's free capacity: the maximum
   /// in each dimension.
   const Capacity &largestFreeCapacity();
+  /// \returns whether the largest free capacity may have become smaller with
+  /// that of one VM.
+  bool reducesMaximum(const Capacity &FreeBefore,
+                      const Capacity &FreeNow) const;
   /// Visits the VMs that the step may use: those with a ticket that is valid
   /// for long enough, or all available VMs if the queue needs no advice.
   template <typename F>
@@ -95,7 +99,8 @@
   std::vector<VmRecord *> AvailableVms_;
   /// Tasks of which a run that is not current is on a VM.
   std::set<TaskName> TasksWithOtherRuns_;
-  /// Cached result of largestFreeCapacity(); placing a task invalidates it.
+  /// Cached result of largestFreeCapacity(); placing a task on a VM with the
+  /// largest free capacity invalidates it.
   Capacity LargestFree_;
   bool LargestFreeKnown_ = false;
   int ReservationCount_ = 0;
