--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -58,7 +58,7 @@
 };
 
 /// Serializes progress to MessagePack for a row of the store.
-std::string encodeProgress(const JobProgress &Progress);
+std::string encodeProgress(JobProgress Progress);
 /// Parses the output of encodeProgress(), also that of earlier versions.
 Result<JobProgress> decodeProgress(std::string_view Bytes);
 
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -1,6 +1,7 @@
 #include "cuminroad/pool/JobProgress.h"
 
 #include <array>
+#include <utility>
 
 #include "cuminroad/base/MessagePack.h"
 
@@ -19,14 +20,25 @@
 // Rows of the store hold arrays without field names, and only the index of a
 // task, step or occurrence that is done, to keep them small.
 
-nlohmann::json taskToJson(const TaskProgress &Task) {
+using JsonArray = nlohmann::json::array_t;
+
+// The functions below take strings out of their arguments.
+
+nlohmann::json taskToJson(TaskProgress &Task) {
   if (Task.Done)
     return Task.Index;
-  nlohmann::json Out = {Task.Index, Task.Failures,      Task.Run,
-                        Task.Vm,    Task.VmIncarnation, Task.Checkpoint};
-  if (Task.Crashes > 0) {
-    Out.push_back(Task.Crashes);
-    Out.push_back(Task.ConfirmedCrashes);
+  const bool HasCrashes = Task.Crashes > 0;
+  JsonArray Out;
+  Out.reserve(HasCrashes ? 8 : 6);
+  Out.emplace_back(Task.Index);
+  Out.emplace_back(Task.Failures);
+  Out.emplace_back(Task.Run);
+  Out.emplace_back(std::move(Task.Vm));
+  Out.emplace_back(Task.VmIncarnation);
+  Out.emplace_back(std::move(Task.Checkpoint));
+  if (HasCrashes) {
+    Out.emplace_back(Task.Crashes);
+    Out.emplace_back(Task.ConfirmedCrashes);
   }
   return Out;
 }
@@ -51,13 +63,34 @@
   return Out;
 }
 
-nlohmann::json stepToJson(const StepProgress &Step) {
+nlohmann::json stepToJson(StepProgress &Step) {
   if (Step.Done)
     return Step.Step;
-  nlohmann::json Tasks = nlohmann::json::array();
-  for (const TaskProgress &Task : Step.Tasks)
+  JsonArray Tasks;
+  Tasks.reserve(Step.Tasks.size());
+  for (TaskProgress &Task : Step.Tasks)
     Tasks.push_back(taskToJson(Task));
-  return {Step.Step, Step.GangFailures, std::move(Tasks), Step.GangFailedRun};
+  JsonArray Out;
+  Out.reserve(4);
+  Out.emplace_back(Step.Step);
+  Out.emplace_back(Step.GangFailures);
+  Out.emplace_back(std::move(Tasks));
+  Out.emplace_back(Step.GangFailedRun);
+  return Out;
+}
+
+nlohmann::json occurrenceToJson(OccurrenceProgress &Occurrence) {
+  if (Occurrence.Done)
+    return Occurrence.Number;
+  JsonArray Steps;
+  Steps.reserve(Occurrence.Steps.size());
+  for (StepProgress &Step : Occurrence.Steps)
+    Steps.push_back(stepToJson(Step));
+  JsonArray Out;
+  Out.reserve(2);
+  Out.emplace_back(Occurrence.Number);
+  Out.emplace_back(std::move(Steps));
+  return Out;
 }
 
 StepProgress stepFromJson(const nlohmann::json &Input) {
@@ -100,21 +133,17 @@
   return FailureNames[static_cast<std::size_t>(Failure)];
 }
 
-std::string encodeProgress(const JobProgress &Progress) {
-  nlohmann::json Occurrences = nlohmann::json::array();
-  for (const OccurrenceProgress &Entry : Progress.Occurrences) {
-    if (Entry.Done) {
-      Occurrences.push_back(Entry.Number);
-      continue;
-    }
-    nlohmann::json Steps = nlohmann::json::array();
-    for (const StepProgress &Step : Entry.Steps)
-      Steps.push_back(stepToJson(Step));
-    Occurrences.push_back({Entry.Number, std::move(Steps)});
-  }
-  return packMessage(nlohmann::json::array(
-      {static_cast<int>(Progress.Stage), std::move(Occurrences),
-       static_cast<int>(Progress.Failure)}));
+std::string encodeProgress(JobProgress Progress) {
+  JsonArray Occurrences;
+  Occurrences.reserve(Progress.Occurrences.size());
+  for (OccurrenceProgress &Entry : Progress.Occurrences)
+    Occurrences.push_back(occurrenceToJson(Entry));
+  JsonArray Out;
+  Out.reserve(3);
+  Out.emplace_back(static_cast<int>(Progress.Stage));
+  Out.emplace_back(std::move(Occurrences));
+  Out.emplace_back(static_cast<int>(Progress.Failure));
+  return packMessage(std::move(Out));
 }
 
 Result<JobProgress> decodeProgress(std::string_view Bytes) {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -214,10 +214,16 @@
   Out.Done = Step.isComplete();
   Out.GangFailures = Step.GangFailures;
   Out.GangFailedRun = Step.GangFailedRun;
-  if (!Out.Done)
-    for (const TaskRecord &Task : Step.Tasks)
-      if (Task.Phase == TaskPhase::Done || Task.Run > 0)
-        Out.Tasks.push_back(progressOf(Task));
+  if (Out.Done)
+    return Out;
+  const auto IsRecorded = [](const TaskRecord &Task) {
+    return Task.Phase == TaskPhase::Done || Task.Run > 0;
+  };
+  Out.Tasks.reserve(static_cast<std::size_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), IsRecorded)));
+  for (const TaskRecord &Task : Step.Tasks)
+    if (IsRecorded(Task))
+      Out.Tasks.push_back(progressOf(Task));
   return Out;
 }
 
