Look jobs and VMs up by hash

Cause: each end, each row of a report, each answer and each ticket looked its VM and its job up in ordered maps by strings that share most characters; memcmp took 8 % of the time. The ordered maps stay for what goes in order.

--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -12,9 +12,7 @@
   New->Plan = std::move(Plan);
   New->Terms = std::move(Terms);
   New->AcceptedAt = AcceptedAt;
-  JobRecord &Out = *New;
-  Tables_.Jobs[Out.Plan.Id] = std::move(New);
-  return Out;
+  return Tables_.addJob(std::move(New));
 }
 
 void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Terms,
@@ -165,7 +163,7 @@
       if (Step.TasksOnVms > 0)
         return;
   Tables_.FinishedJobs[Job.Plan.Id] = JobStatus{Job.Stage, Job.Failure};
-  Tables_.Jobs.erase(Job.Plan.Id);
+  Tables_.removeJob(Job);
 }
 
 void PoolSchedulerImpl::createDueOccurrences() {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -11,41 +11,60 @@
 
 template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
   const auto Found = In.find(Id);
-  return Found == In.end() ? nullptr : Found->second.get();
+  return Found == In.end() ? nullptr : Found->second;
 }
 
 } // namespace
 
 JobRecord *PoolTables::job(std::string_view Id) const {
-  return lookUp(Jobs, Id);
+  return lookUp(JobsById_, Id);
 }
 
-VmRecord *PoolTables::vm(std::string_view Id) const { return lookUp(Vms, Id); }
+VmRecord *PoolTables::vm(std::string_view Id) const {
+  return lookUp(VmsById_, Id);
+}
 
 VmRecord &PoolTables::findOrCreateVm(std::string_view Id) {
   if (VmRecord *Known = vm(Id))
     return *Known;
-  std::unique_ptr<VmRecord> &Slot = Vms[std::string(Id)];
-  Slot = std::make_unique<VmRecord>();
-  Slot->Description.Id = Id;
+  const auto Entry =
+      Vms.emplace(std::string(Id), std::make_unique<VmRecord>()).first;
+  VmRecord &New = *Entry->second;
+  New.Description.Id = Id;
+  VmsById_.emplace(Entry->first, &New);
   const auto Next =
       std::lower_bound(OrderedVms.begin(), OrderedVms.end(), Id,
                        [](const VmRecord *Vm, std::string_view Wanted) {
                          return Vm->Description.Id < Wanted;
                        });
   const auto Position = static_cast<std::size_t>(Next - OrderedVms.begin());
-  OrderedVms.insert(Next, Slot.get());
+  OrderedVms.insert(Next, &New);
   renumberVms(Position);
-  return *Slot;
+  return New;
 }
 
 void PoolTables::removeVm(VmMap::iterator Entry) {
   const std::size_t Position = Entry->second->Position;
   OrderedVms.erase(OrderedVms.begin() + static_cast<std::ptrdiff_t>(Position));
   renumberVms(Position);
+  VmsById_.erase(Entry->first);
   Vms.erase(Entry);
 }
 
+JobRecord &PoolTables::addJob(std::unique_ptr<JobRecord> New) {
+  const std::string &Id = New->Plan.Id;
+  const auto Entry = Jobs.emplace(Id, std::move(New)).first;
+  JobRecord &Out = *Entry->second;
+  JobsById_.emplace(Entry->first, &Out);
+  return Out;
+}
+
+void PoolTables::removeJob(const JobRecord &Job) {
+  const auto Entry = Jobs.find(Job.Plan.Id);
+  JobsById_.erase(Entry->first);
+  Jobs.erase(Entry);
+}
+
 void PoolTables::renumberVms(std::size_t First) {
   for (std::size_t Index = First; Index < OrderedVms.size(); ++Index)
     OrderedVms[Index]->Position = Index;
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -30,6 +30,8 @@
   VmRecord *vm(std::string_view Id) const;
   VmRecord &findOrCreateVm(std::string_view Id);
   void removeVm(VmMap::iterator Entry);
+  JobRecord &addJob(std::unique_ptr<JobRecord> New);
+  void removeJob(const JobRecord &Job);
   StepRecord *step(const StepName &Name) const;
   TaskRecord *task(const TaskName &Name) const;
   /// Creates the records of an occurrence, with all tasks waiting.
@@ -49,7 +51,8 @@
   /// The job's progress must be persisted.
   void markChanged(const JobRecord &Job) { ChangedJobs.insert(Job.Plan.Id); }
 
-  /// Unfinished jobs, and finished jobs with runs that have not ended yet.
+  /// Unfinished jobs, and finished jobs with runs that have not ended yet. Jobs
+  /// and VMs are only added and removed by the functions above.
   JobMap Jobs;
   /// Final statuses of the other finished jobs.
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
@@ -69,6 +72,10 @@
 private:
   /// Updates the positions of the VMs from \p First on.
   void renumberVms(std::size_t First);
+
+  /// The records of Vms and Jobs by their keys there, for lookups.
+  std::unordered_map<std::string_view, VmRecord *> VmsById_;
+  std::unordered_map<std::string_view, JobRecord *> JobsById_;
 };
 
 /// \returns the name that identifies the record in commands and messages.
