--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -1,6 +1,7 @@
 #include "WaitingSteps.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -52,11 +53,14 @@
     if (isFinal(Job->Stage))
       continue;
     for (const auto &[Number, Occurrence] : Job->Occurrences) {
-      const Urgency StepUrgency = urgencyOf(*Occurrence, Options, Now);
+      std::optional<Urgency> StepUrgency;
       for (StepRecord &Step : Occurrence->Steps) {
         Out.PendingAdvice += Job->Terms.Advice && Step.AdvicePending;
-        if (Step.WaitingTasks > 0)
-          Entries.emplace_back(StepUrgency, &Step);
+        if (Step.WaitingTasks == 0)
+          continue;
+        if (!StepUrgency)
+          StepUrgency = urgencyOf(*Occurrence, Options, Now);
+        Entries.emplace_back(*StepUrgency, &Step);
       }
     }
   }
