--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -127,6 +127,7 @@
       std::clamp(ElapsedMs / static_cast<double>(Plan.Estimate.count()),
                  MinSlowdown, MaxSlowdown);
   Vm.Slowdown += (Ratio - Vm.Slowdown) * SlowdownSmoothing;
+  Vm.ExpectedEndsKnown = false;
 }
 
 void PoolSchedulerImpl::runSucceeded(TaskRecord &Task, VmRecord &Vm) {
@@ -307,8 +308,10 @@
   stopStuckTasks();
   const TimePoint Now = MonotonicClock_.now();
   const WaitingSteps Waiting = collectWaitingSteps(Tables_, Options_, Now);
-  SchedulingPass(Tables_, Waiting, Options_, Now).run();
-  AdvicePlanner(Tables_, Waiting, Options_, Now).run();
+  SchedulingPass Pass(Tables_, Waiting, Options_, Now);
+  Pass.run();
+  AdvicePlanner(Tables_, Waiting, Options_, Now, Pass.largestFreeCapacity())
+      .run();
 }
 
 std::vector<PoolCommand> PoolSchedulerImpl::takeCommands() {
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -11,24 +11,63 @@
 
 template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
   const auto Found = In.find(Id);
-  return Found == In.end() ? nullptr : Found->second.get();
+  return Found == In.end() ? nullptr : Found->second;
 }
 
 } // namespace
 
 JobRecord *PoolTables::job(std::string_view Id) const {
-  return lookUp(Jobs, Id);
+  return lookUp(JobsById_, Id);
 }
 
-VmRecord *PoolTables::vm(std::string_view Id) const { return lookUp(Vms, Id); }
+VmRecord *PoolTables::vm(std::string_view Id) const {
+  return lookUp(VmsById_, Id);
+}
 
 VmRecord &PoolTables::findOrCreateVm(std::string_view Id) {
-  std::unique_ptr<VmRecord> &Slot = Vms[std::string(Id)];
-  if (!Slot) {
-    Slot = std::make_unique<VmRecord>();
-    Slot->Description.Id = Id;
-  }
-  return *Slot;
+  if (VmRecord *Known = vm(Id))
+    return *Known;
+  const auto Entry =
+      Vms.emplace(std::string(Id), std::make_unique<VmRecord>()).first;
+  VmRecord &New = *Entry->second;
+  New.Description.Id = Id;
+  VmsById_.emplace(Entry->first, &New);
+  const auto Next =
+      std::lower_bound(OrderedVms.begin(), OrderedVms.end(), Id,
+                       [](const VmRecord *Vm, std::string_view Wanted) {
+                         return Vm->Description.Id < Wanted;
+                       });
+  const auto Position = static_cast<std::size_t>(Next - OrderedVms.begin());
+  OrderedVms.insert(Next, &New);
+  renumberVms(Position);
+  return New;
+}
+
+void PoolTables::removeVm(VmMap::iterator Entry) {
+  const std::size_t Position = Entry->second->Position;
+  OrderedVms.erase(OrderedVms.begin() + static_cast<std::ptrdiff_t>(Position));
+  renumberVms(Position);
+  VmsById_.erase(Entry->first);
+  Vms.erase(Entry);
+}
+
+JobRecord &PoolTables::addJob(std::unique_ptr<JobRecord> New) {
+  const std::string &Id = New->Plan.Id;
+  const auto Entry = Jobs.emplace(Id, std::move(New)).first;
+  JobRecord &Out = *Entry->second;
+  JobsById_.emplace(Entry->first, &Out);
+  return Out;
+}
+
+void PoolTables::removeJob(const JobRecord &Job) {
+  const auto Entry = Jobs.find(Job.Plan.Id);
+  JobsById_.erase(Entry->first);
+  Jobs.erase(Entry);
+}
+
+void PoolTables::renumberVms(std::size_t First) {
+  for (std::size_t Index = First; Index < OrderedVms.size(); ++Index)
+    OrderedVms[Index]->Position = Index;
 }
 
 StepRecord *PoolTables::step(const StepName &Name) const {
@@ -104,6 +143,7 @@
   setPhase(Task, Phase);
   Task.Vm = &Vm;
   Vm.Tasks.insert(&Task);
+  Vm.ExpectedEndsKnown = false;
   Vm.Used += Task.Step->Plan->reservedCapacity();
   ++Task.Step->TasksOnVms;
 }
@@ -113,6 +153,7 @@
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
   Task.Vm->Tasks.erase(&Task);
+  Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
     Task.Vm->Trial = nullptr;
   Task.Vm = nullptr;
@@ -192,10 +233,16 @@
   Out.Done = Step.isComplete();
   Out.GangFailures = Step.GangFailures;
   Out.GangFailedRun = Step.GangFailedRun;
-  if (!Out.Done)
-    for (const TaskRecord &Task : Step.Tasks)
-      if (Task.Phase == TaskPhase::Done || Task.Run > 0)
-        Out.Tasks.push_back(progressOf(Task));
+  if (Out.Done)
+    return Out;
+  const auto IsRecorded = [](const TaskRecord &Task) {
+    return Task.Phase == TaskPhase::Done || Task.Run > 0;
+  };
+  Out.Tasks.reserve(static_cast<std::size_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), IsRecorded)));
+  for (const TaskRecord &Task : Step.Tasks)
+    if (IsRecorded(Task))
+      Out.Tasks.push_back(progressOf(Task));
   return Out;
 }
 
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -29,6 +29,9 @@
   JobRecord *job(std::string_view Id) const;
   VmRecord *vm(std::string_view Id) const;
   VmRecord &findOrCreateVm(std::string_view Id);
+  void removeVm(VmMap::iterator Entry);
+  JobRecord &addJob(std::unique_ptr<JobRecord> New);
+  void removeJob(const JobRecord &Job);
   StepRecord *step(const StepName &Name) const;
   TaskRecord *task(const TaskName &Name) const;
   /// Creates the records of an occurrence, with all tasks waiting.
@@ -48,11 +51,14 @@
   /// The job's progress must be persisted.
   void markChanged(const JobRecord &Job) { ChangedJobs.insert(Job.Plan.Id); }
 
-  /// Unfinished jobs, and finished jobs with runs that have not ended yet.
+  /// Unfinished jobs, and finished jobs with runs that have not ended yet. Jobs
+  /// and VMs are only added and removed by the functions above.
   JobMap Jobs;
   /// Final statuses of the other finished jobs.
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
+  /// The same VMs in the same order, each at its Position.
+  std::vector<VmRecord *> OrderedVms;
   /// When VMs became unreachable, most recent last.
   std::deque<TimePoint> Losses;
   /// When a VM of a host last crashed without new runs.
@@ -62,6 +68,14 @@
   std::set<std::string> ChangedJobs;
   std::vector<PoolCommand> Commands;
   PoolDiagnostics Diagnostics;
+
+private:
+  /// Updates the positions of the VMs from \p First on.
+  void renumberVms(std::size_t First);
+
+  /// The records of Vms and Jobs by their keys there, for lookups.
+  std::unordered_map<std::string_view, VmRecord *> VmsById_;
+  std::unordered_map<std::string_view, JobRecord *> JobsById_;
 };
 
 /// \returns the name that identifies the record in commands and messages.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -77,12 +77,12 @@
 } // namespace
 
 void SchedulingPass::run() {
-  for (auto &[Id, Vm] : Tables_.Vms) {
+  for (VmRecord *Vm : Tables_.OrderedVms) {
     Vm->ReservationStart.reset();
     for (const auto &[Run, Unknown] : Vm->UnknownRuns)
       TasksWithOtherRuns_.insert(Run.Task);
     if (Vm->acceptsWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
-      AvailableVms_.push_back(Vm.get());
+      AvailableVms_.push_back(Vm);
   }
   for (StepRecord *Step : Waiting_.Steps) {
     Step->Blocked = false;
@@ -159,6 +159,20 @@
   return LargestFree_;
 }
 
+bool SchedulingPass::reducesMaximum(const Capacity &FreeBefore,
+                                    const Capacity &FreeNow) const {
+  const auto Reduces = [](std::int64_t Before, std::int64_t Now,
+                          std::int64_t Largest) {
+    return Now < Before && Before >= Largest;
+  };
+  return Reduces(FreeBefore.MilliCores, FreeNow.MilliCores,
+                 LargestFree_.MilliCores) ||
+         Reduces(FreeBefore.MemoryMb, FreeNow.MemoryMb,
+                 LargestFree_.MemoryMb) ||
+         Reduces(FreeBefore.Accelerators, FreeNow.Accelerators,
+                 LargestFree_.Accelerators);
+}
+
 template <typename F>
 void SchedulingPass::forEachPermittedVm(const StepRecord &Step, F Visit) const {
   if (!Step.Occurrence->Job->Terms.Advice) {
@@ -264,12 +278,12 @@
     if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
         Task.isCrashSuspect() || hasOtherRun(Task))
       continue;
-    const auto Best = std::min_element(
-        FittingVms.begin(), FittingVms.end(),
-        [](const ScoredVm &Left, const ScoredVm &Right) {
-          return std::tie(Left.Score, Left.Vm->Description.Id) <
-                 std::tie(Right.Score, Right.Vm->Description.Id);
-        });
+    const auto Best =
+        std::min_element(FittingVms.begin(), FittingVms.end(),
+                         [](const ScoredVm &Left, const ScoredVm &Right) {
+                           return std::tie(Left.Score, Left.Vm->Position) <
+                                  std::tie(Right.Score, Right.Vm->Position);
+                         });
     if (Best == FittingVms.end()) {
       Step.Blocked = true;
       return;
@@ -333,8 +347,8 @@
   });
   std::sort(UsableVms.begin(), UsableVms.end(),
             [](const ScoredVm &Left, const ScoredVm &Right) {
-              return std::tie(Left.Score, Left.Vm->Description.Id) <
-                     std::tie(Right.Score, Right.Vm->Description.Id);
+              return std::tie(Left.Score, Left.Vm->Position) <
+                     std::tie(Right.Score, Right.Vm->Position);
             });
   ChosenVms.clear();
   const std::size_t WantedTasks = Step.Tasks.size();
@@ -416,8 +430,10 @@
     Vm.BackfillRoom -= Step.Plan->reservedCapacity();
   if (Vm.inQuarantine(Now_))
     Vm.NextProbe = Now_ + Options_.MinProbeInterval;
+  const Capacity FreeBefore = Vm.freeCapacity();
   Tables_.place(Task, Vm, Run, Now_);
-  LargestFreeKnown_ = false;
+  LargestFreeKnown_ =
+      LargestFreeKnown_ && !reducesMaximum(FreeBefore, Vm.freeCapacity());
   JobRecord &Job = *Step.Occurrence->Job;
   if (Job.Stage == JobStage::Queued)
     Job.Stage = JobStage::Running;
@@ -443,24 +459,34 @@
 void SchedulingPass::reserveVms(StepRecord &Step) {
   const bool NeedsAdvice = Step.Occurrence->Job->Terms.Advice.has_value();
   std::vector<VmRecord *> UsableVms;
-  std::vector<TimePoint> CandidateTimes{Now_};
-  for (VmRecord *Vm : AvailableVms_) {
-    if (!isEligible(Step, *Vm) || !hasValidCapacity(*Vm) ||
-        Vm->ReservationStart || (NeedsAdvice && !Step.AllowedVms.contains(Vm)))
-      continue;
-    UsableVms.push_back(Vm);
-    for (const TaskRecord *Task : Vm->Tasks)
-      if (const TimePoint End = expectedEnd(*Task, Now_);
-          End != TimePoint::max())
-        CandidateTimes.push_back(End);
+  const auto AddIfUsable = [&](VmRecord *Vm) {
+    if (isEligible(Step, *Vm) && hasValidCapacity(*Vm) && !Vm->ReservationStart)
+      UsableVms.push_back(Vm);
+  };
+  if (NeedsAdvice) {
+    for (const auto &[Vm, Ticket] : Step.AllowedVms)
+      AddIfUsable(Vm);
+    std::sort(UsableVms.begin(), UsableVms.end(),
+              [](const VmRecord *Left, const VmRecord *Right) {
+                return Left->Position < Right->Position;
+              });
+  } else {
+    std::for_each(AvailableVms_.begin(), AvailableVms_.end(), AddIfUsable);
   }
+  std::vector<TimePoint> CandidateTimes{Now_};
+  for (const VmRecord *Vm : UsableVms)
+    for (const ExpectedEnd &End : expectedEnds(*Vm))
+      CandidateTimes.push_back(std::max(End.At, earliestEnd(Now_)));
   const int WantedTasks =
       Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
   const auto EnoughRoom = [&](TimePoint When) {
     int FittingTasks = 0;
-    for (const VmRecord *Vm : UsableVms)
+    for (const VmRecord *Vm : UsableVms) {
       FittingTasks += std::min(countFitsAt(Step, *Vm, When), WantedTasks);
-    return FittingTasks >= WantedTasks;
+      if (FittingTasks >= WantedTasks)
+        return true;
+    }
+    return false;
   };
   std::sort(CandidateTimes.begin(), CandidateTimes.end());
   const auto EarliestStart = std::partition_point(
