Tell in pool_load how many starts come to nothing or are sent twice

Cause: pool_load has the longest delay of a start and how many tickets expired, but not how many starts came to nothing for any cause, how many tries got no answer in time and are repeated, how long answers took, nor the work of a pass that grows with the backlog.

Change: fields refused, unanswered, answer_ms and advice_checks (VMs that were checked for whether a step needs advice on them). VmLink reports each try of a start to its listener.

Measured: fleet_VmLinkTest, with a new case for tries without an answer, passes.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -67,6 +67,7 @@
   void onFenced(VmLink &Link) override;
   void onStartAnswered(VmLink &Link, const TaskRun &Run, StartOutcome Outcome,
                        std::string_view Reason) override;
+  void onStartTried(milliseconds Duration, bool Answered) override;
   void onStopAnswered(VmLink &Link, const TaskRun &Run) override;
   bool isWanted(const VmLink &Link, const TaskRun &Run) const override;
   std::optional<milliseconds> capacityAge(const VmLink &Link) const override;
@@ -172,6 +173,14 @@
     int Late = 0;
     /// Longest time from a decision until the start was sent.
     milliseconds LongestDelay{0};
+    /// Starts that came to nothing, the late ones included.
+    int Refused = 0;
+    /// Tries of starts that got no answer in time, and are repeated.
+    int Unanswered = 0;
+    /// Longest time from sending a try of a start until its answer.
+    milliseconds LongestAnswer{0};
+    /// VMs that were checked for whether a step needs advice on them.
+    std::int64_t AdviceChecks = 0;
     /// Longest time by which the loop was late.
     milliseconds LoopDelay{0};
   };
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -27,6 +27,7 @@
 
 void PoolOwner::logDiagnostics() {
   const PoolDiagnostics Diagnostics = Scheduler_->takeDiagnostics();
+  StartStatistics_.AdviceChecks += Diagnostics.AdviceChecks;
   for (const LostRun &Loss : Diagnostics.LostRuns)
     Context_.Events.record(EventId::RunLost, formatRun(Loss.Run),
                            formatLoss(Loss));
@@ -92,17 +93,20 @@
     return;
   Context_.Events.record(
       EventId::PoolLoad, Term_.Service,
-      fmt::format("vms {} held {} jobs {} waiting {} placed {} running {} "
-                  "stopping {} unknown {} cpu {} of {} pass_ms {} "
-                  "write_ms {} advice_requests {} rows {} starts {} late {} "
-                  "start_ms {} loop_ms {}",
-                  Load.Vms, Load.LeasedVms, Load.Jobs, Load.WaitingTasks,
-                  Load.PlacedTasks, Load.RunningTasks, Load.StoppingTasks,
-                  Load.UnknownRuns, Load.UsedMilliCores, Load.TotalMilliCores,
-                  LastPassDuration_.count(), Writer_->expectedDelay().count(),
-                  AdviceDispatcher_->waiting(), Writer_->queuedRows(),
-                  Starts.Sent, Starts.Late, Starts.LongestDelay.count(),
-                  Starts.LoopDelay.count()));
+      fmt::format(
+          "vms {} held {} jobs {} waiting {} placed {} running {} "
+          "stopping {} unknown {} cpu {} of {} pass_ms {} "
+          "write_ms {} advice_requests {} rows {} starts {} late {} "
+          "start_ms {} loop_ms {} refused {} unanswered {} answer_ms {} "
+          "advice_checks {}",
+          Load.Vms, Load.LeasedVms, Load.Jobs, Load.WaitingTasks,
+          Load.PlacedTasks, Load.RunningTasks, Load.StoppingTasks,
+          Load.UnknownRuns, Load.UsedMilliCores, Load.TotalMilliCores,
+          LastPassDuration_.count(), Writer_->expectedDelay().count(),
+          AdviceDispatcher_->waiting(), Writer_->queuedRows(), Starts.Sent,
+          Starts.Late, Starts.LongestDelay.count(), Starts.LoopDelay.count(),
+          Starts.Refused, Starts.Unanswered, Starts.LongestAnswer.count(),
+          Starts.AdviceChecks));
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -260,12 +260,19 @@
   else
     Context_.Events.record(EventId::RunRefused, formatRun(Run),
                            fmt::format("{} {}", Link.vm(), Reason));
+  StartStatistics_.Refused += Outcome != StartOutcome::Accepted;
   StartStatistics_.Late += Outcome == StartOutcome::TicketExpired;
   Scheduler_->startAnswered(Link.vm(), Run, Outcome);
   if (Outcome != StartOutcome::Accepted)
     schedulePass();
 }
 
+void PoolOwner::onStartTried(milliseconds Duration, bool Answered) {
+  StartStatistics_.Unanswered += !Answered;
+  StartStatistics_.LongestAnswer =
+      std::max(StartStatistics_.LongestAnswer, Duration);
+}
+
 void PoolOwner::onStopAnswered(VmLink &Link, const TaskRun &Run) {
   Scheduler_->stopAnswered(Link.vm(), Run);
 }
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -389,11 +389,14 @@
   recordLeaseSent();
   Calls_.start(
       target(), Order, Attempts == 0 ? FirstOrderTimeout : OrderTimeout,
-      [Self = shared_from_this(), Order, Attempts,
-       Incarnation = Incarnation_](const Result<OrderAnswer> &Answer) {
+      [Self = shared_from_this(), Order, Attempts, Incarnation = Incarnation_,
+       SentAt = MonotonicClock_.now()](const Result<OrderAnswer> &Answer) {
         Self->recordAnswered(Answer);
         if (Self->Closed_)
           return;
+        Self->Listener_.onStartTried(std::chrono::duration_cast<milliseconds>(
+                                         Self->MonotonicClock_.now() - SentAt),
+                                     Answer.has_value());
         if (Answer && Answer->VmClock && Incarnation == Self->Incarnation_)
           Self->recordVmClockOfStart(*Answer->VmClock);
         Self->handleStartAnswer(Order, Attempts, Answer);
--- a/packages/fleet/tests/VmLinkFixture.h
+++ b/packages/fleet/tests/VmLinkFixture.h
@@ -63,6 +63,10 @@
                        std::string_view) override {
     Outcomes.push_back(Outcome);
   }
+  void onStartTried(milliseconds, bool Answered) override {
+    UnansweredTries += !Answered;
+    AnsweredTries += Answered;
+  }
   void onStopAnswered(VmLink &, const TaskRun &) override { ++Stopped; }
   bool isWanted(const VmLink &, const TaskRun &) const override { return true; }
   std::optional<milliseconds> capacityAge(const VmLink &Vm) const override {
@@ -87,6 +91,9 @@
   std::shared_ptr<VmLink> Link;
   int Reports = 0;
   int Stopped = 0;
+  /// Tries of starts that got an answer, and that got none.
+  int AnsweredTries = 0;
+  int UnansweredTries = 0;
   HoldAnswer LastAnswer;
   /// The runs whose end the VM reported.
   std::set<TaskRun> EndedRuns;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -64,6 +64,22 @@
   BOOST_CHECK(Outcomes[0] == StartOutcome::OldRun);
 }
 
+// Guards against an owner whose load report doesn't tell that its starts are
+// sent twice.
+BOOST_FIXTURE_TEST_CASE(triesWithoutAnAnswerAreReported, Fixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  int Orders = 0;
+  Calls.NextFault = [&](const std::string &) {
+    return ++Orders == 1 ? VmCallFault{VmCallFault::ResponseLost, {}}
+                         : VmCallFault{};
+  };
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(UnansweredTries, 1);
+  BOOST_CHECK_EQUAL(AnsweredTries, 1);
+}
+
 // Load: VMs that leave one order in twenty unanswered and carry it out seconds
 // later, or not at all. Guards against tasks that wait for the full timeout of
 // a start, and then for new advice, since their ticket has expired.
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_POOLDIAGNOSTICS_H
 #define CUMINROAD_POOL_POOLDIAGNOSTICS_H
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -71,6 +72,8 @@
   std::vector<VmQuarantine> Quarantines;
   std::vector<VmCrash> Crashes;
   std::vector<AbandonedTask> AbandonedTasks;
+  /// VMs that were checked for whether a step needs advice on them.
+  std::int64_t AdviceChecks = 0;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -128,6 +128,8 @@
     return;
   const Capacity TaskSize = Step.Plan->reservedCapacity();
   std::vector<RankedVm> NewVms;
+  Tables_.Diagnostics.AdviceChecks +=
+      static_cast<std::int64_t>(Tables_.Vms.size());
   for (const auto &[Id, Vm] : Tables_.Vms) {
     const auto Queried = Step.QueriedVms.find(Vm.get());
     if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm) ||
