--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -119,9 +119,11 @@
 void AdvicePlanner::requestAdviceOnNewVms(StepRecord &Step) {
   const bool BlockedLong = Step.BlockedSince && Now_ - *Step.BlockedSince >
                                                     Options_.ExtendAdviceAfter;
-  if (Step.SeenVmsVersion == Tables_.VmsVersion && !BlockedLong)
+  if (Step.SeenVmsVersion == Tables_.VmsVersion &&
+      (!BlockedLong || Step.NoNewVms))
     return;
   Step.SeenVmsVersion = Tables_.VmsVersion;
+  Step.NoNewVms = false;
   // Advice on enough VMs is known until the step has been blocked for long.
   if (!Step.QueriedVms.empty() && !BlockedLong)
     return;
@@ -139,6 +141,7 @@
   std::vector<RankedVm> NewVms;
   std::size_t VmsWithMostRoom = 0;
   for (VmRecord *Vm : Tables_.OrderedVms) {
+    ++Tables_.Diagnostics.AdviceChecks;
     if (!Vm->acceptsWork() || !canHost(*Step.Plan, *Vm))
       continue;
     if (!Step.QueriedVms.empty()) {
@@ -156,7 +159,8 @@
     if (VmsWithMostRoom == MaxVms)
       break;
   }
-  if (NewVms.empty())
+  Step.NoNewVms = NewVms.empty();
+  if (Step.NoNewVms)
     return;
   const std::size_t Size = std::min(NewVms.size(), MaxVms);
   std::partial_sort(NewVms.begin(),
