Start libcurl's timer only when a timeout is the earliest

libcurl asks to be called at once when a call is added, and then in the time that the earliest call has left. Each request started an Asio timer, with a system call, an allocation and often a wake-up of its own. A call at once is now posted to the loop, and a timer that ends earlier than the timeout goes on.

--- a/packages/net/src/LoopCurlMulti.cpp
+++ b/packages/net/src/LoopCurlMulti.cpp
@@ -1,5 +1,6 @@
 #include "LoopCurlMulti.h"
 
+#include <asio/post.hpp>
 #include <unistd.h>
 
 namespace cuminroad {
@@ -124,19 +125,50 @@
 }
 
 void LoopCurlMulti::setTimer(long DelayMs) {
-  Timer_.cancel();
-  if (DelayMs < 0)
+  if (DelayMs < 0) {
+    Timeout_.reset();
     return;
-  Timer_.expires_after(milliseconds(DelayMs));
+  }
+  Timeout_ = TimerClock::now() + milliseconds(DelayMs);
+  if (DelayMs == 0)
+    postTimeout();
+  else if (!TimerRuns_ || *Timeout_ < Timer_.expiry())
+    startTimer();
+}
+
+void LoopCurlMulti::postTimeout() {
+  if (TimeoutPosted_)
+    return;
+  TimeoutPosted_ = true;
+  asio::post(Context_, [Self = shared_from_this()] {
+    Self->TimeoutPosted_ = false;
+    Self->runTimeout();
+  });
+}
+
+void LoopCurlMulti::startTimer() {
+  TimerRuns_ = true;
+  Timer_.expires_at(*Timeout_);
   Timer_.async_wait([Self = shared_from_this()](const asio::error_code &Error) {
-    if (Error || Self->Multi_ == nullptr)
+    // It was cancelled or started anew.
+    if (Error || Self->Timer_.expiry() > TimerClock::now())
       return;
-    int Running = 0;
-    curl_multi_socket_action(Self->Multi_, CURL_SOCKET_TIMEOUT, 0, &Running);
-    Self->finishCompleted();
+    Self->TimerRuns_ = false;
+    Self->runTimeout();
+    if (Self->Timeout_ && !Self->TimerRuns_ && !Self->TimeoutPosted_)
+      Self->startTimer();
   });
 }
 
+void LoopCurlMulti::runTimeout() {
+  if (Multi_ == nullptr || !Timeout_ || *Timeout_ > TimerClock::now())
+    return;
+  Timeout_.reset();
+  int Running = 0;
+  curl_multi_socket_action(Multi_, CURL_SOCKET_TIMEOUT, 0, &Running);
+  finishCompleted();
+}
+
 void LoopCurlMulti::finishCompleted() {
   int Remaining = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi_, &Remaining)) {
--- a/packages/net/src/LoopCurlMulti.h
+++ b/packages/net/src/LoopCurlMulti.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_NET_SRC_LOOPCURLMULTI_H
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include <asio/io_context.hpp>
@@ -31,6 +32,8 @@
   void close();
 
 private:
+  using TimerClock = asio::steady_timer::clock_type;
+
   /// A socket on which libcurl waits for events, or whose connection it keeps
   /// for a later call. It is closed here.
   struct SocketWatch {
@@ -57,14 +60,26 @@
   void onSocketReady(const std::shared_ptr<SocketWatch> &Watch,
                      int RequestedEvent, int ReadyEvent,
                      const asio::error_code &WaitError);
+  /// Called by libcurl, which wants to be called after \p DelayMs, or not at
+  /// all if that is negative.
   void setTimer(long DelayMs);
+  void postTimeout();
+  void startTimer();
+  /// Calls libcurl if its timeout has passed.
+  void runTimeout();
   void finishCompleted();
   void finish(CURL *Handle, CURLcode Code);
 
   asio::io_context &Context_;
   CurlHandlePool &HandlePool_;
   HttpTraffic &Traffic_;
+  /// When libcurl wants to be called.
+  std::optional<TimerClock::time_point> Timeout_;
+  /// Ends at Timeout_ or earlier: most timeouts change before they pass, and
+  /// starting the timer anew for each costs a system call.
   asio::steady_timer Timer_;
+  bool TimerRuns_ = false;
+  bool TimeoutPosted_ = false;
   /// Null once closed.
   CURLM *Multi_;
   std::unordered_map<CURL *, std::unique_ptr<CurlTransfer>> Transfers_;
