--- a/packages/net/src/LoopCurlMulti.cpp
+++ b/packages/net/src/LoopCurlMulti.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <asio/post.hpp>
+#include <unistd.h>
+
 namespace cuminroad {
 
 LoopCurlMulti::LoopCurlMulti(asio::io_context &Context,
@@ -23,9 +26,7 @@
   }
   Calls_.clear();
   Deadlines_.clear();
-  for (auto &[Socket, Watch] : Watches_)
-    Watch->Descriptor.release();
-  Watches_.clear();
+  // Closes the connections, and thereby ends their watches.
   curl_multi_cleanup(Multi_);
   Multi_ = nullptr;
   Timer_.cancel();
@@ -35,11 +36,13 @@
 void LoopCurlMulti::send(std::unique_ptr<CurlTransfer> Transfer) {
   CURL *Handle = HandlePool_.acquire();
   Transfer->configure(Handle);
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, closeCallback);
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
   const milliseconds FirstTimeout =
       std::min(Transfer->connectTimeout(), Transfer->timeout());
   Call &Entry = Calls_[Handle];
   Entry.Transfer = std::move(Transfer);
-  Entry.StartedAt = DeadlineClock::now();
+  Entry.StartedAt = TimerClock::now();
   addDeadline(Handle, Entry, FirstTimeout);
   curl_multi_add_handle(Multi_, Handle);
 }
@@ -60,13 +63,13 @@
       [Self = shared_from_this()](const asio::error_code &Error) {
         if (Error || Self->Multi_ == nullptr)
           return;
-        Self->NextCheck_ = DeadlineClock::time_point::max();
+        Self->NextCheck_ = TimerClock::time_point::max();
         Self->checkDeadlines();
       });
 }
 
 void LoopCurlMulti::checkDeadlines() {
-  const DeadlineClock::time_point Now = DeadlineClock::now();
+  const TimerClock::time_point Now = TimerClock::now();
   while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
     CURL *Handle = Deadlines_.begin()->second;
     Deadlines_.erase(Deadlines_.begin());
@@ -80,7 +83,7 @@
 
 void LoopCurlMulti::checkDeadline(CURL *Handle) {
   const auto Found = Calls_.find(Handle);
-  const DeadlineClock::time_point Deadline = Found->second.Deadline;
+  const TimerClock::time_point Deadline = Found->second.Deadline;
   if (Found->second.Socket != CURL_SOCKET_BAD) {
     int Running = 0;
     curl_multi_socket_action(Multi_, Found->second.Socket,
@@ -120,14 +123,28 @@
   return 0;
 }
 
+int LoopCurlMulti::closeCallback(void *Multi, curl_socket_t Socket) {
+  return static_cast<LoopCurlMulti *>(Multi)->closeSocket(Socket);
+}
+
+int LoopCurlMulti::closeSocket(curl_socket_t Socket) {
+  const auto Found = Watches_.find(Socket);
+  if (Found == Watches_.end())
+    return ::close(Socket);
+  const std::shared_ptr<SocketWatch> Watch = std::move(Found->second);
+  Watches_.erase(Found);
+  Watch->Closed = true;
+  asio::error_code CloseError;
+  Watch->Descriptor.close(CloseError);
+  return CloseError ? -1 : 0;
+}
+
 void LoopCurlMulti::updateWatch(curl_socket_t Socket, int Events) {
   const auto Found = Watches_.find(Socket);
   if (Events == CURL_POLL_REMOVE) {
-    if (Found == Watches_.end())
-      return;
-    // libcurl closes the socket itself, so the descriptor must not.
-    Found->second->Descriptor.release();
-    Watches_.erase(Found);
+    // The connection may be cached: its watch stays until libcurl closes it.
+    if (Found != Watches_.end())
+      Found->second->RequestedEvents = 0;
     return;
   }
   std::shared_ptr<SocketWatch> Watch;
@@ -139,67 +156,89 @@
     Watch = Found->second;
   }
   Watch->RequestedEvents = Events;
-  startWaits(Socket, Watch);
+  startWaits(Watch);
 }
 
-void LoopCurlMulti::startWaits(curl_socket_t Socket,
-                               const std::shared_ptr<SocketWatch> &Watch) {
+void LoopCurlMulti::startWaits(const std::shared_ptr<SocketWatch> &Watch) {
   if ((Watch->RequestedEvents & CURL_POLL_IN) != 0 && !Watch->AwaitsRead) {
     Watch->AwaitsRead = true;
     Watch->Descriptor.async_wait(
         asio::posix::descriptor_base::wait_read,
-        [Self = shared_from_this(), Socket,
-         Watch](const asio::error_code &WaitError) {
+        [Self = shared_from_this(), Watch](const asio::error_code &WaitError) {
           Watch->AwaitsRead = false;
-          Self->onSocketReady(Socket, Watch, CURL_CSELECT_IN, WaitError);
+          Self->onSocketReady(Watch, CURL_POLL_IN, CURL_CSELECT_IN, WaitError);
         });
   }
   if ((Watch->RequestedEvents & CURL_POLL_OUT) != 0 && !Watch->AwaitsWrite) {
     Watch->AwaitsWrite = true;
     Watch->Descriptor.async_wait(
         asio::posix::descriptor_base::wait_write,
-        [Self = shared_from_this(), Socket,
-         Watch](const asio::error_code &WaitError) {
+        [Self = shared_from_this(), Watch](const asio::error_code &WaitError) {
           Watch->AwaitsWrite = false;
-          Self->onSocketReady(Socket, Watch, CURL_CSELECT_OUT, WaitError);
+          Self->onSocketReady(Watch, CURL_POLL_OUT, CURL_CSELECT_OUT,
+                              WaitError);
         });
   }
 }
 
-bool LoopCurlMulti::isCurrent(curl_socket_t Socket,
-                              const std::shared_ptr<SocketWatch> &Watch) const {
-  const auto Found = Watches_.find(Socket);
-  return Found != Watches_.end() && Found->second == Watch;
-}
-
-void LoopCurlMulti::onSocketReady(curl_socket_t Socket,
-                                  const std::shared_ptr<SocketWatch> &Watch,
-                                  int Events,
+void LoopCurlMulti::onSocketReady(const std::shared_ptr<SocketWatch> &Watch,
+                                  int RequestedEvent, int ReadyEvent,
                                   const asio::error_code &WaitError) {
-  if (WaitError == asio::error::operation_aborted || !isCurrent(Socket, Watch))
+  if (Watch->Closed || (Watch->RequestedEvents & RequestedEvent) == 0)
     return;
   int Running = 0;
-  curl_multi_socket_action(Multi_, Socket,
-                           WaitError ? CURL_CSELECT_ERR : Events, &Running);
+  curl_multi_socket_action(Multi_, Watch->Descriptor.native_handle(),
+                           WaitError ? CURL_CSELECT_ERR : ReadyEvent, &Running);
   finishCompleted();
-  if (isCurrent(Socket, Watch))
-    startWaits(Socket, Watch);
+  if (!Watch->Closed)
+    startWaits(Watch);
 }
 
 void LoopCurlMulti::setTimer(long DelayMs) {
-  Timer_.cancel();
-  if (DelayMs < 0)
+  if (DelayMs < 0) {
+    Timeout_.reset();
+    return;
+  }
+  Timeout_ = TimerClock::now() + milliseconds(DelayMs);
+  if (DelayMs == 0)
+    postTimeout();
+  else if (!TimerRuns_ || *Timeout_ < Timer_.expiry())
+    startTimer();
+}
+
+void LoopCurlMulti::postTimeout() {
+  if (TimeoutPosted_)
     return;
-  Timer_.expires_after(milliseconds(DelayMs));
+  TimeoutPosted_ = true;
+  asio::post(Context_, [Self = shared_from_this()] {
+    Self->TimeoutPosted_ = false;
+    Self->runTimeout();
+  });
+}
+
+void LoopCurlMulti::startTimer() {
+  TimerRuns_ = true;
+  Timer_.expires_at(*Timeout_);
   Timer_.async_wait([Self = shared_from_this()](const asio::error_code &Error) {
-    if (Error || Self->Multi_ == nullptr)
+    // It was cancelled or started anew.
+    if (Error || Self->Timer_.expiry() > TimerClock::now())
       return;
-    int Running = 0;
-    curl_multi_socket_action(Self->Multi_, CURL_SOCKET_TIMEOUT, 0, &Running);
-    Self->finishCompleted();
+    Self->TimerRuns_ = false;
+    Self->runTimeout();
+    if (Self->Timeout_ && !Self->TimerRuns_ && !Self->TimeoutPosted_)
+      Self->startTimer();
   });
 }
 
+void LoopCurlMulti::runTimeout() {
+  if (Multi_ == nullptr || !Timeout_ || *Timeout_ > TimerClock::now())
+    return;
+  Timeout_.reset();
+  int Running = 0;
+  curl_multi_socket_action(Multi_, CURL_SOCKET_TIMEOUT, 0, &Running);
+  finishCompleted();
+}
+
 void LoopCurlMulti::finishCompleted() {
   int Remaining = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi_, &Remaining)) {
--- a/packages/net/src/LoopCurlMulti.h
+++ b/packages/net/src/LoopCurlMulti.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_NET_SRC_LOOPCURLMULTI_H
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -34,42 +35,51 @@
   void close();
 
 private:
-  /// A socket on which libcurl waits for events.
+  using TimerClock = asio::steady_timer::clock_type;
+
+  /// A socket on which libcurl waits for events, or whose connection it keeps
+  /// for a later call. It is closed here.
   struct SocketWatch {
     explicit SocketWatch(asio::io_context &Context) : Descriptor(Context) {}
     asio::posix::stream_descriptor Descriptor;
-    /// The events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT or both.
+    /// The events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT, both or
+    /// none.
     int RequestedEvents = 0;
     /// Whether an asynchronous wait is pending.
     bool AwaitsRead = false;
     bool AwaitsWrite = false;
+    bool Closed = false;
   };
 
-  using DeadlineClock = asio::steady_timer::clock_type;
-
   /// A call in progress.
   struct Call {
     std::unique_ptr<CurlTransfer> Transfer;
     /// Where its answer arrives; CURL_SOCKET_BAD before it has one.
     curl_socket_t Socket = CURL_SOCKET_BAD;
-    DeadlineClock::time_point StartedAt{};
+    TimerClock::time_point StartedAt{};
     /// When it next has to be checked for a timeout.
-    DeadlineClock::time_point Deadline{};
+    TimerClock::time_point Deadline{};
   };
 
   static int socketCallback(CURL *Handle, curl_socket_t Socket, int Events,
                             void *Multi, void *);
   static int timerCallback(CURLM *, long DelayMs, void *Multi);
+  static int closeCallback(void *Multi, curl_socket_t Socket);
 
   void updateWatch(curl_socket_t Socket, int Events);
-  void startWaits(curl_socket_t Socket,
-                  const std::shared_ptr<SocketWatch> &Watch);
-  bool isCurrent(curl_socket_t Socket,
-                 const std::shared_ptr<SocketWatch> &Watch) const;
-  void onSocketReady(curl_socket_t Socket,
-                     const std::shared_ptr<SocketWatch> &Watch, int Events,
+  /// \returns 0, or -1 on an error.
+  int closeSocket(curl_socket_t Socket);
+  void startWaits(const std::shared_ptr<SocketWatch> &Watch);
+  void onSocketReady(const std::shared_ptr<SocketWatch> &Watch,
+                     int RequestedEvent, int ReadyEvent,
                      const asio::error_code &WaitError);
+  /// Called by libcurl, which wants to be called after \p DelayMs, or not at
+  /// all if that is negative.
   void setTimer(long DelayMs);
+  void postTimeout();
+  void startTimer();
+  /// Calls libcurl if its timeout has passed.
+  void runTimeout();
   void addDeadline(CURL *Handle, Call &Entry, milliseconds SinceStart);
   /// Schedules checkDeadlines() for the first deadline.
   void armDeadlineTimer();
@@ -83,14 +93,20 @@
   asio::io_context &Context_;
   CurlHandlePool &HandlePool_;
   HttpTraffic &Traffic_;
+  /// When libcurl wants to be called.
+  std::optional<TimerClock::time_point> Timeout_;
+  /// Ends at Timeout_ or earlier: most timeouts change before they pass, and
+  /// starting the timer anew for each costs a system call.
   asio::steady_timer Timer_;
+  bool TimerRuns_ = false;
+  bool TimeoutPosted_ = false;
   asio::steady_timer DeadlineTimer_;
   /// Null once closed.
   CURLM *Multi_;
   std::unordered_map<CURL *, Call> Calls_;
-  std::set<std::pair<DeadlineClock::time_point, CURL *>> Deadlines_;
+  std::set<std::pair<TimerClock::time_point, CURL *>> Deadlines_;
   /// When DeadlineTimer_ expires. It isn't set back when a call has ended.
-  DeadlineClock::time_point NextCheck_ = DeadlineClock::time_point::max();
+  TimerClock::time_point NextCheck_ = TimerClock::time_point::max();
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches_;
 };
 
