Keep the platform's names out of the benchmark

They belong in platform/, stand-ins and tests: the example answers of start_cost_benchmark move to AnswerExamples.h among the platform's tests.

--- a/benchmark/StartCostBenchmark.cpp
+++ b/benchmark/StartCostBenchmark.cpp
@@ -14,6 +14,7 @@
 
 #include <fmt/format.h>
 
+#include "AnswerExamples.h"
 #include "cuminroad/base/EventLog.h"
 #include "cuminroad/base/ManualClock.h"
 #include "cuminroad/platform/PlatformStore.h"
@@ -127,19 +128,6 @@
   return Spec;
 }
 
-std::string makeHoldBody(int Running, int Ends) {
-  std::string Body = R"({"clock_ms":482113,"born":1700000000000,"running":[)";
-  for (int Index = 0; Index < Running; ++Index)
-    Body += fmt::format(
-        R"({}["5c0e7a21d94b36f8.0.1.{}",2,"00000bb87a21d94b",41,120])",
-        Index > 0 ? "," : "", Index);
-  Body += R"(],"finished":[)";
-  for (int Index = 0; Index < Ends; ++Index)
-    Body += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])",
-                        Index > 0 ? "," : "", 58 + Index, 9 + Index);
-  return Body + "]}";
-}
-
 JobProgress makeProgress() {
   JobProgress Progress;
   Progress.Stage = JobStage::Running;
@@ -187,14 +175,14 @@
            Calls.start(Vm, Orders.at(static_cast<std::size_t>(++Number % 2)),
                        CallTimeout, [](const Result<OrderAnswer> &) {});
          });
-  Client.Response = HttpResponse{200, {}, R"({"clock_ms":482113})"};
+  Client.Response = HttpResponse{200, {}, OrderAnswerExample};
   Add(report("start call and its answer, specification of 200 bytes",
              Start(std::string(200, 's'))));
   Client.Response = failure(ErrorCode::ConnectFailed);
   report("hold call", Hold);
   for (const int Running : {0, 1, 4})
     for (const int Ends : {0, 1}) {
-      Client.Response = HttpResponse{200, {}, makeHoldBody(Running, Ends)};
+      Client.Response = HttpResponse{200, {}, makeHoldAnswer(Running, Ends)};
       const Cost Measured = report(
           fmt::format("hold call and its answer with {} running and {} ended",
                       Running, Ends),
@@ -221,7 +209,7 @@
   FakeHttpClient Client;
   ManualClock MonotonicClock;
   PlatformStore Store("127.0.0.1:3", Client, MonotonicClock);
-  Client.Response = HttpResponse{200, {}, R"({"ver":412,"now_ms":51230})"};
+  Client.Response = HttpResponse{200, {}, CommitAnswerExample};
   RowTransaction Change;
   Change.Checks.push_back(RowCheck{RowName{"owners", "pool", "term"}, 4});
   Change.Puts.push_back(RowPut{RowName{"progress", "pool", "5c0e7a21d94b36f8"},
