Bound the room of a VM by the largest free capacity when choosing VMs to ask about

Cause: the search for VMs to ask the advisor about ended early only where VMs had room for all tasks of the step, which they seldom have; in a filled pool it went through all VMs for each step. No VM has room for more tasks than the largest free capacity of the pool, which the pass already knows.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -134,6 +134,8 @@
           : std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
                        Options_.InitialAdviceVms, MaxVmsPerCall);
   const Capacity TaskSize = Step.Plan->reservedCapacity();
+  const int MostFittingTasks =
+      std::min(countFits(LargestFree_, TaskSize), Step.Plan->Tasks);
   std::vector<RankedVm> NewVms;
   std::size_t VmsWithMostRoom = 0;
   for (VmRecord *Vm : Tables_.OrderedVms) {
@@ -148,9 +150,9 @@
     const int FittingTasks =
         std::min(countFits(Vm->freeCapacity(), TaskSize), Step.Plan->Tasks);
     NewVms.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
+    VmsWithMostRoom +=
+        !NewVms.back().InQuarantine && FittingTasks == MostFittingTasks;
     // No VM after these can be ranked before them.
-    VmsWithMostRoom += !NewVms.back().InQuarantine &&
-                       NewVms.back().FittingTasks == Step.Plan->Tasks;
     if (VmsWithMostRoom == MaxVms)
       break;
   }
--- a/packages/pool/src/AdvicePlanner.h
+++ b/packages/pool/src/AdvicePlanner.h
@@ -16,9 +16,13 @@
 /// next tasks.
 class AdvicePlanner {
 public:
+  /// \param LargestFree no VM outside of quarantine has more free capacity in
+  /// any dimension.
   AdvicePlanner(PoolTables &Tables, const WaitingSteps &Waiting,
-                const PoolOptions &Options, TimePoint Now)
-      : Tables_(Tables), Waiting_(Waiting), Options_(Options), Now_(Now) {}
+                const PoolOptions &Options, TimePoint Now,
+                const Capacity &LargestFree)
+      : Tables_(Tables), Waiting_(Waiting), Options_(Options), Now_(Now),
+        LargestFree_(LargestFree) {}
 
   void run();
 
@@ -48,6 +52,7 @@
   const WaitingSteps &Waiting_;
   const PoolOptions &Options_;
   TimePoint Now_;
+  Capacity LargestFree_;
   /// Capacity of VMs whose tickets are renewed for gangs without reserved VMs.
   std::map<const VmRecord *, Capacity> Claimed_;
 };
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -308,8 +308,10 @@
   stopStuckTasks();
   const TimePoint Now = MonotonicClock_.now();
   const WaitingSteps Waiting = collectWaitingSteps(Tables_, Options_, Now);
-  SchedulingPass(Tables_, Waiting, Options_, Now).run();
-  AdvicePlanner(Tables_, Waiting, Options_, Now).run();
+  SchedulingPass Pass(Tables_, Waiting, Options_, Now);
+  Pass.run();
+  AdvicePlanner(Tables_, Waiting, Options_, Now, Pass.largestFreeCapacity())
+      .run();
 }
 
 std::vector<PoolCommand> PoolSchedulerImpl::takeCommands() {
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -19,6 +19,9 @@
       : Tables_(Tables), Waiting_(Waiting), Options_(Options), Now_(Now) {}
 
   void run();
+  /// \returns an upper bound of any available VM's free capacity: the maximum
+  /// in each dimension.
+  const Capacity &largestFreeCapacity();
 
 private:
   struct ScoredVm {
@@ -35,9 +38,6 @@
   /// \returns whether there is room for the whole gang.
   bool chooseGangVms(StepRecord &Step, std::string_view Rack,
                      std::vector<VmRecord *> &ChosenVms);
-  /// \returns an upper bound of any available VM's free capacity: the maximum
-  /// in each dimension.
-  const Capacity &largestFreeCapacity();
   /// \returns whether the largest free capacity may have become smaller with
   /// that of one VM.
   bool reducesMaximum(const Capacity &FreeBefore,
