Set the options that all HTTP calls share once a handle

Each call reset its handle and set twenty options anew; the list of protocols is compared with every one that libcurl knows, and libcurl looked for the variable no_proxy. The shared ones are now set when a handle is made, all others at each call; the new test holds both clients to send nothing of a call before.

--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -57,6 +57,18 @@
                                  Line.substr(Start, End - Start + 1));
 }
 
+void CurlTransfer::prepare(CURL *Handle) {
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, writeCallback);
+  curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, headerCallback);
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
+  // Without it libcurl looks for the variable no_proxy at each call.
+  curl_easy_setopt(Handle, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+  curl_easy_setopt(Handle, CURLOPT_PROTOCOLS_STR, "http,https");
+}
+
 void CurlTransfer::configure(CURL *Handle) {
   for (const auto &[Name, Value] : Call_.Headers)
     HeaderList_ = curl_slist_append(HeaderList_, (Name + ": " + Value).c_str());
@@ -76,27 +88,22 @@
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(Call_.Body.size()));
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Call_.Body.c_str());
+  } else {
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, nullptr);
+    curl_easy_setopt(Handle, CURLOPT_HTTPGET, 1L);
   }
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, HeaderList_);
-  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, writeCallback);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, headerCallback);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
-  if (Call_.FailOnResend) {
-    Handle_ = Handle;
-    curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, sendCallback);
-    curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
-  }
+  Handle_ = Handle;
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION,
+                   Call_.FailOnResend ? sendCallback : nullptr);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
   curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(Call_.ConnectTimeout.count()));
   curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(Call_.Timeout.count()));
-  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
-  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
-  curl_easy_setopt(Handle, CURLOPT_PROTOCOLS_STR, "http,https");
   // A connection opened for one call is closed after it: libcurl would keep
   // hundreds of them idle, and a server may limit its connections.
   const long UseOwnConnection = Call_.NeverResend ? 1 : 0;
@@ -150,11 +157,13 @@
 }
 
 CURL *CurlHandlePool::acquire() {
-  if (IdleHandles_.empty())
-    return curl_easy_init();
+  if (IdleHandles_.empty()) {
+    CURL *Handle = curl_easy_init();
+    CurlTransfer::prepare(Handle);
+    return Handle;
+  }
   CURL *Handle = IdleHandles_.back();
   IdleHandles_.pop_back();
-  curl_easy_reset(Handle);
   return Handle;
 }
 
--- a/packages/net/src/CurlTransfer.h
+++ b/packages/net/src/CurlTransfer.h
@@ -19,8 +19,10 @@
   CurlTransfer(const CurlTransfer &) = delete;
   CurlTransfer &operator=(const CurlTransfer &) = delete;
 
-  /// Sets the call's options on \p Handle. This object must live until the
-  /// handle is removed from libcurl's multi handle.
+  /// Sets on a new \p Handle the options that are the same for all calls.
+  static void prepare(CURL *Handle);
+  /// Sets all other options on \p Handle, which may have had a call. This
+  /// object must live until the handle is removed from libcurl's multi handle.
   void configure(CURL *Handle);
   /// Adds the bytes sent and received to \p Traffic.
   /// \returns the result of the transfer, which has ended with \p Code.
@@ -40,12 +42,11 @@
   HttpCall Call_;
   HttpCallback Done_;
   HttpResponse Response_;
-  /// Set if the call fails on a resend.
   CURL *Handle_ = nullptr;
   curl_slist *HeaderList_ = nullptr;
 };
 
-/// libcurl easy handles that are reused for later calls.
+/// libcurl easy handles that are prepared, and reused for later calls.
 class CurlHandlePool {
 public:
   CurlHandlePool() = default;
--- a/packages/net/tests/HttpClientTest.cpp
+++ b/packages/net/tests/HttpClientTest.cpp
@@ -17,6 +17,7 @@
 
 #include "HttpClientsUnderTest.h"
 #include "cuminroad/net/HttpClient.h"
+#include "cuminroad/net/HttpServer.h"
 
 using namespace cuminroad;
 using asio::ip::tcp;
@@ -334,3 +335,50 @@
     std::this_thread::sleep_for(milliseconds(5));
   BOOST_CHECK_EQUAL(Server.openConnections(), 0);
 }
+
+// Guards against a call that sends or checks what a call before it asked for:
+// both may use the same handle of libcurl.
+BOOST_AUTO_TEST_CASE_TEMPLATE(callsSendNothingOfACallBefore, Kind,
+                              ClientKinds) {
+  constexpr int Port = 18433;
+  const auto Server =
+      startHttpServer({"127.0.0.1", Port}, [](const HttpRequest &Request,
+                                              const HttpResponder &Respond) {
+        Respond(HttpResponse{
+            200,
+            {},
+            Request.Method + "|" + Request.Body + "|" +
+                std::string(findHeader(Request.Headers, "X-One")) + "|" +
+                std::string(findHeader(Request.Headers, "X-Request-Id")) + "|" +
+                std::string(findHeader(Request.Headers, "Content-Type")) + "|" +
+                std::string(findHeader(Request.Headers, "Content-Length"))});
+      });
+  const auto Client = Kind::make();
+  HttpCall Post = post("http://127.0.0.1:18433/", false);
+  Post.Body = "text";
+  Post.Headers = {{"X-One", "1"}, {"Content-Type", "text/plain"}};
+  Post.RequestId = "id";
+  Post.FailOnResend = true;
+  HttpCall Get;
+  Get.Url = Post.Url;
+  HttpCall EmptyPost = post(Post.Url, true);
+  HttpCall Delete = Get;
+  Delete.Method = "DELETE";
+  const std::vector<std::pair<HttpCall, std::string>> Calls{
+      {Get, "GET|||||"},
+      {Post, "POST|text|1|id|text/plain|4"},
+      {Get, "GET|||||"},
+      {Post, "POST|text|1|id|text/plain|4"},
+      {EmptyPost, "POST|||||0"},
+      {Get, "GET|||||"},
+      {EmptyPost, "POST|||||0"},
+      {Delete, "DELETE|||||"},
+      {Post, "POST|text|1|id|text/plain|4"},
+      {Delete, "DELETE|||||"}};
+  for (auto [Call, Expected] : Calls) {
+    Call.Timeout = milliseconds(20000);
+    const HttpResult Result = call(*Client, Call);
+    BOOST_REQUIRE(Result);
+    BOOST_CHECK_EQUAL(Result->Body, Expected);
+  }
+}
