--- a/packages/net/src/CurlTransfer.h
+++ b/packages/net/src/CurlTransfer.h
@@ -19,8 +19,10 @@
   CurlTransfer(const CurlTransfer &) = delete;
   CurlTransfer &operator=(const CurlTransfer &) = delete;
 
-  /// Sets the call's options on \p Handle. This object must live until the
-  /// handle is removed from libcurl's multi handle.
+  /// Sets on a new \p Handle the options that are the same for all calls.
+  static void prepare(CURL *Handle);
+  /// Sets all other options on \p Handle, which may have had a call. This
+  /// object must live until the handle is removed from libcurl's multi handle.
   void configure(CURL *Handle);
   /// Lets libcurl end the transfer at its timeouts. Otherwise the caller does.
   void setTimeouts(CURL *Handle) const;
@@ -46,12 +48,11 @@
   HttpCall Call_;
   HttpCallback Done_;
   HttpResponse Response_;
-  /// Set if the call fails on a resend.
   CURL *Handle_ = nullptr;
   curl_slist *HeaderList_ = nullptr;
 };
 
-/// libcurl easy handles that are reused for later calls.
+/// libcurl easy handles that are prepared, and reused for later calls.
 class CurlHandlePool {
 public:
   CurlHandlePool() = default;
