Acknowledge ends only within 0.3 s of an answer again

Callers could see a task start again after its end had been acknowledged: a VM that restarts under its id within 0.7 s of its last answer, while the ends before are being recorded, forgot ends that it had not reported.

The bound is 0.3 s, as for leases. It cost a busy owner a hold more for each record over 0.3 s. Such an acknowledgement now waits while further ends are being recorded, for 1 s at most after the last one, so that several share that hold.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -180,6 +180,8 @@
   std::int64_t AcknowledgedEnd_ = 0;
   /// The highest acknowledgement that the VM has answered.
   std::int64_t AnsweredAcknowledgement_ = 0;
+  /// When the last hold with an acknowledgement that was answered was sent.
+  TimePoint LastAcknowledgedAt_{};
   std::int64_t LastEnd_ = 0;
   TimePoint LastHoldSentAt_{};
   /// When the VM's present incarnation last answered.
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -23,9 +23,9 @@
 /// An answer that is older than this doesn't tell which incarnation of the VM
 /// the next order reaches.
 constexpr milliseconds MaxAnswerAge{300};
-/// The same for an acknowledgement. Longer than UnacknowledgedHoldInterval, so
-/// that slow recording doesn't cost an owner with much to do another hold.
-constexpr milliseconds MaxAnswerAgeOfAcknowledged{700};
+/// An acknowledgement that needs a hold of its own waits for the ends that are
+/// being recorded, up to this long after the last one.
+constexpr milliseconds MaxAcknowledgementDelay{1000};
 /// Delay before a failed hold is repeated. The first repeat is sent at once.
 constexpr milliseconds HoldRetryDelay{250};
 /// Failures in a row after which the VM is reported as unreachable.
@@ -159,7 +159,7 @@
   // that it has not reported. For the same reason nothing is acknowledged
   // again.
   const bool RecentlyAnswered =
-      LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAgeOfAcknowledged;
+      LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAge;
   if (Failures_ == 0 && Held_) {
     if (RecentlyAnswered && AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
@@ -228,6 +228,8 @@
   } else {
     AnsweredAcknowledgement_ =
         std::max(AnsweredAcknowledgement_, Sent.AcknowledgedEnd);
+    if (Sent.AcknowledgedEnd > 0)
+      LastAcknowledgedAt_ = Sent.At;
   }
   const bool First = !Held_ || Failures_ > 0;
   LastAnsweredAt_ = MonotonicClock_.now();
@@ -250,10 +252,12 @@
   // The first hold only reads the VM's clock; the next one, sent at once,
   // extends the lease. Ends are likewise acknowledged by the hold after one
   // that has read the VM's incarnation.
-  if (First || AcknowledgedEnd_ > AnsweredAcknowledgement_)
+  const bool EndsAreRecorded = LastEnd_ == AcknowledgedEnd_;
+  if (First || (AcknowledgedEnd_ > AnsweredAcknowledgement_ &&
+                (EndsAreRecorded || LastAnsweredAt_ - LastAcknowledgedAt_ >=
+                                        MaxAcknowledgementDelay)))
     return scheduleHold(milliseconds(0));
-  scheduleHold(LastEnd_ > AcknowledgedEnd_ ? UnacknowledgedHoldInterval
-                                           : HoldInterval);
+  scheduleHold(EndsAreRecorded ? HoldInterval : UnacknowledgedHoldInterval);
 }
 
 void VmLink::rescheduleHold(milliseconds Delay) {
--- a/packages/fleet/tests/UnseenRestartTest.cpp
+++ b/packages/fleet/tests/UnseenRestartTest.cpp
@@ -35,3 +35,24 @@
   BOOST_CHECK(UnreachableAttempts.empty());
   BOOST_CHECK(EndedRuns.contains(Next));
 }
+
+// Guards against a hold more for each record that takes long: it keeps the
+// owner of many VMs busy. Acknowledgements wait for one another instead, but
+// only for so long.
+BOOST_FIXTURE_TEST_CASE(lateAcknowledgementsShareAHold, Fixture) {
+  constexpr int Starts = 200;
+  RecordingDelay = milliseconds(500);
+  Calls.Latency = milliseconds(40);
+  connect();
+  ControlLoop.runFor(milliseconds(1000));
+  const int HoldsBefore = Calls.HoldCalls;
+  for (int Index = 0; Index < Starts; ++Index) {
+    StartRun Command = startOf();
+    Command.Run.Task.Index = Index;
+    Link->startRun(Command, "spec");
+    ControlLoop.runFor(milliseconds(380));
+  }
+  BOOST_CHECK_LT(Calls.HoldCalls - HoldsBefore, Starts * 7 / 10);
+  ControlLoop.runFor(milliseconds(1500));
+  BOOST_CHECK_EQUAL(Vms.AcknowledgedCompletions.size(), Starts);
+}
