Notice a VM whose entry tells of its restart before its reports do

A VM was counted as changed by a report only if its lease had been lost. Listed as restarted while a late answer of the earlier incarnation still came, it became usable without being counted, and a blocked step did not ask about it.

blockedStepsLookForNewVmsOnlyAfterChanges has this order of messages now; it failed before.

--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -137,7 +137,7 @@
       Vm->ReportedIncarnation != 0 && Vm->ReportedIncarnation != Incarnation;
   Vm->ReportedIncarnation = Incarnation;
   Vm->Description.Incarnation = Incarnation;
-  if (!Vm->LeaseHeld)
+  if (!Vm->LeaseHeld || Restarted)
     ++Tables_.VmsVersion;
   Vm->LeaseHeld = true;
   if (Restarted)
--- a/packages/pool/tests/AdviceTest.cpp
+++ b/packages/pool/tests/AdviceTest.cpp
@@ -99,6 +99,17 @@
   Answer();
   runPass();
   BOOST_CHECK(AdviceRequests.empty());
+  // So is one whose entry tells of the restart before its reports do.
+  PoolVm Restarted = makeVm("v4", SmallSize);
+  const std::int64_t Before = Restarted.Incarnation;
+  Restarted.Incarnation = Before + 1;
+  Scheduler->vmListed(Restarted);
+  Scheduler->vmReported("v4", Before, {}, MonotonicClock.now());
+  runPass();
+  BOOST_CHECK(AdviceRequests.empty());
+  Scheduler->vmReported("v4", Restarted.Incarnation, {}, MonotonicClock.now());
+  runPass();
+  BOOST_CHECK_EQUAL(AdviceRequests.size(), Steps);
 }
 
 // Guards against a step that the advisor always fails for: its advice was
