Release the watch of a call that times out while it connects

Found by the review of the watches that are kept while libcurl keeps a connection: libcurl closes the socket of a call that is removed while it connects without its close callback. The watch stayed, the next connection got the same socket number, and none of its events: its calls moved only at their timeouts.

The watch of a call that times out, or is aborted at the end, is released before libcurl closes the socket. Also from the review, by reading: a request that has not been sent by its timeout is not sent any more, so that it is known not to have run, and a timeout that libcurl sets while one is posted starts the timer.

callsAfterAConnectTimeoutGetTheirResponses failed before on the client on a loop (answered after more than 10 s, at the call's timeout) and passes.

--- a/packages/net/src/LoopCurlMulti.cpp
+++ b/packages/net/src/LoopCurlMulti.cpp
@@ -21,6 +21,7 @@
   if (Multi_ == nullptr)
     return;
   for (auto &[Handle, Entry] : Calls_) {
+    releaseWatch(Entry.Socket);
     curl_multi_remove_handle(Multi_, Handle);
     curl_easy_cleanup(Handle);
   }
@@ -84,6 +85,11 @@
 void LoopCurlMulti::checkDeadline(CURL *Handle) {
   const auto Found = Calls_.find(Handle);
   const TimerClock::time_point Deadline = Found->second.Deadline;
+  // A request that has not been sent in time is not sent any more.
+  if (!CurlTransfer::isSent(Handle) &&
+      TimerClock::now() >=
+          Found->second.StartedAt + Found->second.Transfer->timeout())
+    return finish(Handle, CURLE_OPERATION_TIMEDOUT);
   if (Found->second.Socket != CURL_SOCKET_BAD) {
     int Running = 0;
     curl_multi_socket_action(Multi_, Found->second.Socket,
@@ -111,9 +117,12 @@
                                   int Events, void *Multi, void *) {
   auto &Self = *static_cast<LoopCurlMulti *>(Multi);
   const auto Found = Self.Calls_.find(Handle);
-  if (Found != Self.Calls_.end())
-    Found->second.Socket =
-        Events == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : Socket;
+  if (Found != Self.Calls_.end()) {
+    if (Events != CURL_POLL_REMOVE)
+      Found->second.Socket = Socket;
+    else if (Found->second.Socket == Socket)
+      Found->second.Socket = CURL_SOCKET_BAD;
+  }
   Self.updateWatch(Socket, Events);
   return 0;
 }
@@ -159,6 +168,15 @@
   startWaits(Watch);
 }
 
+void LoopCurlMulti::releaseWatch(curl_socket_t Socket) {
+  const auto Found = Watches_.find(Socket);
+  if (Found == Watches_.end())
+    return;
+  Found->second->Closed = true;
+  Found->second->Descriptor.release();
+  Watches_.erase(Found);
+}
+
 void LoopCurlMulti::startWaits(const std::shared_ptr<SocketWatch> &Watch) {
   if ((Watch->RequestedEvents & CURL_POLL_IN) != 0 && !Watch->AwaitsRead) {
     Watch->AwaitsRead = true;
@@ -213,6 +231,8 @@
   asio::post(Context_, [Self = shared_from_this()] {
     Self->TimeoutPosted_ = false;
     Self->runTimeout();
+    if (Self->Timeout_ && !Self->TimerRuns_ && !Self->TimeoutPosted_)
+      Self->startTimer();
   });
 }
 
@@ -254,6 +274,8 @@
   const std::unique_ptr<CurlTransfer> Transfer =
       std::move(Found->second.Transfer);
   Deadlines_.erase({Found->second.Deadline, Handle});
+  if (Code == CURLE_OPERATION_TIMEDOUT)
+    releaseWatch(Found->second.Socket);
   Calls_.erase(Found);
   HttpResult Result = Transfer->takeResult(Handle, Code, Traffic_);
   curl_multi_remove_handle(Multi_, Handle);
--- a/packages/net/src/LoopCurlMulti.h
+++ b/packages/net/src/LoopCurlMulti.h
@@ -69,6 +69,9 @@
   void updateWatch(curl_socket_t Socket, int Events);
   /// \returns 0, or -1 on an error.
   int closeSocket(curl_socket_t Socket);
+  /// Ends the watch of a socket that libcurl may close without a callback, as
+  /// it does while it connects. Must be called while the socket is open.
+  void releaseWatch(curl_socket_t Socket);
   void startWaits(const std::shared_ptr<SocketWatch> &Watch);
   void onSocketReady(const std::shared_ptr<SocketWatch> &Watch,
                      int RequestedEvent, int ReadyEvent,
--- a/packages/net/tests/HttpClientTest.cpp
+++ b/packages/net/tests/HttpClientTest.cpp
@@ -382,3 +382,38 @@
     BOOST_CHECK_EQUAL(Result->Body, Expected);
   }
 }
+
+// Guards against connections that get no events after a connect that timed out:
+// libcurl closes the socket of such a call without telling, and its number is
+// used again.
+BOOST_AUTO_TEST_CASE_TEMPLATE(callsAfterAConnectTimeoutGetTheirResponses, Kind,
+                              ClientKinds) {
+  constexpr milliseconds AnswerLimit{10000};
+  asio::io_context Context;
+  tcp::acceptor Full(Context, tcp::v4());
+  Full.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  Full.listen(0);
+  // With a full queue the opening packets of further connections are dropped.
+  std::vector<tcp::socket> Queued;
+  for (int Count = 0; Count < 4; ++Count) {
+    Queued.emplace_back(Context, tcp::v4());
+    Queued.back().async_connect(Full.local_endpoint(),
+                                [](const asio::error_code &) {});
+  }
+  ScriptedServer Server({CompleteResponse, CompleteResponse});
+  const auto Client = Kind::make();
+  HttpCall Dropped = post(
+      "http://127.0.0.1:" + std::to_string(Full.local_endpoint().port()) + "/",
+      true);
+  Dropped.ConnectTimeout = milliseconds(100);
+  const HttpResult Failed = call(*Client, Dropped);
+  BOOST_REQUIRE(!Failed);
+  BOOST_CHECK(Failed.error().Code == ErrorCode::ConnectTimedOut);
+  for (const bool NeverResend : {true, false, false}) {
+    HttpCall Call = post(Server.url(), NeverResend);
+    Call.ConnectTimeout = Call.Timeout = AnswerLimit * 2;
+    const auto SentAt = std::chrono::steady_clock::now();
+    BOOST_CHECK(call(*Client, Call));
+    BOOST_CHECK(std::chrono::steady_clock::now() - SentAt < AnswerLimit);
+  }
+}
