Void orders for a VM's earlier incarnation with a higher fencing token

Cause: all orders of an owner carried one fencing token. A VM that restarts under its id has a clock that begins anew, so that the lease in a late order for its earlier incarnation isn't over by it; the owner gave the runs of that incarnation up as soon as the new one had answered, and relied on stops that the VM had still to receive. Until then, and where the link had been removed meanwhile, the late start was carried out.

Change: an owner has a series of tokens, all between those of the earlier and the next owner. A link takes the next one when it is created, when the VM answers with a new incarnation, and when its leases have expired. A new incarnation is reported, and gets tasks, only once it has answered the raised token: from then on it refuses every earlier order, and its report is complete. A refusal of an older token of the link's own is not taken for a newer owner. The list of unanswered starts that were to be stopped is no longer needed.

Tests: three in VmRestartTest; on the code before, two fail as the late start is carried out, and voidedOrderIsNotTakenForANewerOwner as it is accepted. pendingStartIsStoppedInTheNew- Incarnation and lateTryOfAnAcceptedStartIsStoppedAfterARestart checked that a stop is answered; they now check that the late order arrives and is refused by its token, which is as strict: a stop that is answered is one way to that, the refusal is what counts.

--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cuminroad/fleet/AdviceDispatcher.h"
+#include "cuminroad/fleet/FencingTokens.h"
 #include "cuminroad/fleet/FleetContext.h"
 #include "cuminroad/fleet/JobRows.h"
 #include "cuminroad/fleet/PoolLease.h"
@@ -126,6 +127,7 @@
 
   FleetContext Context_;
   PoolTerm Term_;
+  FencingTokens Tokens_;
   std::shared_ptr<FencedWriter> Writer_;
   std::shared_ptr<TableFollower> Requests_;
   std::shared_ptr<TableReader> Progress_;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -2,7 +2,6 @@
 #define CUMINROAD_FLEET_VMLINK_H
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -18,6 +17,7 @@
 
 namespace cuminroad {
 
+class FencingTokens;
 class VmLink;
 
 /// Receives the events of a VM link; implemented by the pool's owner.
@@ -70,7 +70,6 @@
 class VmLink : public std::enable_shared_from_this<VmLink> {
 public:
   struct Options {
-    std::int64_t FencingToken = 0;
     /// Longest lease that the VM grants.
     milliseconds MaxLease{6000};
     /// Until this time, leases that an earlier owner granted may be in force.
@@ -79,8 +78,10 @@
     milliseconds MaxCapacityAge{3500};
   };
 
-  VmLink(VmEntry Entry, Options Options, VmCalls &Calls, Loop &ControlLoop,
-         const Clock &MonotonicClock, VmLinkListener &Listener);
+  /// \param Tokens must outlive the link until it is closed.
+  VmLink(VmEntry Entry, Options Options, FencingTokens &Tokens, VmCalls &Calls,
+         Loop &ControlLoop, const Clock &MonotonicClock,
+         VmLinkListener &Listener);
 
   /// Holds the VM at once: for the first time, or before its next regular hold.
   void start();
@@ -110,6 +111,7 @@
   struct SentHold {
     TimePoint At{};
     std::string Address;
+    std::int64_t FencingToken = 0;
     std::int64_t AcknowledgedEnd = 0;
   };
 
@@ -118,8 +120,11 @@
   void handleOtherVm(const std::string &Address);
   void handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer);
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
-  /// Handles what was sent to the VM's earlier incarnation.
+  /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
+  /// Handles that the VM has refused \p FencingToken: another owner has taken
+  /// it over, unless this link has raised its token meanwhile.
+  void handleFenced(std::int64_t FencingToken);
   void scheduleHold(milliseconds Delay);
   /// Replaces the scheduled hold, if there is one.
   void rescheduleHold(milliseconds Delay);
@@ -146,8 +151,8 @@
   void completeStart(const TaskRun &Run, StartOutcome Outcome,
                      std::string_view Reason);
   void handleStartAnswer(const StartOrder &Order, int Attempts,
+                         std::int64_t FencingToken,
                          const Result<OrderAnswer> &Answer);
-  void recordUnansweredStart(const TaskRun &Run);
   void retryStart(const StartOrder &Order, int Attempts);
   void sendStop(const TaskRun &Run, milliseconds RetryDelay);
   VmTarget target() const;
@@ -160,12 +165,17 @@
   /// Where the VM last answered a hold; empty before the first answer.
   std::string ReachedAddress_;
   Options Options_;
+  FencingTokens &Tokens_;
+  std::int64_t FencingToken_;
   VmCalls &Calls_;
   Loop &ControlLoop_;
   const Clock &MonotonicClock_;
   VmLinkListener &Listener_;
   bool Closed_ = false;
   bool Held_ = false;
+  /// The VM has restarted and has not answered the raised token yet. Orders for
+  /// its earlier incarnation may still be carried out.
+  bool RestartUnsettled_ = false;
   bool LeaseExpiryReported_ = false;
   bool HoldInFlight_ = false;
   bool HoldScheduled_ = false;
@@ -198,9 +208,6 @@
   TimePoint LastStartSentAt_{};
   /// Starts that are neither definitely answered nor expired.
   std::set<TaskRun> PendingStarts_;
-  /// Starts of which a try was not answered, and until when that try may be
-  /// carried out. A later try may have been accepted.
-  std::map<TaskRun, TimePoint> UnansweredStarts_;
   /// Stops that the VM has not answered.
   std::set<TaskRun> PendingStops_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -65,7 +65,7 @@
 } // namespace
 
 PoolOwner::PoolOwner(const FleetContext &Context, PoolTerm Term)
-    : Context_(Context), Term_(std::move(Term)) {}
+    : Context_(Context), Term_(std::move(Term)), Tokens_(Term_.Epoch) {}
 
 std::string PoolOwner::headValue(std::int64_t Serial) const {
   const milliseconds LeaseDuration =
@@ -444,6 +444,8 @@
     return;
   if (!Scheduler_ && loadStalled())
     return handOver(fmt::format("jobs not loaded, pages {}", PagesLoaded_));
+  if (Tokens_.nearlyExhausted())
+    return handOver("fencing tokens used up");
   const TimePoint Now = Context_.MonotonicClock.now();
   measureLoopDelay();
   if (Now - Writer_->renewedAt() >= OwnerRenewalInterval)
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -58,10 +58,10 @@
     }
     Link = std::make_shared<VmLink>(
         Entry,
-        VmLink::Options{Term_.Epoch, Context_.Settings.MaxTaskLease,
-                        InheritedLeasesUntil_,
+        VmLink::Options{Context_.Settings.MaxTaskLease, InheritedLeasesUntil_,
                         maxCapacityAge(Context_.Settings)},
-        Context_.Vms, Context_.ControlLoop, Context_.MonotonicClock, *this);
+        Tokens_, Context_.Vms, Context_.ControlLoop, Context_.MonotonicClock,
+        *this);
     NewVms.push_back(Id);
   }
   if (!NewVms.empty())
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cuminroad/fleet/FencingTokens.h"
 #include "cuminroad/fleet/LeaseTimes.h"
 
 namespace cuminroad {
@@ -50,8 +51,6 @@
 /// expire on the way.
 constexpr milliseconds TicketMargin{20};
 constexpr milliseconds OrderRetryDelay{200};
-/// An order without an answer may be carried out this much later.
-constexpr milliseconds MaxOrderDelay{15000};
 /// The delay before a stop is repeated doubles up to this.
 constexpr milliseconds MaxStopRetryDelay{800};
 
@@ -77,12 +76,12 @@
 
 } // namespace
 
-VmLink::VmLink(VmEntry Entry, Options Options, VmCalls &Calls,
-               Loop &ControlLoop, const Clock &MonotonicClock,
+VmLink::VmLink(VmEntry Entry, Options Options, FencingTokens &Tokens,
+               VmCalls &Calls, Loop &ControlLoop, const Clock &MonotonicClock,
                VmLinkListener &Listener)
-    : Entry_(std::move(Entry)), Options_(Options), Calls_(Calls),
-      ControlLoop_(ControlLoop), MonotonicClock_(MonotonicClock),
-      Listener_(Listener) {}
+    : Entry_(std::move(Entry)), Options_(Options), Tokens_(Tokens),
+      FencingToken_(Tokens.next()), Calls_(Calls), ControlLoop_(ControlLoop),
+      MonotonicClock_(MonotonicClock), Listener_(Listener) {}
 
 void VmLink::start() { hold(); }
 
@@ -101,7 +100,7 @@
   // The listed address may be another VM's: a VM that answers is not moved.
   const bool Reached = Held_ && Failures_ < FailuresUntilUnreachable;
   return VmTarget{Entry_.Vm.Id, Reached ? ReachedAddress_ : Entry_.Address,
-                  Options_.FencingToken, LastOrderUnanswered_};
+                  FencingToken_, LastOrderUnanswered_};
 }
 
 milliseconds VmLink::vmClockNow() const {
@@ -174,8 +173,8 @@
   Calls_.hold(
       Target, Order, Order.Wait + HoldAnswerMargin,
       [Self = shared_from_this(),
-       Sent = SentHold{LastHoldSentAt_, Target.Address, Order.AcknowledgedEnd}](
-          Result<HoldAnswer> Answer) {
+       Sent = SentHold{LastHoldSentAt_, Target.Address, Target.FencingToken,
+                       Order.AcknowledgedEnd}](Result<HoldAnswer> Answer) {
         Self->HoldInFlight_ = false;
         Self->recordAnswered(Answer);
         if (!Self->Closed_)
@@ -194,7 +193,8 @@
     ReachedAddress_ = Sent.Address;
     return handleHoldSuccess(Sent, *Answer);
   case OrderOutcome::Fenced:
-    return Listener_.onFenced(*this);
+    handleFenced(Sent.FencingToken);
+    return scheduleHold(milliseconds(0));
   case OrderOutcome::OtherInstance:
     return handleOtherVm(Sent.Address);
   default:
@@ -224,7 +224,7 @@
     LastEnd_ = 0;
     LatestLeaseEnd_ = milliseconds(0);
     if (Held_)
-      handleRestart();
+      return handleRestart();
   } else {
     AnsweredAcknowledgement_ =
         std::max(AnsweredAcknowledgement_, Sent.AcknowledgedEnd);
@@ -236,6 +236,7 @@
   if (!Held_ || Failures_ >= FailuresUntilUnreachable)
     Listener_.onReachable(*this);
   Held_ = true;
+  RestartUnsettled_ = false;
   Failures_ = 0;
   LeaseExpiryReported_ = false;
   for (const TaskEnd &End : Answer.Ends)
@@ -269,11 +270,20 @@
   // Orders for the earlier incarnation may reach this one. Its clock has just
   // started, so that the leases in those orders have not expired by it.
   LatestLeaseEnd_ = *VmClock_ + Options_.MaxLease;
+  LastAnsweredAt_ = MonotonicClock_.now();
+  FencingToken_ = Tokens_.next();
+  RestartUnsettled_ = true;
+  if (Failures_ == 0)
+    Listener_.onNoAnswer(*this);
+  // Reports of the VM from the next one on tell which of them were carried out.
   for (const TaskRun &Run : std::exchange(PendingStarts_, {}))
-    stopRun(Run);
-  for (const auto &[Run, Until] : std::exchange(UnansweredStarts_, {}))
-    if (MonotonicClock_.now() < Until)
-      stopRun(Run);
+    Listener_.onStartAnswered(*this, Run, StartOutcome::OldRun, "vm_restarted");
+  scheduleHold(milliseconds(0));
+}
+
+void VmLink::handleFenced(std::int64_t FencingToken) {
+  if (FencingToken == FencingToken_)
+    Listener_.onFenced(*this);
 }
 
 void VmLink::acknowledge(std::int64_t Incarnation, std::int64_t Number) {
@@ -339,6 +349,9 @@
 void VmLink::reportLeaseExpired() {
   LeaseExpiryReported_ = true;
   ReportedCause_ = FailureCause_;
+  // A new incarnation would not know that the leases in earlier orders are
+  // over.
+  FencingToken_ = Tokens_.next();
   // All runs have ended, and orders to start one have expired.
   PendingStops_.clear();
   Listener_.onLeaseExpired(*this, FailureCause_);
@@ -359,7 +372,7 @@
   if (Attempts == 0) {
     const auto Lease = leaseUntil();
     if (!Lease || !Listener_.isWanted(*this, Order.Run) || !Held_ ||
-        Failures_ > 0)
+        RestartUnsettled_ || Failures_ > 0)
       return Listener_.onStartAnswered(*this, Order.Run, StartOutcome::NotSent,
                                        "vm_not_held");
     if (Entry_.Vm.Leaving)
@@ -394,6 +407,7 @@
   Calls_.start(
       target(), Order, Attempts == 0 ? FirstOrderTimeout : OrderTimeout,
       [Self = shared_from_this(), Order, Attempts, Incarnation = Incarnation_,
+       FencingToken = FencingToken_,
        SentAt = MonotonicClock_.now()](const Result<OrderAnswer> &Answer) {
         Self->recordAnswered(Answer);
         if (Self->Closed_)
@@ -403,7 +417,7 @@
                                      Answer.has_value());
         if (Answer && Answer->VmClock && Incarnation == Self->Incarnation_)
           Self->recordVmClockOfStart(*Answer->VmClock);
-        Self->handleStartAnswer(Order, Attempts, Answer);
+        Self->handleStartAnswer(Order, Attempts, FencingToken, Answer);
       });
 }
 
@@ -425,6 +439,7 @@
 }
 
 void VmLink::handleStartAnswer(const StartOrder &Order, int Attempts,
+                               std::int64_t FencingToken,
                                const Result<OrderAnswer> &Answer) {
   if (!Answer) {
     if (isNotSent(Answer.error().Code) && Attempts == 0)
@@ -432,11 +447,12 @@
                            errorInfo(Answer.error().Code).Name);
     // The order may have been carried out, or may still be. Repeating the same
     // run is harmless and determines the outcome.
-    recordUnansweredStart(Order.Run);
     return retryStart(Order, Attempts);
   }
-  if (Answer->Outcome == OrderOutcome::Fenced)
-    return Listener_.onFenced(*this);
+  if (Answer->Outcome == OrderOutcome::Fenced) {
+    handleFenced(FencingToken);
+    return retryStart(Order, Attempts);
+  }
   StartOutcome Outcome = startOutcome(Answer->Outcome);
   if (Attempts > 0 && Outcome != StartOutcome::Accepted) {
     // An earlier attempt may have been carried out. After the order has expired
@@ -452,13 +468,6 @@
   completeStart(Order.Run, Outcome, orderOutcomeName(Answer->Outcome));
 }
 
-void VmLink::recordUnansweredStart(const TaskRun &Run) {
-  const TimePoint Now = MonotonicClock_.now();
-  std::erase_if(UnansweredStarts_,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
-  UnansweredStarts_[Run] = Now + MaxOrderDelay;
-}
-
 void VmLink::retryStart(const StartOrder &Order, int Attempts) {
   ControlLoop_.after(Attempts == 0 ? milliseconds(0) : OrderRetryDelay,
                      [Self = shared_from_this(), Order, Attempts] {
@@ -476,34 +485,36 @@
 void VmLink::sendStop(const TaskRun &Run, milliseconds RetryDelay) {
   if (Closed_ || !PendingStops_.contains(Run))
     return;
-  Calls_.stop(target(), Run, std::max(FirstOrderTimeout, RetryDelay),
-              [Self = shared_from_this(), Run,
-               RetryDelay](const Result<OrderAnswer> &Answer) {
-                if (Self->Closed_)
-                  return;
-                Self->recordAnswered(Answer);
-                if (Answer && Answer->Outcome == OrderOutcome::Fenced)
-                  return Self->Listener_.onFenced(*Self);
-                if (Answer && Answer->Outcome != OrderOutcome::Unhealthy &&
-                    Answer->Outcome != OrderOutcome::OtherInstance) {
-                  Self->PendingStops_.erase(Run);
-                  return Self->Listener_.onStopAnswered(*Self, Run);
-                }
-                // Until it answers, the VM may run the task, or start it on an
-                // order that is still under way.
-                Self->ControlLoop_.after(RetryDelay, [Self, Run, RetryDelay] {
-                  Self->sendStop(Run,
-                                 std::min(RetryDelay * 2, MaxStopRetryDelay));
-                });
-              });
+  Calls_.stop(
+      target(), Run, std::max(FirstOrderTimeout, RetryDelay),
+      [Self = shared_from_this(), Run, RetryDelay,
+       FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
+        if (Self->Closed_)
+          return;
+        Self->recordAnswered(Answer);
+        const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
+        if (Fenced)
+          Self->handleFenced(FencingToken);
+        if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy &&
+            Answer->Outcome != OrderOutcome::OtherInstance) {
+          Self->PendingStops_.erase(Run);
+          return Self->Listener_.onStopAnswered(*Self, Run);
+        }
+        // Until it answers, the VM may run the task, or start it on an
+        // order that is still under way.
+        Self->ControlLoop_.after(RetryDelay, [Self, Run, RetryDelay] {
+          Self->sendStop(Run, std::min(RetryDelay * 2, MaxStopRetryDelay));
+        });
+      });
 }
 
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
   Calls_.throttle(
       target(), Run, Percent, OrderTimeout,
-      [Self = shared_from_this()](const Result<OrderAnswer> &Answer) {
+      [Self = shared_from_this(),
+       FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
         if (!Self->Closed_ && Answer && Answer->Outcome == OrderOutcome::Fenced)
-          Self->Listener_.onFenced(*Self);
+          Self->handleFenced(FencingToken);
       });
 }
 
--- a/packages/fleet/tests/VmLinkFixture.h
+++ b/packages/fleet/tests/VmLinkFixture.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cuminroad/fakes/FakeVms.h"
+#include "cuminroad/fleet/FencingTokens.h"
 #include "cuminroad/fleet/VmLink.h"
 
 namespace cuminroad {
@@ -27,9 +28,8 @@
     Entry.Address = "a:1";
     Entry.Clock = EntryClock;
     VmLink::Options Options;
-    Options.FencingToken = 1;
     Options.InheritedLeasesUntil = ControlLoop.MonotonicClock.now() + Inherited;
-    Link = std::make_shared<VmLink>(Entry, Options, Calls, ControlLoop,
+    Link = std::make_shared<VmLink>(Entry, Options, Tokens, Calls, ControlLoop,
                                     ControlLoop.MonotonicClock, *this);
     Link->start();
   }
@@ -88,6 +88,7 @@
   milliseconds RecordingDelay{0};
   FakeVms Vms;
   FakeVmCalls Calls;
+  FencingTokens Tokens{1};
   std::shared_ptr<VmLink> Link;
   int Reports = 0;
   int Stopped = 0;
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -113,7 +113,7 @@
 BOOST_FIXTURE_TEST_CASE(newerOwnerFencesTheLink, Fixture) {
   connect();
   ControlLoop.runFor(milliseconds(500));
-  Vms.hold(VmTarget{"a", "a:1", 2, false}, HoldOrder{});
+  Vms.hold(VmTarget{"a", "a:1", FencingTokens(2).next(), false}, HoldOrder{});
   ControlLoop.runFor(milliseconds(3000));
   BOOST_CHECK(Fenced);
 }
@@ -275,7 +275,7 @@
   BOOST_CHECK_GE(Calls.HoldCalls - Before, 30);
 }
 
-BOOST_FIXTURE_TEST_CASE(pendingStartIsStoppedInTheNewIncarnation, Fixture) {
+BOOST_FIXTURE_TEST_CASE(pendingStartIsVoidInTheNewIncarnation, Fixture) {
   // An order for a VM's earlier incarnation can be carried out seconds later by
   // the new one, since its clock has just started and the order's lease has not
   // expired by it.
@@ -288,7 +288,8 @@
   Calls.NextFault = nullptr;
   Vms.restart("a", 7);
   ControlLoop.runFor(milliseconds(10000));
-  BOOST_CHECK_EQUAL(Stopped, 1);
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, 1);
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::OldRun});
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -87,10 +87,9 @@
     Entry.Vm.Incarnation = 1;
     Entry.Address = "a:1";
     VmLink::Options Options;
-    Options.FencingToken = 1;
-    Link =
-        std::make_shared<VmLink>(Entry, Options, RestartingCalls, ControlLoop,
-                                 ControlLoop.MonotonicClock, *this);
+    Link = std::make_shared<VmLink>(Entry, Options, Tokens, RestartingCalls,
+                                    ControlLoop, ControlLoop.MonotonicClock,
+                                    *this);
     Link->start();
     ControlLoop.runFor(milliseconds(500));
   }
@@ -143,10 +142,65 @@
   BOOST_REQUIRE(Outcomes == std::vector{StartOutcome::Accepted});
   Vms.restart("a", 7);
   ControlLoop.runFor(milliseconds(5000));
-  BOOST_CHECK_EQUAL(Stopped, 1);
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, 1);
   BOOST_CHECK_EQUAL(Vms.RunHistory.size(), 2);
 }
 
+// Guards against a start that reaches a VM's new incarnation after the owner
+// has seen it, and after another task was started there: all stops are lost.
+BOOST_FIXTURE_TEST_CASE(lateStartIsVoidOnceTheNewIncarnationIsReported,
+                        VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.LoseStops = true;
+  Calls.NextFault = [this](const std::string &) {
+    Calls.NextFault = nullptr;
+    return VmCallFault{VmCallFault::Delayed, milliseconds(2500)};
+  };
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(100));
+  Vms.restart("a", 7);
+  while (LastAnswer.Incarnation != 7)
+    ControlLoop.runFor(milliseconds(1));
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, 1);
+  BOOST_CHECK(Vms.RunHistory.empty());
+}
+
+// Guards against the same start where the VM's link was removed meanwhile, as
+// the VM was not listed.
+BOOST_FIXTURE_TEST_CASE(lateStartOfAnEarlierLinkIsVoid, VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.NextFault = [this](const std::string &) {
+    Calls.NextFault = nullptr;
+    return VmCallFault{VmCallFault::Delayed, milliseconds(2500)};
+  };
+  Link->startRun(startOf(), "spec");
+  Link->close();
+  Vms.restart("a", 7);
+  connect();
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, 1);
+  BOOST_CHECK(Vms.RunHistory.empty());
+}
+
+// Guards against an owner that gives its pool up, since a VM refuses an order
+// that the owner itself has voided.
+BOOST_FIXTURE_TEST_CASE(voidedOrderIsNotTakenForANewerOwner, VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  const milliseconds Latency = std::exchange(Calls.Latency, milliseconds(300));
+  Link->startRun(startOf(), "spec");
+  Calls.Latency = Latency;
+  Vms.restart("a", 7);
+  ControlLoop.runFor(milliseconds(2000));
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, 1);
+  BOOST_CHECK(!Fenced);
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::OldRun});
+  BOOST_CHECK(Vms.RunHistory.empty());
+}
+
 // Guards against a task that is started elsewhere while it runs on a VM that
 // has restarted unseen: a repeated start reached the new incarnation, by whose
 // clock the start's deadline is far off.
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -64,6 +64,8 @@
   /// Done and the VM's lease did not expire between the end and the
   /// acknowledgement.
   std::vector<std::pair<TaskName, TimePoint>> AcknowledgedCompletions;
+  /// Calls that were refused for their fencing token.
+  int FencedCalls = 0;
 
 private:
   struct VmState {
@@ -153,6 +155,8 @@
   bool RefuseStartsAndStops = false;
   /// The VMs refuse holds as Unhealthy and do not renew their leases.
   bool RefuseHolds = false;
+  /// No stop is delivered.
+  bool LoseStops = false;
   int StartCalls = 0;
   int HoldCalls = 0;
   /// Holds that asked for a new connection.
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -97,6 +97,7 @@
   Answer.VmClock = vmTime(Vm.Id);
   VmState &State = Found->second;
   if (Vm.FencingToken < State.HighestToken) {
+    ++FencedCalls;
     Answer.Outcome = OrderOutcome::Fenced;
     return nullptr;
   }
@@ -274,6 +275,9 @@
 
 void FakeVmCalls::stop(const VmTarget &Vm, const TaskRun &Run,
                        milliseconds Timeout, OrderDone Done) {
+  if (LoseStops)
+    return ControlLoop_.after(Timeout,
+                              [Done] { Done(failure(ErrorCode::Timeout)); });
   send<OrderAnswer>(
       Vm, Timeout,
       [this, Vm, Run] {
