Send no hold and no order after a newer owner's token was seen

A refused hold was repeated, and a refused start put up for a repeat, also where the refusal showed a newer owner, whose token ends this link at once. Now only a refusal of a token that the link itself has raised since leads to a repeat. No test: the extra calls were refused as well. fleet.VmRestartTest and fleet.VmLinkTest pass.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -122,9 +122,10 @@
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
-  /// Handles that the VM has refused \p FencingToken: another owner has taken
-  /// it over, unless this link has raised its token meanwhile.
-  void handleFenced(std::int64_t FencingToken);
+  /// Handles that the VM has refused \p FencingToken.
+  /// \returns whether another owner has taken the VM over; otherwise this link
+  /// has raised its token since, and the order was void.
+  bool handleFenced(std::int64_t FencingToken);
   void scheduleHold(milliseconds Delay);
   /// Replaces the scheduled hold, if there is one.
   void rescheduleHold(milliseconds Delay);
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -193,8 +193,9 @@
     ReachedAddress_ = Sent.Address;
     return handleHoldSuccess(Sent, *Answer);
   case OrderOutcome::Fenced:
-    handleFenced(Sent.FencingToken);
-    return scheduleHold(milliseconds(0));
+    if (!handleFenced(Sent.FencingToken))
+      scheduleHold(milliseconds(0));
+    return;
   case OrderOutcome::OtherInstance:
     return handleOtherVm(Sent.Address);
   default:
@@ -281,9 +282,11 @@
   scheduleHold(milliseconds(0));
 }
 
-void VmLink::handleFenced(std::int64_t FencingToken) {
-  if (FencingToken == FencingToken_)
-    Listener_.onFenced(*this);
+bool VmLink::handleFenced(std::int64_t FencingToken) {
+  if (FencingToken != FencingToken_)
+    return false;
+  Listener_.onFenced(*this);
+  return true;
 }
 
 void VmLink::acknowledge(std::int64_t Incarnation, std::int64_t Number) {
@@ -450,8 +453,9 @@
     return retryStart(Order, Attempts);
   }
   if (Answer->Outcome == OrderOutcome::Fenced) {
-    handleFenced(FencingToken);
-    return retryStart(Order, Attempts);
+    if (!handleFenced(FencingToken))
+      retryStart(Order, Attempts);
+    return;
   }
   StartOutcome Outcome = startOutcome(Answer->Outcome);
   if (Attempts > 0 && Outcome != StartOutcome::Accepted) {
@@ -493,8 +497,8 @@
           return;
         Self->recordAnswered(Answer);
         const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
-        if (Fenced)
-          Self->handleFenced(FencingToken);
+        if (Fenced && Self->handleFenced(FencingToken))
+          return;
         if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy &&
             Answer->Outcome != OrderOutcome::OtherInstance) {
           Self->PendingStops_.erase(Run);
