Void a start for good when it is given up

A start that got no certain answer until its lease was over counted as one that its VM can't accept any more, by an estimate of the VM's clock. Where that clock, or the VM's reading of the lease, allows it later all the same, the task runs twice.

Now the link's token rises as the start is given up: the next hold carries it, and only a report of a hold sent after that decides that the task is not on the VM, so that no such start can follow.

Test: startIsVoidOnceItIsGivenUp; before, the start is carried out 6 s late on a VM that counts its lease from its arrival.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -428,10 +428,12 @@
   const auto Delay = std::chrono::duration_cast<milliseconds>(
       whenVmClockHasPassed(Order.LeaseUntil) - MonotonicClock_.now());
   ControlLoop_.after(Delay, [Self = shared_from_this(), Run = Order.Run] {
-    // The VM can't accept the start any more. If it did accept it, its reports
-    // list the run.
-    if (!Self->Closed_ && Self->PendingStarts_.contains(Run))
-      Self->completeStart(Run, StartOutcome::OldRun, "no_certain_answer");
+    if (Self->Closed_ || !Self->PendingStarts_.contains(Run))
+      return;
+    // The VM can't accept the start any more once it has seen the raised token.
+    // If it did accept it, its reports list the run.
+    Self->FencingToken_ = Self->Tokens_.next();
+    Self->completeStart(Run, StartOutcome::OldRun, "no_certain_answer");
   });
 }
 
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -185,6 +185,21 @@
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
+// Guards against a start that is given up and carried out later, by a VM whose
+// clock says that its lease has not expired.
+BOOST_FIXTURE_TEST_CASE(startIsVoidOnceItIsGivenUp, VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.StartDelay = milliseconds(6000);
+  Link->startRun(startOf(), "spec");
+  while (Outcomes.empty())
+    ControlLoop.runFor(milliseconds(10));
+  ControlLoop.runFor(milliseconds(10000));
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::OldRun});
+  BOOST_CHECK_EQUAL(Vms.FencedCalls, Calls.StartCalls);
+  BOOST_CHECK(Vms.RunHistory.empty());
+}
+
 // Guards against an owner that gives its pool up, since a VM refuses an order
 // that the owner itself has voided.
 BOOST_FIXTURE_TEST_CASE(voidedOrderIsNotTakenForANewerOwner, VmLinkFixture) {
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -155,6 +156,9 @@
   bool RefuseStartsAndStops = false;
   /// The VMs refuse holds as Unhealthy and do not renew their leases.
   bool RefuseHolds = false;
+  /// Starts get no answer and are carried out this much later. Their leases
+  /// count from then on.
+  std::optional<milliseconds> StartDelay;
   /// No stop is delivered.
   bool LoseStops = false;
   int StartCalls = 0;
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -263,6 +263,13 @@
 void FakeVmCalls::start(const VmTarget &Vm, const StartOrder &Order,
                         milliseconds Timeout, OrderDone Done) {
   ++StartCalls;
+  if (StartDelay) {
+    StartOrder Late = Order;
+    Late.LeaseUntil += *StartDelay;
+    ControlLoop_.after(*StartDelay, [this, Vm, Late] { Vms_.start(Vm, Late); });
+    return ControlLoop_.after(
+        Timeout, [Done] { Done(failure(ErrorCode::Timeout)); });
+  }
   send<OrderAnswer>(
       Vm, Timeout,
       [this, Vm, Order] {
