--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -267,8 +267,8 @@
     StartOrder Late = Order;
     Late.LeaseUntil += *StartDelay;
     ControlLoop_.after(*StartDelay, [this, Vm, Late] { Vms_.start(Vm, Late); });
-    return ControlLoop_.after(
-        Timeout, [Done] { Done(failure(ErrorCode::Timeout)); });
+    return ControlLoop_.after(Timeout,
+                              [Done] { Done(failure(ErrorCode::Timeout)); });
   }
   send<OrderAnswer>(
       Vm, Timeout,
