Don't wait for an end in the hold that settles a restart

The hold that carries the raised token to a new incarnation, seen between two holds, was a long poll of up to a second; until its answer the VM got no task. It is answered at once now. Test: newIncarnationIsReportedWithoutALongPoll, which failed before.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -164,7 +164,7 @@
       Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
-    if (LastEnd_ == AcknowledgedEnd_ && !Idle_ &&
+    if (LastEnd_ == AcknowledgedEnd_ && !Idle_ && !RestartUnsettled_ &&
         AcknowledgedEnd_ ==
             std::max(AnsweredAcknowledgement_, Order.AcknowledgedEnd))
       Order.Wait = MaxEndWait;
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -167,6 +167,23 @@
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
+// Guards against a VM that gets no task for a second after an unseen restart,
+// since the hold with the raised token waits for an end of a run.
+BOOST_FIXTURE_TEST_CASE(newIncarnationIsReportedWithoutALongPoll,
+                        VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Vms.restart("a", 7);
+  TimePoint LastSentAt{};
+  for (int Sent = Calls.HoldCalls; LastAnswer.Incarnation != 7;) {
+    ControlLoop.runFor(milliseconds(1));
+    if (std::exchange(Sent, Calls.HoldCalls) != Calls.HoldCalls)
+      LastSentAt = ControlLoop.MonotonicClock.now();
+  }
+  BOOST_CHECK(ControlLoop.MonotonicClock.now() - LastSentAt <=
+              Calls.Latency * 2);
+}
+
 // Guards against the same start where the VM's link was removed meanwhile, as
 // the VM was not listed.
 BOOST_FIXTURE_TEST_CASE(lateStartOfAnEarlierLinkIsVoid, VmLinkFixture) {
