Log what an owner believed of a step with a limit per VM

Change: run_ordered, one line for each start of a step with a limit per VM (anti_affinity), and for no other start. The scheduler adds what it counted when it decides the start; the line is written when the start is passed to the VM's link, so that a start that is never answered has one too, and the token is that of the order. run_started stays as it is: it comes only with an answer.

Tests: startOfALimitedStepTellsTheRunsThatCounted and startOfALimitedStepIsLoggedWithTheTasksBesideIt fail without the scheduler's record, and pass with it.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -62,6 +62,7 @@
   RunStopped = 1424,
   RunPaced = 1425,
   RunSuspected = 1426,
+  RunOrdered = 1427,
   AdviceFailed = 1430,
   AdviceCame = 1431,
   PoolLoad = 1440,
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -137,6 +137,10 @@
     EventInfo{EventId::RunSuspected, Severity::Warning, "run_suspected",
               "The run may have crashed its VM; its task is tried apart from "
               "other new runs."},
+    EventInfo{EventId::RunOrdered, Severity::Info, "run_ordered",
+              "A start of a step with a limit per VM was sent; with the runs "
+              "of the step that the owner believed to be on the VM when it "
+              "decided the start, and the start's fencing token."},
     EventInfo{EventId::AdviceFailed, Severity::Warning, "advice_failed",
               "A request to the placement advisor failed; it is retried."},
     EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -90,6 +90,8 @@
   void update(const VmEntry &Entry);
   const std::string &vm() const { return Entry_.Vm.Id; }
   bool held() const { return Held_; }
+  /// \returns the token that the next order carries.
+  std::int64_t fencingToken() const { return FencingToken_; }
   const Capacity &listedCapacity() const { return Entry_.Vm.Total; }
   /// \returns whether the VM's entry has the VM's clock.
   bool hasEntryClock() const { return Entry_.Clock.has_value(); }
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -40,6 +40,31 @@
   return Out;
 }
 
+/// \returns each run as TASK#RUN, after \p Label; empty without runs.
+std::string formatRunsOfStep(std::string_view Label,
+                             std::span<const TaskRun> Runs) {
+  std::string Out;
+  for (const TaskRun &Run : Runs)
+    Out += fmt::format("{}{}#{}", Out.empty() ? Label : " ", Run.Task.Index,
+                       Run.Number);
+  return Out;
+}
+
+/// \returns what \p OnVm tells of the VM, with ages at the time of the
+/// decision, and how long ago that was.
+std::string formatStepOnVm(const StepOnVm &OnVm, TimePoint Now) {
+  const auto AgeMs = [](TimePoint Since, TimePoint Until) {
+    return std::chrono::duration_cast<milliseconds>(Until - Since).count();
+  };
+  return fmt::format("step_on_vm {} of {}{}{} incarnation {} report_age_ms {} "
+                     "decided_ms {}",
+                     OnVm.Runs.size() + OnVm.UnknownRuns.size(), OnVm.Limit,
+                     formatRunsOfStep(" runs ", OnVm.Runs),
+                     formatRunsOfStep(" unknown ", OnVm.UnknownRuns),
+                     OnVm.VmIncarnation, AgeMs(OnVm.ReportedAt, OnVm.DecidedAt),
+                     AgeMs(OnVm.DecidedAt, Now));
+}
+
 } // namespace
 
 void PoolOwner::syncVms() {
@@ -114,6 +139,13 @@
     if (Plan == nullptr || Link == nullptr)
       continue;
     ++StartStatistics_.Sent;
+    if (Start.OnVm)
+      Context_.Events.record(
+          EventId::RunOrdered, formatRun(Start.Run),
+          fmt::format(
+              "{} {} token {}", Start.Vm,
+              formatStepOnVm(*Start.OnVm, Context_.MonotonicClock.now()),
+              Link->fencingToken()));
     Link->startRun(Start, Plan->Spec);
   }
   const auto Delay = std::chrono::duration_cast<milliseconds>(
--- /dev/null
+++ b/packages/fleet/tests/PlacementLogTest.cpp
@@ -0,0 +1,88 @@
+// What an owner's log tells about the tasks of a step on a VM.
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include "PoolTestSupport.h"
+
+using namespace cuminroad;
+
+namespace {
+
+/// One owner, and one VM.
+struct OwnerLogFixture {
+  OwnerLogFixture() {
+    Vms.add("vm0", 1);
+    Vms.PlanRun = [](const TaskRun &) {
+      return std::pair{milliseconds(60000), RunOutcome::Done};
+    };
+    list();
+    ControlLoop.runFor(milliseconds(2000));
+    BOOST_REQUIRE(Daemon.owns());
+  }
+
+  void list() {
+    Daemon.listVms({StoredRow{RowName{"vms", "", "vm0"},
+                              fmt::format("4 {}", Incarnation), 1, false}});
+  }
+  void submit(const std::string &Job, int Tasks, int MaxPerVm) {
+    JobRequest Request;
+    Request.Queue = "q";
+    Request.Service = TestService;
+    Request.Plan.Id = Job;
+    StepPlan Step;
+    Step.Tasks = Tasks;
+    Step.PerTask = TestTaskSize;
+    Step.Estimate = milliseconds(900);
+    Step.MaxPerVm = MaxPerVm;
+    Request.Plan.Steps.push_back(Step);
+    RowTransaction Change;
+    Change.Puts.push_back(RowPut{requestRow(Job), encodeRequest(Request)});
+    Rows.apply(Change);
+  }
+  std::vector<Event> eventsOf(EventId Id) const {
+    std::vector<Event> Out;
+    for (const Event &Each : Daemon.events())
+      if (Each.Id == Id)
+        Out.push_back(Each);
+    return Out;
+  }
+
+  static QueueTerms makeQueue() {
+    QueueTerms Out;
+    Out.Name = "q";
+    Out.Service = TestService;
+    Out.MaxAttempts = 3;
+    return Out;
+  }
+
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeVms Vms{ControlLoop};
+  TestDaemon Daemon{"a", ControlLoop, Rows, Vms, makeQueue()};
+  std::int64_t Incarnation = 1;
+};
+
+const std::string Job = "00000000000000aa";
+
+} // namespace
+
+// Guards against a log that can't tell which tasks of a step the owner believed
+// to be on a VM when it placed another there.
+BOOST_FIXTURE_TEST_CASE(startOfALimitedStepIsLoggedWithTheTasksBesideIt,
+                        OwnerLogFixture) {
+  submit(Job, 2, 2);
+  submit("00000000000000bb", 1, 0);
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_CHECK_EQUAL(eventsOf(EventId::RunStarted).size(), 3);
+  const std::vector<Event> Orders = eventsOf(EventId::RunOrdered);
+  BOOST_REQUIRE_EQUAL(Orders.size(), 2);
+  BOOST_CHECK_EQUAL(Orders[0].Subject, Job + ".0.0.0#1");
+  BOOST_CHECK(
+      Orders[0].Detail.starts_with("vm0 step_on_vm 0 of 2 incarnation 1 "));
+  BOOST_CHECK(Orders[1].Detail.starts_with(
+      "vm0 step_on_vm 1 of 2 runs 0#1 incarnation 1 report_age_ms "));
+  const std::string Token = fmt::format("{}", (std::int64_t{1} << 28) + 1);
+  for (const Event &Each : Orders)
+    BOOST_CHECK(Each.Detail.ends_with(" token " + Token));
+}
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -111,6 +111,8 @@
   void kill();
   bool owns() const { return Owner_ && Owner_->loaded(); }
   const PoolOwner *owner() const { return Owner_.get(); }
+  /// \returns the last events of all owners that the daemon has been.
+  std::vector<Event> events() const { return Events_.since(0); }
   void listVms(const std::vector<StoredRow> &Rows);
 
   FakeRowStore Store;
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -1,11 +1,13 @@
 #ifndef CUMINROAD_POOL_POOLCOMMAND_H
 #define CUMINROAD_POOL_POOLCOMMAND_H
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/pool/StepOnVm.h"
 #include "cuminroad/pool/TaskName.h"
 
 namespace cuminroad {
@@ -19,6 +21,8 @@
   std::string Ticket;
   /// The command must not be sent after this time: the ticket has then expired.
   TimePoint TicketExpiry = TimePoint::max();
+  /// For the log; none if the step has no limit per VM.
+  std::optional<StepOnVm> OnVm = std::nullopt;
 };
 
 /// Stops a run; the VM saves a checkpoint if the task supports checkpoints.
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -224,6 +224,8 @@
   TimePoint TrialReservedUntil{};
   /// The incarnation of the last report; 0 before the first.
   std::int64_t ReportedIncarnation = 0;
+  /// When the last report arrived.
+  TimePoint ReportedAt{};
   /// The incarnation whose capacity and labels are listed.
   std::int64_t ListedIncarnation = 0;
   /// When the VM listed its capacity; none if that doesn't matter.
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -136,6 +136,7 @@
   const bool Restarted =
       Vm->ReportedIncarnation != 0 && Vm->ReportedIncarnation != Incarnation;
   Vm->ReportedIncarnation = Incarnation;
+  Vm->ReportedAt = MonotonicClock_.now();
   Vm->Description.Incarnation = Incarnation;
   if (!Vm->LeaseHeld || Restarted)
     ++Tables_.VmsVersion;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -53,6 +53,23 @@
   return static_cast<int>(Count);
 }
 
+/// \returns the runs that tasksOnVm() counts, and what is known of the VM.
+StepOnVm describeStepOnVm(const StepRecord &Step, const VmRecord &Vm,
+                          TimePoint Now) {
+  StepOnVm Out;
+  Out.Limit = Step.Plan->MaxPerVm;
+  for (const TaskRecord *Task : Vm.Tasks)
+    if (Task->Step == &Step)
+      Out.Runs.push_back(TaskRun{nameOf(*Task), Task->Run});
+  for (const auto &[Run, Unknown] : Vm.UnknownRuns)
+    if (Run.Task.Step == nameOf(Step))
+      Out.UnknownRuns.push_back(Run);
+  Out.VmIncarnation = Vm.ReportedIncarnation;
+  Out.ReportedAt = Vm.ReportedAt;
+  Out.DecidedAt = Now;
+  return Out;
+}
+
 /// \returns whether a waiting task of the step may have crashed a VM.
 bool hasWaitingSuspect(const StepRecord &Step) {
   return std::any_of(
@@ -431,6 +448,9 @@
   if (Vm.inQuarantine(Now_))
     Vm.NextProbe = Now_ + Options_.MinProbeInterval;
   const Capacity FreeBefore = Vm.freeCapacity();
+  std::optional<StepOnVm> OnVm;
+  if (Step.Plan->MaxPerVm > 0)
+    OnVm = describeStepOnVm(Step, Vm, Now_);
   Tables_.place(Task, Vm, Run, Now_);
   LargestFreeKnown_ =
       LargestFreeKnown_ && !reducesMaximum(FreeBefore, Vm.freeCapacity());
@@ -444,6 +464,7 @@
     Command.Ticket = Ticket->second.Ticket;
     Command.TicketExpiry = Ticket->second.ValidUntil;
   }
+  Command.OnVm = std::move(OnVm);
   Tables_.Commands.push_back(std::move(Command));
 }
 
--- a/packages/pool/tests/PlacementTest.cpp
+++ b/packages/pool/tests/PlacementTest.cpp
@@ -162,6 +162,35 @@
   BOOST_CHECK_EQUAL(Starts.size(), 2);
 }
 
+// Guards against a log that can't tell why a task was placed beside others of
+// its step: each start of a step with a limit per VM tells what counted.
+BOOST_FIXTURE_TEST_CASE(startOfALimitedStepTellsTheRunsThatCounted,
+                        SchedulerFixture) {
+  addVm(makeVm("a", BigSize));
+  StepPlan Step = makeStep(4, SmallSize);
+  Step.MaxPerVm = 3;
+  Scheduler->addJob(makeJob("j", {Step}), makeQueue(1), MonotonicClock.now());
+  Scheduler->addJob(makeJob("k", {makeStep(1, SmallSize)}), makeQueue(0),
+                    MonotonicClock.now());
+  const TaskRun Unknown{{{"j", 0, 0}, 3}, 7};
+  reportRuns("a", {{Unknown, "", 10, 0}});
+  MonotonicClock.advance(milliseconds(200));
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 3);
+  BOOST_CHECK_EQUAL(Starts[0].Run.Task.Step.Job, "k");
+  BOOST_CHECK(!Starts[0].OnVm);
+  BOOST_REQUIRE(Starts[1].OnVm && Starts[2].OnVm);
+  BOOST_CHECK(Starts[1].OnVm->Runs.empty());
+  BOOST_CHECK(Starts[2].OnVm->Runs == std::vector{Starts[1].Run});
+  for (const StartRun &Start : {Starts[1], Starts[2]}) {
+    BOOST_CHECK_EQUAL(Start.OnVm->Limit, 3);
+    BOOST_CHECK(Start.OnVm->UnknownRuns == std::vector{Unknown});
+    BOOST_CHECK_EQUAL(Start.OnVm->VmIncarnation, 1);
+    BOOST_CHECK(Start.OnVm->DecidedAt - Start.OnVm->ReportedAt ==
+                milliseconds(200));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(requiredLabelAndMaxPerVmAreRespected,
                         SchedulerFixture) {
   addVm(makeVm("a", BigSize, {"x", "r1"}));
