Log raised fencing tokens, voided orders and runs that are not counted

Cause: the log doesn't tell which orders an owner voids with a higher fencing token, which of them a VM refused for it, and which runs a VM reported that the owner didn't count. run_stopped alone doesn't tell whether the owner knew of the run.

Change: three events. vm_token_raised (info: a VM that restarted or was lost has its own warnings) names the reason, the incarnation that last answered, and the new token. vm_order_voided (warning, like the other refusals) names the order, its token and the raised one; its subject is the run, or the VM for a hold. run_unknown (warning) is logged once for a run and incarnation, not with each report, and tells whether the run is stopped or taken for its waiting task's run again.

--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -53,6 +53,12 @@
         EventId::VmCrashed, Severity::Warning, "vm_crashed",
         "A VM crashed under runs; the detail says how many were lost, how "
         "many may have caused it, and whether one job alone did."},
+    EventInfo{EventId::VmTokenRaised, Severity::Info, "vm_token_raised",
+              "The owner raised the VM's fencing token, so that the VM refuses "
+              "its earlier orders; with the incarnation known and the reason."},
+    EventInfo{EventId::VmOrderVoided, Severity::Warning, "vm_order_voided",
+              "The VM refused an order, because its owner had raised the token "
+              "since."},
     EventInfo{EventId::PlatformLost, Severity::Error, "platform_lost",
               "The platform's table service can't be reached."},
     EventInfo{EventId::PlatformBack, Severity::Info, "platform_back",
@@ -141,6 +147,9 @@
               "A start of a step with a limit per VM was sent; with the runs "
               "of the step that the owner believed to be on the VM when it "
               "decided the start, and the start's fencing token."},
+    EventInfo{EventId::RunUnknown, Severity::Warning, "run_unknown",
+              "A VM reported a run that is not current for its owner, which "
+              "stops it or, if its task waits, takes it for its task's run."},
     EventInfo{EventId::AdviceFailed, Severity::Warning, "advice_failed",
               "A request to the placement advisor failed; it is retried."},
     EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -66,6 +66,9 @@
   void onReachable(VmLink &Link) override;
   void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) override;
   void onFenced(VmLink &Link) override;
+  void onTokenRaised(VmLink &Link, std::string_view Reason) override;
+  void onOrderVoided(VmLink &Link, std::string_view Order, const TaskRun *Run,
+                     std::int64_t FencingToken) override;
   void onStartAnswered(VmLink &Link, const TaskRun &Run, StartOutcome Outcome,
                        std::string_view Reason) override;
   void onStartTried(milliseconds Duration, bool Answered) override;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -42,6 +42,12 @@
   virtual void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) = 0;
   /// The VM has accepted a newer owner.
   virtual void onFenced(VmLink &Link) = 0;
+  /// The link has raised its token, so that the VM refuses earlier orders.
+  virtual void onTokenRaised(VmLink &Link, std::string_view Reason) = 0;
+  /// The VM refused an order with \p FencingToken, which the link has raised
+  /// since. \p Run is null for a hold.
+  virtual void onOrderVoided(VmLink &Link, std::string_view Order,
+                             const TaskRun *Run, std::int64_t FencingToken) = 0;
   virtual void onStartAnswered(VmLink &Link, const TaskRun &Run,
                                StartOutcome Outcome,
                                std::string_view Reason) = 0;
@@ -90,6 +96,8 @@
   void update(const VmEntry &Entry);
   const std::string &vm() const { return Entry_.Vm.Id; }
   bool held() const { return Held_; }
+  /// \returns the incarnation that last answered; 0 before the first answer.
+  std::int64_t incarnation() const { return Incarnation_; }
   /// \returns the token that the next order carries.
   std::int64_t fencingToken() const { return FencingToken_; }
   const Capacity &listedCapacity() const { return Entry_.Vm.Total; }
@@ -124,9 +132,12 @@
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
-  /// Handles that the VM has refused \p FencingToken: another owner has taken
-  /// it over, unless this link has raised its token meanwhile.
-  void handleFenced(std::int64_t FencingToken);
+  void raiseToken(std::string_view Reason);
+  /// Handles that the VM has refused an order for its \p FencingToken: another
+  /// owner has taken it over, unless this link has raised its token meanwhile.
+  /// \p Run is null for a hold.
+  void handleFenced(std::int64_t FencingToken, std::string_view Order,
+                    const TaskRun *Run);
   void scheduleHold(milliseconds Delay);
   /// Replaces the scheduled hold, if there is one.
   void rescheduleHold(milliseconds Delay);
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -31,6 +31,11 @@
   for (const LostRun &Loss : Diagnostics.LostRuns)
     Context_.Events.record(EventId::RunLost, formatRun(Loss.Run),
                            formatLoss(Loss));
+  for (const UnknownRunReport &Each : Diagnostics.UnknownRuns)
+    Context_.Events.record(EventId::RunUnknown, formatRun(Each.Run),
+                           fmt::format("{} incarnation {} {}", Each.Vm,
+                                       Each.VmIncarnation,
+                                       Each.Resumed ? "resumed" : "stopped"));
   for (const VmCrash &Each : Diagnostics.Crashes)
     logCrash(Each);
   for (const AbandonedTask &Each : Diagnostics.AbandonedTasks) {
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -282,6 +282,21 @@
       [Self = shared_from_this()] { Self->handleReplacement(); });
 }
 
+void PoolOwner::onTokenRaised(VmLink &Link, std::string_view Reason) {
+  Context_.Events.record(EventId::VmTokenRaised, Link.vm(),
+                         fmt::format("{} {} incarnation {} token {}",
+                                     Term_.Service, Reason, Link.incarnation(),
+                                     Link.fencingToken()));
+}
+
+void PoolOwner::onOrderVoided(VmLink &Link, std::string_view Order,
+                              const TaskRun *Run, std::int64_t FencingToken) {
+  Context_.Events.record(EventId::VmOrderVoided,
+                         Run != nullptr ? formatRun(*Run) : Link.vm(),
+                         fmt::format("{} {} token {} raised {}", Link.vm(),
+                                     Order, FencingToken, Link.fencingToken()));
+}
+
 void PoolOwner::onStartAnswered(VmLink &Link, const TaskRun &Run,
                                 StartOutcome Outcome, std::string_view Reason) {
   Context_.Metrics.recordRunStart(Outcome == StartOutcome::Accepted ? "accepted"
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -193,7 +193,7 @@
     ReachedAddress_ = Sent.Address;
     return handleHoldSuccess(Sent, *Answer);
   case OrderOutcome::Fenced:
-    handleFenced(Sent.FencingToken);
+    handleFenced(Sent.FencingToken, "hold", nullptr);
     return scheduleHold(milliseconds(0));
   case OrderOutcome::OtherInstance:
     return handleOtherVm(Sent.Address);
@@ -271,7 +271,7 @@
   // started, so that the leases in those orders have not expired by it.
   LatestLeaseEnd_ = *VmClock_ + Options_.MaxLease;
   LastAnsweredAt_ = MonotonicClock_.now();
-  FencingToken_ = Tokens_.next();
+  raiseToken("vm_restarted");
   RestartUnsettled_ = true;
   if (Failures_ == 0)
     Listener_.onNoAnswer(*this);
@@ -281,9 +281,17 @@
   scheduleHold(milliseconds(0));
 }
 
-void VmLink::handleFenced(std::int64_t FencingToken) {
+void VmLink::raiseToken(std::string_view Reason) {
+  FencingToken_ = Tokens_.next();
+  Listener_.onTokenRaised(*this, Reason);
+}
+
+void VmLink::handleFenced(std::int64_t FencingToken, std::string_view Order,
+                          const TaskRun *Run) {
   if (FencingToken == FencingToken_)
     Listener_.onFenced(*this);
+  else
+    Listener_.onOrderVoided(*this, Order, Run, FencingToken);
 }
 
 void VmLink::acknowledge(std::int64_t Incarnation, std::int64_t Number) {
@@ -351,7 +359,7 @@
   ReportedCause_ = FailureCause_;
   // A new incarnation would not know that the leases in earlier orders are
   // over.
-  FencingToken_ = Tokens_.next();
+  raiseToken("lease_expired");
   // All runs have ended, and orders to start one have expired.
   PendingStops_.clear();
   Listener_.onLeaseExpired(*this, FailureCause_);
@@ -450,7 +458,7 @@
     return retryStart(Order, Attempts);
   }
   if (Answer->Outcome == OrderOutcome::Fenced) {
-    handleFenced(FencingToken);
+    handleFenced(FencingToken, "start", &Order.Run);
     return retryStart(Order, Attempts);
   }
   StartOutcome Outcome = startOutcome(Answer->Outcome);
@@ -494,7 +502,7 @@
         Self->recordAnswered(Answer);
         const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
         if (Fenced)
-          Self->handleFenced(FencingToken);
+          Self->handleFenced(FencingToken, "stop", &Run);
         if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy &&
             Answer->Outcome != OrderOutcome::OtherInstance) {
           Self->PendingStops_.erase(Run);
@@ -511,10 +519,10 @@
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
   Calls_.throttle(
       target(), Run, Percent, OrderTimeout,
-      [Self = shared_from_this(),
+      [Self = shared_from_this(), Run,
        FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
         if (!Self->Closed_ && Answer && Answer->Outcome == OrderOutcome::Fenced)
-          Self->handleFenced(FencingToken);
+          Self->handleFenced(FencingToken, "throttle", &Run);
       });
 }
 
--- a/packages/fleet/tests/VmLinkFixture.h
+++ b/packages/fleet/tests/VmLinkFixture.h
@@ -59,6 +59,14 @@
     LeaseExpiredAt = ControlLoop.MonotonicClock.now();
   }
   void onFenced(VmLink &) override { Fenced = true; }
+  void onTokenRaised(VmLink &Vm, std::string_view Reason) override {
+    RaisedTokens.emplace_back(Vm.fencingToken(), Reason);
+  }
+  void onOrderVoided(VmLink &, std::string_view Order, const TaskRun *Run,
+                     std::int64_t FencingToken) override {
+    VoidedOrders.push_back(
+        VoidedOrder{std::string(Order), Run != nullptr, FencingToken});
+  }
   void onStartAnswered(VmLink &, const TaskRun &, StartOutcome Outcome,
                        std::string_view) override {
     Outcomes.push_back(Outcome);
@@ -101,6 +109,14 @@
   std::vector<int> UnreachableAttempts;
   int ReachableReports = 0;
   bool Fenced = false;
+  /// The tokens to which the link has raised its own, with the reasons.
+  std::vector<std::pair<std::int64_t, std::string>> RaisedTokens;
+  struct VoidedOrder {
+    std::string Order;
+    bool HasRun = false;
+    std::int64_t FencingToken = 0;
+  };
+  std::vector<VoidedOrder> VoidedOrders;
   std::optional<TimePoint> LeaseExpiredAt;
   RunsEndedCause LastCause = RunsEndedCause::LeaseExpired;
   std::vector<StartOutcome> Outcomes;
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -201,6 +201,32 @@
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
+// Guards against a log that can't tell why a start came to nothing: its token
+// was raised before it arrived.
+BOOST_FIXTURE_TEST_CASE(raisedTokenAndVoidedOrderAreReported, VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  const std::int64_t First = Link->fencingToken();
+  const milliseconds Latency = std::exchange(Calls.Latency, milliseconds(300));
+  Link->startRun(startOf(), "spec");
+  Calls.Latency = Latency;
+  BOOST_CHECK(RaisedTokens.empty());
+  Vms.restart("a", 7);
+  ControlLoop.runFor(milliseconds(2000));
+  BOOST_REQUIRE_EQUAL(RaisedTokens.size(), 1);
+  BOOST_CHECK_GT(RaisedTokens[0].first, First);
+  BOOST_CHECK_EQUAL(RaisedTokens[0].second, "vm_restarted");
+  BOOST_REQUIRE_EQUAL(VoidedOrders.size(), 1);
+  BOOST_CHECK_EQUAL(VoidedOrders[0].Order, "start");
+  BOOST_CHECK(VoidedOrders[0].HasRun);
+  BOOST_CHECK_EQUAL(VoidedOrders[0].FencingToken, First);
+  Vms.crash("a");
+  ControlLoop.runFor(milliseconds(15000));
+  BOOST_REQUIRE_EQUAL(RaisedTokens.size(), 2);
+  BOOST_CHECK_GT(RaisedTokens[1].first, RaisedTokens[0].first);
+  BOOST_CHECK_EQUAL(RaisedTokens[1].second, "lease_expired");
+}
+
 // Guards against a task that is started elsewhere while it runs on a VM that
 // has restarted unseen: a repeated start reached the new incarnation, by whose
 // clock the start's deadline is far off.
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -22,6 +22,16 @@
   std::optional<milliseconds> Age;
 };
 
+/// The first of the reports in a row in which a VM lists a run that is not
+/// current.
+struct UnknownRunReport {
+  TaskRun Run;
+  std::string Vm;
+  std::int64_t VmIncarnation = 0;
+  /// The run is the last one of a task that waits, and becomes current again.
+  bool Resumed = false;
+};
+
 /// Why a step could not be placed for some time. The counts show which
 /// condition excludes the VMs.
 struct BlockedStep {
@@ -68,6 +78,7 @@
 /// Events for the log. They don't affect scheduling.
 struct PoolDiagnostics {
   std::vector<LostRun> LostRuns;
+  std::vector<UnknownRunReport> UnknownRuns;
   std::vector<BlockedStep> BlockedSteps;
   std::vector<VmQuarantine> Quarantines;
   std::vector<VmCrash> Crashes;
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -238,6 +238,8 @@
   mutable bool ExpectedEndsKnown = false;
   /// They are being stopped.
   std::map<TaskRun, UnknownRun> UnknownRuns;
+  /// Runs in the last report that were not current.
+  std::set<TaskRun> ReportedUnknownRuns;
   int ConsecutiveFailures = 0;
   TimePoint LastFailureAt{};
   TimePoint QuarantinedAt{};
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -29,6 +29,15 @@
   for (const auto &[Run, Unknown] : Vm.UnknownRuns)
     Vm.Used -= Unknown.Size;
   Vm.UnknownRuns.clear();
+  Vm.ReportedUnknownRuns.clear();
+}
+
+void forgetUnreportedRuns(VmRecord &Vm, std::span<const RunningTask> Running) {
+  std::erase_if(Vm.ReportedUnknownRuns, [Running](const TaskRun &Run) {
+    return std::none_of(
+        Running.begin(), Running.end(),
+        [&Run](const RunningTask &Report) { return Report.Run == Run; });
+  });
 }
 
 /// Forgets the unknown runs of which a report requested at \p RequestedAt tells
@@ -145,6 +154,7 @@
     forgetUnknownRuns(*Vm);
   else
     forgetSettledRuns(*Vm, RequestedAt);
+  forgetUnreportedRuns(*Vm, Running);
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
   settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
@@ -170,8 +180,10 @@
 void PoolSchedulerImpl::applyRunReport(VmRecord &Vm,
                                        const RunningTask &Report) {
   TaskRecord *Task = findCurrentTask(&Vm, Report.Run);
-  if (Task == nullptr)
+  if (Task == nullptr) {
     Task = resumeRun(Vm, Report.Run);
+    logUnknownRun(Vm, Report.Run, Task != nullptr);
+  }
   if (Task == nullptr) {
     // The run is not current, for example because its job was cancelled under
     // an earlier owner. It occupies capacity until it has ended.
@@ -212,6 +224,13 @@
   }
 }
 
+void PoolSchedulerImpl::logUnknownRun(VmRecord &Vm, const TaskRun &Run,
+                                      bool Resumed) {
+  if (Vm.ReportedUnknownRuns.insert(Run).second)
+    Tables_.Diagnostics.UnknownRuns.push_back(UnknownRunReport{
+        Run, Vm.Description.Id, Vm.ReportedIncarnation, Resumed});
+}
+
 TaskRecord *PoolSchedulerImpl::resumeRun(VmRecord &Vm, const TaskRun &Run) {
   TaskRecord *Task = Tables_.task(Run.Task);
   if (Task == nullptr || Task->Phase != TaskPhase::Waiting ||
--- a/packages/pool/tests/ReportedRunsTest.cpp
+++ b/packages/pool/tests/ReportedRunsTest.cpp
@@ -46,6 +46,43 @@
   BOOST_CHECK(Stops[0].Run == First.Run);
 }
 
+// Guards against a log that can't tell of a run that its owner did not count,
+// or tells of it with each report.
+BOOST_FIXTURE_TEST_CASE(reportedRunThatIsNotCurrentIsLoggedOnce,
+                        SchedulerFixture) {
+  const auto UnknownRuns = [this] {
+    return Scheduler->takeDiagnostics().UnknownRuns;
+  };
+  addVm(makeVm("a", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  runPass();
+  const StartRun First = Starts.at(0);
+  acceptStart(First);
+  const TaskRun Late{{{"k", 0, 0}, 2}, 7};
+  for (int Report = 0; Report < 5; ++Report)
+    reportRuns("a", {{First.Run, "", 10, 0}, {Late, "", 10, 0}});
+  auto Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK(Logged[0].Run == Late);
+  BOOST_CHECK_EQUAL(Logged[0].Vm, "a");
+  BOOST_CHECK_EQUAL(Logged[0].VmIncarnation, 1);
+  BOOST_CHECK(!Logged[0].Resumed);
+  // The next incarnation carries the same order out.
+  Scheduler->vmReported("a", 2, std::vector<RunningTask>{{Late, "", 0, 0}},
+                        MonotonicClock.now());
+  Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK_EQUAL(Logged[0].VmIncarnation, 2);
+  // The run that was lost at the restart is found after all.
+  Scheduler->vmReported("a", 2, std::vector<RunningTask>{{First.Run, "", 0, 0}},
+                        MonotonicClock.now());
+  Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK(Logged[0].Run == First.Run);
+  BOOST_CHECK(Logged[0].Resumed);
+}
+
 // Guards against a second run of a task beside an earlier one that is reported
 // when the second is placed, but not sent: it must wait until the earlier run
 // has ended.
