Don't log runs that the scheduler gave up itself as not counted

Change: a run that the scheduler gives up needs no line, until neither the VM's reports nor the scheduler list it any more.

Test: reportedRunThatTheOwnerGaveUpIsNotLogged fails on the code before.

--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -148,8 +148,8 @@
               "of the step that the owner believed to be on the VM when it "
               "decided the start, and the start's fencing token."},
     EventInfo{EventId::RunUnknown, Severity::Warning, "run_unknown",
-              "A VM reported a run that is not current for its owner, which "
-              "stops it or, if its task waits, takes it for its task's run."},
+              "A VM reported a run that its owner didn't count; the owner "
+              "stops it or, if its task waits, takes it for the task's run."},
     EventInfo{EventId::AdviceFailed, Severity::Warning, "advice_failed",
               "A request to the placement advisor failed; it is retried."},
     EventInfo{EventId::AdviceCame, Severity::Info, "advice_came",
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -23,7 +23,7 @@
 };
 
 /// The first of the reports in a row in which a VM lists a run that is not
-/// current.
+/// current, and that the scheduler has not given up itself.
 struct UnknownRunReport {
   TaskRun Run;
   std::string Vm;
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -238,8 +238,9 @@
   mutable bool ExpectedEndsKnown = false;
   /// They are being stopped.
   std::map<TaskRun, UnknownRun> UnknownRuns;
-  /// Runs in the last report that were not current.
-  std::set<TaskRun> ReportedUnknownRuns;
+  /// Runs that are not current and need no log line: the last report listed
+  /// them, or the scheduler gave them up.
+  std::set<TaskRun> SeenUnknownRuns;
   int ConsecutiveFailures = 0;
   TimePoint LastFailureAt{};
   TimePoint QuarantinedAt{};
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -94,8 +94,7 @@
   /// Commands the VM to stop the task's current run.
   void stopTask(TaskRecord &Task);
   void applyRunReport(VmRecord &Vm, const RunningTask &Report);
-  /// Logs a reported run that was not current, unless the report before listed
-  /// it too.
+  /// Logs a reported run that was not current, unless it has been seen.
   void logUnknownRun(VmRecord &Vm, const TaskRun &Run, bool Resumed);
   /// Takes the last run of a waiting task, which was taken for lost, for its
   /// current one again. \returns the task, or nullptr if there is none.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -84,6 +84,7 @@
   const TaskRun Run{nameOf(Task), Task.Run};
   const std::optional<TimePoint> SettledAt = Task.ConfirmedAt;
   Tables_.release(Task);
+  Vm.SeenUnknownRuns.insert(Run);
   stopUnknownRun(Vm, Run, Task.Step->Plan->reservedCapacity(), SettledAt);
 }
 
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -29,14 +29,17 @@
   for (const auto &[Run, Unknown] : Vm.UnknownRuns)
     Vm.Used -= Unknown.Size;
   Vm.UnknownRuns.clear();
-  Vm.ReportedUnknownRuns.clear();
+  Vm.SeenUnknownRuns.clear();
 }
 
-void forgetUnreportedRuns(VmRecord &Vm, std::span<const RunningTask> Running) {
-  std::erase_if(Vm.ReportedUnknownRuns, [Running](const TaskRun &Run) {
-    return std::none_of(
-        Running.begin(), Running.end(),
-        [&Run](const RunningTask &Report) { return Report.Run == Run; });
+/// Forgets which runs were seen of those that neither are in the report nor
+/// count on the VM.
+void forgetSeenRuns(VmRecord &Vm, std::span<const RunningTask> Running) {
+  std::erase_if(Vm.SeenUnknownRuns, [&](const TaskRun &Run) {
+    return !Vm.UnknownRuns.contains(Run) &&
+           std::none_of(
+               Running.begin(), Running.end(),
+               [&Run](const RunningTask &Report) { return Report.Run == Run; });
   });
 }
 
@@ -154,7 +157,7 @@
     forgetUnknownRuns(*Vm);
   else
     forgetSettledRuns(*Vm, RequestedAt);
-  forgetUnreportedRuns(*Vm, Running);
+  forgetSeenRuns(*Vm, Running);
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
   settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
@@ -226,7 +229,7 @@
 
 void PoolSchedulerImpl::logUnknownRun(VmRecord &Vm, const TaskRun &Run,
                                       bool Resumed) {
-  if (Vm.ReportedUnknownRuns.insert(Run).second)
+  if (Vm.SeenUnknownRuns.insert(Run).second)
     Tables_.Diagnostics.UnknownRuns.push_back(UnknownRunReport{
         Run, Vm.Description.Id, Vm.ReportedIncarnation, Resumed});
 }
--- a/packages/pool/tests/ReportedRunsTest.cpp
+++ b/packages/pool/tests/ReportedRunsTest.cpp
@@ -83,6 +83,31 @@
   BOOST_CHECK(Logged[0].Resumed);
 }
 
+// Guards against log lines on runs that the owner counts: it has stopped the
+// run itself, since an earlier one has ended as done.
+BOOST_FIXTURE_TEST_CASE(reportedRunThatTheOwnerGaveUpIsNotLogged,
+                        SchedulerFixture) {
+  addVm(makeVm("a", SmallSize));
+  addVm(makeVm("b", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  runPass();
+  const StartRun First = Starts.at(0);
+  Scheduler->vmTasksEnded(First.Vm, RunsEndedCause::LeaseExpired);
+  runPass();
+  const StartRun Second = Starts.at(0);
+  acceptStart(Second);
+  MonotonicClock.advance(milliseconds(1));
+  endRun(First, RunOutcome::Done);
+  for (int Report = 0; Report < 3; ++Report)
+    reportRuns(Second.Vm, {RunningTask{Second.Run, "", 10, 0}});
+  BOOST_CHECK(Scheduler->takeDiagnostics().UnknownRuns.empty());
+  // After the run has ended, the owner counts it no longer.
+  reportRuns(Second.Vm, {});
+  reportRuns(Second.Vm, {RunningTask{Second.Run, "", 10, 0}});
+  BOOST_CHECK_EQUAL(Scheduler->takeDiagnostics().UnknownRuns.size(), 1);
+}
+
 // Guards against a second run of a task beside an earlier one that is reported
 // when the second is placed, but not sent: it must wait until the earlier run
 // has ended.
