Explain which tasks of a step an owner believed to be on a VM

The tasks of a step are of one job, so that the other tasks on the VM show too. ExplainJob.cpp needed no change: it shows all vm_ events of VMs that the job's lines name.

test_tasks_of_a_limited_step_on_a_vm guards that; it passes on the program as it was, and fails (like the test on crashes) if events of VMs are left out.

--- a/tests/failure/explain_test.py
+++ b/tests/failure/explain_test.py
@@ -69,6 +69,43 @@
             ["run_started", "vm_crashed", "run_suspected", "job_given_up",
              "job_stage"])
 
+    def test_tasks_of_a_limited_step_on_a_vm(self):
+        """Guards against a history without the orders that a VM's restart
+        voids, or without what the owner believed to be on the VM."""
+        before = "\n".join([
+            log_line(101, "owner", "run_ordered", JOB + ".0.0.0#1",
+                     "vm-1 step_on_vm 0 of 1 incarnation 7 report_age_ms 90 "
+                     "decided_ms 3 token 11"),
+            log_line(102, "owner", "vm_token_raised", "vm-1",
+                     "pool vm_restarted incarnation 8 token 12"),
+            log_line(102, "owner", "vm_token_raised", "vm-2",
+                     "pool lease_expired incarnation 8 token 13"),
+            log_line(103, "owner", "vm_order_voided", "vm-1",
+                     "vm-1 hold token 11 raised 12"),
+            log_line(104, "owner", "vm_order_voided", JOB + ".0.0.0#1",
+                     "vm-1 start token 11 raised 12"),
+            log_line(104, "owner", "vm_order_voided", "00000000000000bb.0.0.0#1",
+                     "vm-1 start token 11 raised 12"),
+        ])
+        after = "\n".join([
+            log_line(105, "next", "run_unknown", JOB + ".0.0.1#1",
+                     "vm-1 incarnation 8 stopped"),
+            log_line(106, "next", "run_ordered", JOB + ".0.0.0#2",
+                     "vm-1 step_on_vm 1 of 2 unknown 1#1 incarnation 8 "
+                     "report_age_ms 40 decided_ms 5 token 12"),
+        ])
+        result = self.explain(JOB, after, before, output="json")
+        self.assertEqual(result.returncode, 0, result.stderr)
+        self.assertEqual(
+            [(each["name"], each["subject"])
+             for each in json.loads(result.stdout)],
+            [("run_ordered", JOB + ".0.0.0#1"),
+             ("vm_token_raised", "vm-1"),
+             ("vm_order_voided", "vm-1"),
+             ("vm_order_voided", JOB + ".0.0.0#1"),
+             ("run_unknown", JOB + ".0.0.1#1"),
+             ("run_ordered", JOB + ".0.0.0#2")])
+
     def test_unknown_job(self):
         result = self.explain("ff", log_line(1, "a", "job_accepted", JOB, "q"))
         self.assertEqual(result.returncode, 1)
