--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -42,6 +42,12 @@
   virtual void onLeaseExpired(VmLink &Link, RunsEndedCause Cause) = 0;
   /// The VM has accepted a newer owner.
   virtual void onFenced(VmLink &Link) = 0;
+  /// The link has raised its token, so that the VM refuses earlier orders.
+  virtual void onTokenRaised(VmLink &Link, std::string_view Reason) = 0;
+  /// The VM refused an order with \p FencingToken, which the link has raised
+  /// since. \p Run is null for a hold.
+  virtual void onOrderVoided(VmLink &Link, std::string_view Order,
+                             const TaskRun *Run, std::int64_t FencingToken) = 0;
   virtual void onStartAnswered(VmLink &Link, const TaskRun &Run,
                                StartOutcome Outcome,
                                std::string_view Reason) = 0;
@@ -90,6 +96,10 @@
   void update(const VmEntry &Entry);
   const std::string &vm() const { return Entry_.Vm.Id; }
   bool held() const { return Held_; }
+  /// \returns the incarnation that last answered; 0 before the first answer.
+  std::int64_t incarnation() const { return Incarnation_; }
+  /// \returns the token that the next order carries.
+  std::int64_t fencingToken() const { return FencingToken_; }
   const Capacity &listedCapacity() const { return Entry_.Vm.Total; }
   /// \returns whether the VM's entry has the VM's clock.
   bool hasEntryClock() const { return Entry_.Clock.has_value(); }
@@ -122,10 +132,12 @@
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
-  /// Handles that the VM has refused \p FencingToken.
-  /// \returns whether another owner has taken the VM over; otherwise this link
-  /// has raised its token since, and the order was void.
-  bool handleFenced(std::int64_t FencingToken);
+  void raiseToken(std::string_view Reason);
+  /// Handles that the VM has refused an order for its \p FencingToken. \p Run
+  /// is null for a hold. \returns whether another owner has taken the VM over;
+  /// otherwise this link has raised its token since, and the order was void.
+  bool handleFenced(std::int64_t FencingToken, std::string_view Order,
+                    const TaskRun *Run);
   void scheduleHold(milliseconds Delay);
   /// Replaces the scheduled hold, if there is one.
   void rescheduleHold(milliseconds Delay);
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -193,7 +193,7 @@
     ReachedAddress_ = Sent.Address;
     return handleHoldSuccess(Sent, *Answer);
   case OrderOutcome::Fenced:
-    if (!handleFenced(Sent.FencingToken))
+    if (!handleFenced(Sent.FencingToken, "hold", nullptr))
       scheduleHold(milliseconds(0));
     return;
   case OrderOutcome::OtherInstance:
@@ -272,7 +272,7 @@
   // started, so that the leases in those orders have not expired by it.
   LatestLeaseEnd_ = *VmClock_ + Options_.MaxLease;
   LastAnsweredAt_ = MonotonicClock_.now();
-  FencingToken_ = Tokens_.next();
+  raiseToken("vm_restarted");
   RestartUnsettled_ = true;
   if (Failures_ == 0)
     Listener_.onNoAnswer(*this);
@@ -282,11 +282,19 @@
   scheduleHold(milliseconds(0));
 }
 
-bool VmLink::handleFenced(std::int64_t FencingToken) {
-  if (FencingToken != FencingToken_)
-    return false;
-  Listener_.onFenced(*this);
-  return true;
+void VmLink::raiseToken(std::string_view Reason) {
+  FencingToken_ = Tokens_.next();
+  Listener_.onTokenRaised(*this, Reason);
+}
+
+bool VmLink::handleFenced(std::int64_t FencingToken, std::string_view Order,
+                          const TaskRun *Run) {
+  if (FencingToken == FencingToken_) {
+    Listener_.onFenced(*this);
+    return true;
+  }
+  Listener_.onOrderVoided(*this, Order, Run, FencingToken);
+  return false;
 }
 
 void VmLink::acknowledge(std::int64_t Incarnation, std::int64_t Number) {
@@ -354,7 +362,7 @@
   ReportedCause_ = FailureCause_;
   // A new incarnation would not know that the leases in earlier orders are
   // over.
-  FencingToken_ = Tokens_.next();
+  raiseToken("lease_expired");
   // All runs have ended, and orders to start one have expired.
   PendingStops_.clear();
   Listener_.onLeaseExpired(*this, FailureCause_);
@@ -432,7 +440,7 @@
       return;
     // The VM can't accept the start any more once it has seen the raised token.
     // If it did accept it, its reports list the run.
-    Self->FencingToken_ = Self->Tokens_.next();
+    Self->raiseToken("start_given_up");
     Self->completeStart(Run, StartOutcome::OldRun, "no_certain_answer");
   });
 }
@@ -455,7 +463,7 @@
     return retryStart(Order, Attempts);
   }
   if (Answer->Outcome == OrderOutcome::Fenced) {
-    if (!handleFenced(FencingToken))
+    if (!handleFenced(FencingToken, "start", &Order.Run))
       retryStart(Order, Attempts);
     return;
   }
@@ -499,7 +507,7 @@
           return;
         Self->recordAnswered(Answer);
         const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
-        if (Fenced && Self->handleFenced(FencingToken))
+        if (Fenced && Self->handleFenced(FencingToken, "stop", &Run))
           return;
         if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy &&
             Answer->Outcome != OrderOutcome::OtherInstance) {
@@ -517,10 +525,10 @@
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
   Calls_.throttle(
       target(), Run, Percent, OrderTimeout,
-      [Self = shared_from_this(),
+      [Self = shared_from_this(), Run,
        FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
         if (!Self->Closed_ && Answer && Answer->Outcome == OrderOutcome::Fenced)
-          Self->handleFenced(FencingToken);
+          Self->handleFenced(FencingToken, "throttle", &Run);
       });
 }
 
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -224,6 +224,8 @@
   TimePoint TrialReservedUntil{};
   /// The incarnation of the last report; 0 before the first.
   std::int64_t ReportedIncarnation = 0;
+  /// When the last report arrived.
+  TimePoint ReportedAt{};
   /// The incarnation whose capacity and labels are listed.
   std::int64_t ListedIncarnation = 0;
   /// When the VM listed its capacity; none if that doesn't matter.
@@ -236,6 +238,9 @@
   mutable bool ExpectedEndsKnown = false;
   /// They are being stopped.
   std::map<TaskRun, UnknownRun> UnknownRuns;
+  /// Runs that are not current and need no log line: the last report listed
+  /// them, or the scheduler gave them up.
+  std::set<TaskRun> SeenUnknownRuns;
   int ConsecutiveFailures = 0;
   TimePoint LastFailureAt{};
   TimePoint QuarantinedAt{};
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -29,6 +29,18 @@
   for (const auto &[Run, Unknown] : Vm.UnknownRuns)
     Vm.Used -= Unknown.Size;
   Vm.UnknownRuns.clear();
+  Vm.SeenUnknownRuns.clear();
+}
+
+/// Forgets which runs were seen of those that neither are in the report nor
+/// count on the VM.
+void forgetSeenRuns(VmRecord &Vm, std::span<const RunningTask> Running) {
+  std::erase_if(Vm.SeenUnknownRuns, [&](const TaskRun &Run) {
+    return !Vm.UnknownRuns.contains(Run) &&
+           std::none_of(
+               Running.begin(), Running.end(),
+               [&Run](const RunningTask &Report) { return Report.Run == Run; });
+  });
 }
 
 /// Forgets the unknown runs of which a report requested at \p RequestedAt tells
@@ -136,6 +148,7 @@
   const bool Restarted =
       Vm->ReportedIncarnation != 0 && Vm->ReportedIncarnation != Incarnation;
   Vm->ReportedIncarnation = Incarnation;
+  Vm->ReportedAt = MonotonicClock_.now();
   Vm->Description.Incarnation = Incarnation;
   if (!Vm->LeaseHeld || Restarted)
     ++Tables_.VmsVersion;
@@ -144,6 +157,7 @@
     forgetUnknownRuns(*Vm);
   else
     forgetSettledRuns(*Vm, RequestedAt);
+  forgetSeenRuns(*Vm, Running);
   for (const RunningTask &Report : Running)
     applyRunReport(*Vm, Report);
   settleLoss(*Vm, Vm->LastLoss && Vm->LastLoss->VmIncarnation != Incarnation);
@@ -169,8 +183,10 @@
 void PoolSchedulerImpl::applyRunReport(VmRecord &Vm,
                                        const RunningTask &Report) {
   TaskRecord *Task = findCurrentTask(&Vm, Report.Run);
-  if (Task == nullptr)
+  if (Task == nullptr) {
     Task = resumeRun(Vm, Report.Run);
+    logUnknownRun(Vm, Report.Run, Task != nullptr);
+  }
   if (Task == nullptr) {
     // The run is not current, for example because its job was cancelled under
     // an earlier owner. It occupies capacity until it has ended.
@@ -211,6 +227,13 @@
   }
 }
 
+void PoolSchedulerImpl::logUnknownRun(VmRecord &Vm, const TaskRun &Run,
+                                      bool Resumed) {
+  if (Vm.SeenUnknownRuns.insert(Run).second)
+    Tables_.Diagnostics.UnknownRuns.push_back(UnknownRunReport{
+        Run, Vm.Description.Id, Vm.ReportedIncarnation, Resumed});
+}
+
 TaskRecord *PoolSchedulerImpl::resumeRun(VmRecord &Vm, const TaskRun &Run) {
   TaskRecord *Task = Tables_.task(Run.Task);
   if (Task == nullptr || Task->Phase != TaskPhase::Waiting ||
--- a/packages/pool/tests/ReportedRunsTest.cpp
+++ b/packages/pool/tests/ReportedRunsTest.cpp
@@ -46,6 +46,68 @@
   BOOST_CHECK(Stops[0].Run == First.Run);
 }
 
+// Guards against a log that can't tell of a run that its owner did not count,
+// or tells of it with each report.
+BOOST_FIXTURE_TEST_CASE(reportedRunThatIsNotCurrentIsLoggedOnce,
+                        SchedulerFixture) {
+  const auto UnknownRuns = [this] {
+    return Scheduler->takeDiagnostics().UnknownRuns;
+  };
+  addVm(makeVm("a", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  runPass();
+  const StartRun First = Starts.at(0);
+  acceptStart(First);
+  const TaskRun Late{{{"k", 0, 0}, 2}, 7};
+  for (int Report = 0; Report < 5; ++Report)
+    reportRuns("a", {{First.Run, "", 10, 0}, {Late, "", 10, 0}});
+  auto Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK(Logged[0].Run == Late);
+  BOOST_CHECK_EQUAL(Logged[0].Vm, "a");
+  BOOST_CHECK_EQUAL(Logged[0].VmIncarnation, 1);
+  BOOST_CHECK(!Logged[0].Resumed);
+  // The next incarnation carries the same order out.
+  Scheduler->vmReported("a", 2, std::vector<RunningTask>{{Late, "", 0, 0}},
+                        MonotonicClock.now());
+  Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK_EQUAL(Logged[0].VmIncarnation, 2);
+  // The run that was lost at the restart is found after all.
+  Scheduler->vmReported("a", 2, std::vector<RunningTask>{{First.Run, "", 0, 0}},
+                        MonotonicClock.now());
+  Logged = UnknownRuns();
+  BOOST_REQUIRE_EQUAL(Logged.size(), 1);
+  BOOST_CHECK(Logged[0].Run == First.Run);
+  BOOST_CHECK(Logged[0].Resumed);
+}
+
+// Guards against log lines on runs that the owner counts: it has stopped the
+// run itself, since an earlier one has ended as done.
+BOOST_FIXTURE_TEST_CASE(reportedRunThatTheOwnerGaveUpIsNotLogged,
+                        SchedulerFixture) {
+  addVm(makeVm("a", SmallSize));
+  addVm(makeVm("b", SmallSize));
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), makeQueue(),
+                    MonotonicClock.now());
+  runPass();
+  const StartRun First = Starts.at(0);
+  Scheduler->vmTasksEnded(First.Vm, RunsEndedCause::LeaseExpired);
+  runPass();
+  const StartRun Second = Starts.at(0);
+  acceptStart(Second);
+  MonotonicClock.advance(milliseconds(1));
+  endRun(First, RunOutcome::Done);
+  for (int Report = 0; Report < 3; ++Report)
+    reportRuns(Second.Vm, {RunningTask{Second.Run, "", 10, 0}});
+  BOOST_CHECK(Scheduler->takeDiagnostics().UnknownRuns.empty());
+  // After the run has ended, the owner counts it no longer.
+  reportRuns(Second.Vm, {});
+  reportRuns(Second.Vm, {RunningTask{Second.Run, "", 10, 0}});
+  BOOST_CHECK_EQUAL(Scheduler->takeDiagnostics().UnknownRuns.size(), 1);
+}
+
 // Guards against a second run of a task beside an earlier one that is reported
 // when the second is placed, but not sent: it must wait until the earlier run
 // has ended.
