Test a first try that the HTTP client sends again (red)

libcurl sends a request again by itself when an open connection is lost before a byte of the response. The store commits the first copy and refuses the second, and the writer takes its own row for a newer writer's. Red on: store_FencedWriterTest, resentFirstTryIsNotTakenForANewerWriter.

--- a/packages/store/tests/FencedWriterTest.cpp
+++ b/packages/store/tests/FencedWriterTest.cpp
@@ -167,3 +167,25 @@
   }
   BOOST_CHECK_GE(Notified, 20);
 }
+
+// Guards against a writer that takes its own row for a newer writer's, since
+// the HTTP client has sent its first try again on another connection.
+BOOST_AUTO_TEST_CASE(resentFirstTryIsNotTakenForANewerWriter) {
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeRowStore Store(Rows, ControlLoop);
+  const auto Writer = makeWriter(Store, ControlLoop, "a");
+  Writer->begin(takeHead(Rows, "a/0"), ControlLoop.MonotonicClock.now());
+  bool Replaced = false;
+  Writer->OnReplaced = [&] { Replaced = true; };
+  int Calls = 0;
+  Store.NextFault = [&] {
+    return ++Calls == 1 ? StoreFault{StoreFault::Resent, {}} : StoreFault{};
+  };
+  Writer->put(dataRow(1), [] { return std::string("x"); });
+  ControlLoop.runFor(milliseconds(500));
+  BOOST_CHECK(!Replaced);
+  Writer->put(dataRow(2), [] { return std::string("y"); });
+  ControlLoop.runFor(milliseconds(500));
+  BOOST_CHECK(Rows.find(dataRow(2)) != nullptr);
+}
--- a/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
@@ -25,6 +25,10 @@
     /// The call times out for the caller. The transaction is applied after
     /// Delay, if its checks still hold then.
     Delayed,
+    /// The connection is lost after the store has committed, and the client
+    /// sends the same request again by itself: the response is that to the
+    /// second one.
+    Resent,
   };
   FaultKind Kind = None;
   /// Used by Delayed only.
--- a/tests/fakes/src/FakeRowStore.cpp
+++ b/tests/fakes/src/FakeRowStore.cpp
@@ -126,6 +126,13 @@
     return ReportUnknownOutcome();
   case StoreFault::RequestLost:
     return ReportUnknownOutcome();
+  case StoreFault::Resent:
+    ControlLoop_.after(Latency, [this, Transaction, Done] {
+      LastContact_ = ControlLoop_.MonotonicClock.now();
+      Rows_.apply(Transaction);
+      Done(Rows_.apply(Transaction));
+    });
+    return;
   case StoreFault::Delayed:
     ControlLoop_.after(Fault.Delay,
                        [this, Transaction] { Rows_.apply(Transaction); });
