Test the removal of an expired job while the store is away (red)

The removal of the request fails once and is not repeated, that of the progress is repeated until it commits: the next owner runs the job again.

--- a/packages/fleet/tests/TakeoverTest.cpp
+++ b/packages/fleet/tests/TakeoverTest.cpp
@@ -376,6 +376,40 @@
   BOOST_CHECK_EQUAL(Claimed.size(), PoolSize);
 }
 
+// Guards against a finished job that a new owner runs again: its progress was
+// removed, but the store was away when its request was to be removed.
+BOOST_AUTO_TEST_CASE(expiredJobIsNotRunAgain) {
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeVms Vms(ControlLoop);
+  Vms.add("vm0", 1);
+  const std::vector<StoredRow> Entries{
+      StoredRow{RowName{"vms", "", "vm0"}, "3", 1, false}};
+  std::mt19937 Random(1);
+  const JobRequest Request = makeJob(1, Random);
+  RowTransaction Change;
+  Change.Puts.push_back(
+      RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
+  Rows.apply(Change);
+  TestDaemon First("a", ControlLoop, Rows, Vms, testQueue(false));
+  First.listVms(Entries);
+  ControlLoop.runFor(milliseconds(20000));
+  const auto Runs = Vms.RunHistory.size();
+  BOOST_REQUIRE_GT(Runs, 0);
+  // The job expires 180 s after its end, and is removed within 10 s.
+  ControlLoop.runFor(milliseconds(155000));
+  First.Store.NextFault = [] { return StoreFault{StoreFault::Refused, {}}; };
+  ControlLoop.runFor(milliseconds(25000));
+  First.Store.NextFault = nullptr;
+  ControlLoop.runFor(milliseconds(5000));
+  First.kill();
+  TestDaemon Second("b", ControlLoop, Rows, Vms, testQueue(false));
+  Second.listVms(Entries);
+  ControlLoop.runFor(milliseconds(30000));
+  BOOST_CHECK(Second.owns());
+  BOOST_CHECK_EQUAL(Vms.RunHistory.size(), Runs);
+}
+
 BOOST_AUTO_TEST_CASE(noFaults) { runScenarios(1, 4, ScenarioFaults{}); }
 
 BOOST_AUTO_TEST_CASE(storeCallsAreLostDelayedOrRefused) {
