Test a paused run after a change of owners (red)

The speed of a run is not recorded, and a restored run counts as one at full speed, so that it is never resumed. Red on: pool_RestoredRunsTest, speedOfARestoredRunIsOrderedAnew.

--- a/packages/pool/tests/RestoredRunsTest.cpp
+++ b/packages/pool/tests/RestoredRunsTest.cpp
@@ -118,3 +118,17 @@
   BOOST_CHECK(Starts.empty());
   BOOST_CHECK(Scheduler->isCurrentRun(Kept.Vm, Kept.Run));
 }
+
+// Guards against a best-effort task that is paused for good: the earlier owner
+// had paused it, and the speed of a run is not recorded.
+BOOST_FIXTURE_TEST_CASE(speedOfARestoredRunIsOrderedAnew, SchedulerFixture) {
+  StepPlan BestEffort = makeStep(1, SmallSize, 60000);
+  BestEffort.BestEffort = true;
+  Scheduler->restoreJob(makeJob("j", {BestEffort}), makeQueue(),
+                        MonotonicClock.now(), progressOnVm(1));
+  Scheduler->vmListed(makeVm("a", BigSize));
+  reportRuns("a", {RunningTask{TaskRun{{{"j", 0, 0}, 0}, 1}, "", 10, 0}});
+  runPass();
+  BOOST_REQUIRE_EQUAL(Throttles.size(), 1);
+  BOOST_CHECK_EQUAL(Throttles[0].SpeedPercent, 100);
+}
