--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -275,6 +275,19 @@
   BOOST_CHECK_GE(Calls.HoldCalls - Before, 30);
 }
 
+// Guards against a best-effort task that disturbs others for good: the
+// scheduler orders each speed once, and that order got no answer.
+BOOST_FIXTURE_TEST_CASE(unansweredThrottleIsRepeated, Fixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.LoseThrottles = true;
+  Link->throttleRun(LinkRun, 0);
+  ControlLoop.runFor(milliseconds(500));
+  Calls.LoseThrottles = false;
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(Calls.ThrottleCalls, 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(pendingStartIsVoidInTheNewIncarnation, Fixture) {
   // An order for a VM's earlier incarnation can be carried out seconds later by
   // the new one, since its clock has just started and the order's lease has not
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -161,6 +161,9 @@
   std::optional<milliseconds> StartDelay;
   /// No stop is delivered.
   bool LoseStops = false;
+  /// No change of a run's speed is delivered.
+  bool LoseThrottles = false;
+  int ThrottleCalls = 0;
   int StartCalls = 0;
   int HoldCalls = 0;
   /// Holds that asked for a new connection.
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -267,8 +267,8 @@
     StartOrder Late = Order;
     Late.LeaseUntil += *StartDelay;
     ControlLoop_.after(*StartDelay, [this, Vm, Late] { Vms_.start(Vm, Late); });
-    return ControlLoop_.after(
-        Timeout, [Done] { Done(failure(ErrorCode::Timeout)); });
+    return ControlLoop_.after(Timeout,
+                              [Done] { Done(failure(ErrorCode::Timeout)); });
   }
   send<OrderAnswer>(
       Vm, Timeout,
@@ -295,8 +295,12 @@
       std::move(Done));
 }
 
-void FakeVmCalls::throttle(const VmTarget &, const TaskRun &, int, milliseconds,
-                           OrderDone Done) {
+void FakeVmCalls::throttle(const VmTarget &, const TaskRun &, int,
+                           milliseconds Timeout, OrderDone Done) {
+  ++ThrottleCalls;
+  if (LoseThrottles)
+    return ControlLoop_.after(Timeout,
+                              [Done] { Done(failure(ErrorCode::Timeout)); });
   ControlLoop_.after(Latency, [Done] { Done(OrderAnswer{}); });
 }
 
