Test advice that comes after its VM has restarted (red)

A ticket is taken for one of the incarnation that is known when the advice comes. Red on: pool_AdviceTest, adviceForAnEarlierIncarnationIsNotUsed.

--- a/packages/pool/tests/AdviceTest.cpp
+++ b/packages/pool/tests/AdviceTest.cpp
@@ -290,3 +290,26 @@
   BOOST_CHECK_EQUAL_COLLECTIONS(Renewed.begin(), Renewed.end(), Tight.begin(),
                                 Tight.end());
 }
+
+// Guards against a start with a ticket for the VM's earlier incarnation, which
+// the VM refuses: it restarted while the advice was on its way.
+BOOST_FIXTURE_TEST_CASE(adviceForAnEarlierIncarnationIsNotUsed,
+                        SchedulerFixture) {
+  PoolVm Vm = makeVm("a", SmallSize);
+  addVm(Vm);
+  QueueTerms Queue = makeQueue();
+  Queue.Advice = AdviceTerms{milliseconds(100), 1.0, milliseconds(2000)};
+  Scheduler->addJob(makeJob("j", {makeStep(1, SmallSize)}), Queue,
+                    MonotonicClock.now());
+  runPass();
+  BOOST_REQUIRE_EQUAL(AdviceRequests.size(), 1);
+  Vm.Incarnation = 2;
+  MonotonicClock.advance(milliseconds(10));
+  addVm(Vm);
+  Scheduler->adviceReceived(AdviceRequests[0].Step, AdviceRequests[0].Vms,
+                            std::vector<AdviceTicket>{{"a", "t"}},
+                            MonotonicClock.now() + milliseconds(2000));
+  runPass();
+  BOOST_CHECK(Starts.empty());
+  BOOST_CHECK_EQUAL(AdviceRequests.size(), 1);
+}
