Test a VM that is cut off before it has seen the raised token (red)

The lease of a late start counts from when it is carried out, the owner's estimate from the first answer of the new incarnation. Red on, and not new there: fleet_VmRestartTest, lateStartOnACutOffVmEndsBeforeItsLeaseCountsAsExpired.

--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -101,6 +101,14 @@
     BOOST_CHECK(Vms.RunHistory.back().Time <= *LeaseExpiredAt);
   }
 
+  void onStartAnswered(VmLink &Vm, const TaskRun &Run, StartOutcome Outcome,
+                       std::string_view Reason) override {
+    VmLinkFixture::onStartAnswered(Vm, Run, Outcome, Reason);
+    if (OnStartAnswered)
+      OnStartAnswered();
+  }
+
+  std::function<void()> OnStartAnswered;
   RestartingVmCalls RestartingCalls{Vms, ControlLoop};
 };
 
@@ -227,3 +235,26 @@
   ControlLoop.runFor(milliseconds(30000));
   checkLeaseExpiredAfterRuns();
 }
+
+// Guards against a task that is started elsewhere while it runs on a VM that
+// has restarted: the VM is cut off before it has seen the raised token, and
+// carries out the old start later than the owner assumes.
+BOOST_FIXTURE_TEST_CASE(lateStartOnACutOffVmEndsBeforeItsLeaseCountsAsExpired,
+                        RestartFixture) {
+  RestartingCalls.StartFault = VmCallFault::RequestLost;
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(50));
+  RestartingCalls.restart(2);
+  OnStartAnswered = [this] {
+    RestartingCalls.HoldFault = VmCallFault::RequestLost;
+  };
+  ControlLoop.runFor(milliseconds(3000));
+  BOOST_REQUIRE(Outcomes == std::vector{StartOutcome::OldRun});
+  RestartingCalls.StartFault = VmCallFault::None;
+  RestartingCalls.start(
+      VmTarget{"a", "a:1", FencingTokens(1).next(), false},
+      StartOrder{LinkRun, "spec", milliseconds(104000), "", ""},
+      milliseconds(500), [](const Result<OrderAnswer> &) {});
+  ControlLoop.runFor(milliseconds(40000));
+  checkLeaseExpiredAfterRuns();
+}
