Remove an expired job's progress after its request

Cause: the removal of the request was tried once, that of the progress until it committed. A request that remained without its progress ran again under the next owner. Now the progress is removed once the removal of the request is known to have committed, which is tried again with each cleanup.

Test: expiredJobIsNotRunAgain; fleet_TakeoverTest passes.

--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -468,22 +468,22 @@
 void PoolOwner::removeExpiredJobs() {
   const TimePoint Now = Context_.MonotonicClock.now();
   LastCleanupAt_ = Now;
-  for (auto Entry = FinalStatuses_.begin(); Entry != FinalStatuses_.end();) {
-    if (Now - Entry->second.RecordedAt <
-        Context_.Settings.FinishedJobRetention + RetentionMargin) {
-      ++Entry;
+  for (const auto &[Job, Status] : FinalStatuses_) {
+    if (Now - Status.RecordedAt <
+        Context_.Settings.FinishedJobRetention + RetentionMargin)
       continue;
-    }
-    const std::string &Job = Entry->first;
-    Scheduler_->forgetJob(Job);
-    Writer_->remove(progressRow(Term_.Service, Job));
     RowTransaction Change;
     Change.Removals = {requestRow(Job), cancelRow(Job)};
-    Context_.Store.commit(std::move(Change), CommitTimeout,
-                          [](const Result<RowCommit> &) {
-                            // A row that remains is removed by a later owner.
-                          });
-    Entry = FinalStatuses_.erase(Entry);
+    Context_.Store.commit(
+        std::move(Change), CommitTimeout,
+        [Self = shared_from_this(), Job](const Result<RowCommit> &Outcome) {
+          // A job whose request remains without its progress would run again.
+          if (Self->Closed_ || !Outcome)
+            return;
+          Self->Scheduler_->forgetJob(Job);
+          Self->Writer_->remove(progressRow(Self->Term_.Service, Job));
+          Self->FinalStatuses_.erase(Job);
+        });
   }
 }
 
