Order the speed of a restored run anew

Cause: a run that an earlier owner had paused counted as one at full speed, so that it was never resumed.

Test: speedOfARestoredRunIsOrderedAnew; pool_RestoredRunsTest and pool_RunsTest pass.

--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -39,6 +39,9 @@
   Done,
 };
 
+/// The speed of a run that an earlier owner may have throttled.
+inline constexpr int UnknownSpeedPercent = -1;
+
 struct TaskRecord {
   StepRecord *Step = nullptr;
   int Index = 0;
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -100,6 +100,7 @@
   Task.PlacedAt = MonotonicClock_.now();
   Task.ProgressedAt = Task.PlacedAt;
   Task.ConfirmedAt = TimePoint::min();
+  Task.SpeedPercent = UnknownSpeedPercent;
   Tables_.assign(Task, Vm, TaskPhase::Running);
 }
 
