Repeat a change of speed until the VM confirms it

Cause: the scheduler orders each speed once, and the link sent it once: a best-effort task that should pause went on for good when that order was lost, or void by a raised token. A speed that is replaced while unanswered is voided, so that it can't be set after the newer one.

Test: unansweredThrottleIsRepeated; fleet_VmLinkTest passes.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_FLEET_VMLINK_H
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -156,6 +157,7 @@
                          const Result<OrderAnswer> &Answer);
   void retryStart(const StartOrder &Order, int Attempts);
   void sendStop(const TaskRun &Run, milliseconds RetryDelay);
+  void sendThrottle(const TaskRun &Run, int Percent);
   VmTarget target() const;
   /// Records whether the last order got any answer.
   template <typename T> void recordAnswered(const Result<T> &Answer) {
@@ -211,6 +213,8 @@
   std::set<TaskRun> PendingStarts_;
   /// Stops that the VM has not answered.
   std::set<TaskRun> PendingStops_;
+  /// Speeds that the VM has not confirmed.
+  std::map<TaskRun, int> PendingThrottles_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
   milliseconds LatestLeaseEnd_{0};
   /// Until then a lease may be in force on an incarnation of the VM that has
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -515,12 +515,43 @@
 }
 
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
+  const auto [Entry, IsNew] = PendingThrottles_.emplace(Run, Percent);
+  // An earlier speed that is still under way must not be set after this one.
+  if (!IsNew)
+    FencingToken_ = Tokens_.next();
+  Entry->second = Percent;
+  sendThrottle(Run, Percent);
+}
+
+void VmLink::sendThrottle(const TaskRun &Run, int Percent) {
+  const auto Pending = PendingThrottles_.find(Run);
+  if (Closed_ || Pending == PendingThrottles_.end() ||
+      Pending->second != Percent)
+    return;
+  if (!Listener_.isWanted(*this, Run)) {
+    PendingThrottles_.erase(Pending);
+    return;
+  }
   Calls_.throttle(
       target(), Run, Percent, OrderTimeout,
-      [Self = shared_from_this(),
+      [Self = shared_from_this(), Run, Percent,
        FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
-        if (!Self->Closed_ && Answer && Answer->Outcome == OrderOutcome::Fenced)
-          Self->handleFenced(FencingToken);
+        if (Self->Closed_)
+          return;
+        const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
+        if (Fenced && Self->handleFenced(FencingToken))
+          return;
+        const auto Pending = Self->PendingThrottles_.find(Run);
+        if (Pending == Self->PendingThrottles_.end() ||
+            Pending->second != Percent)
+          return;
+        if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy) {
+          Self->PendingThrottles_.erase(Pending);
+          return;
+        }
+        Self->ControlLoop_.after(OrderRetryDelay, [Self, Run, Percent] {
+          Self->sendThrottle(Run, Percent);
+        });
       });
 }
 
