Test an end on an incarnation that was not seen yet (red)

An acknowledgement for the earlier incarnation is sent up to 300 ms after the last answer to a hold, also where the answer to a start has shown another clock since. Red on it: fleet_VmRestartTest, endOnAnUnseenIncarnationIsNotAcknowledged.

--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -258,3 +258,26 @@
   ControlLoop.runFor(milliseconds(40000));
   checkLeaseExpiredAfterRuns();
 }
+
+// Guards against a task that runs again after its end was taken note of: the
+// acknowledgement for a VM's earlier incarnation reaches the next one, on which
+// a run was started and has ended between two holds.
+BOOST_FIXTURE_TEST_CASE(endOnAnUnseenIncarnationIsNotAcknowledged,
+                        RestartFixture) {
+  Vms.PlanRun = [](const TaskRun &) {
+    return std::pair{milliseconds(20), RunOutcome::Done};
+  };
+  RecordingDelay = milliseconds(150);
+  Link->startRun(startOf(), "spec");
+  while (EndedRuns.empty())
+    ControlLoop.runFor(milliseconds(1));
+  RestartingCalls.restart(2);
+  const TaskRun Next{LinkRun.Task, 2};
+  StartRun Command = startOf();
+  Command.Run = Next;
+  Link->startRun(Command, "spec");
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_REQUIRE_EQUAL(Outcomes.size(), 2);
+  BOOST_CHECK(Outcomes[1] == StartOutcome::Accepted);
+  BOOST_CHECK(EndedRuns.contains(Next));
+}
