--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -179,6 +179,8 @@
   /// The VM has restarted and has not answered the raised token yet. Orders for
   /// its earlier incarnation may still be carried out.
   bool RestartUnsettled_ = false;
+  /// A start was answered by another clock than the last hold.
+  bool RestartSuspected_ = false;
   bool LeaseExpiryReported_ = false;
   bool HoldInFlight_ = false;
   bool HoldScheduled_ = false;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -117,6 +117,8 @@
   // The clock of another incarnation would differ.
   if (VmClock_ && std::chrono::abs(vmClockNow() - VmClock) < MaxVmClockError)
     LastAnsweredAt_ = MonotonicClock_.now();
+  else
+    RestartSuspected_ = true;
   // The VM may have restarted since its last report. Its clock has started anew
   // then, and the leases that were granted by the earlier one are over.
   if (VmClock_ && VmClock < *VmClock_)
@@ -160,7 +162,8 @@
   const bool RecentlyAnswered =
       LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAge;
   if (Failures_ == 0 && Held_) {
-    if (RecentlyAnswered && AcknowledgedEnd_ > AnsweredAcknowledgement_)
+    if (RecentlyAnswered && !RestartSuspected_ &&
+        AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
@@ -218,6 +221,7 @@
 
 void VmLink::handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer) {
   recordVmClock(Answer.VmClock);
+  RestartSuspected_ = false;
   if (Answer.Incarnation != Incarnation_) {
     Incarnation_ = Answer.Incarnation;
     AcknowledgedEnd_ = 0;
