--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -117,6 +117,8 @@
   // The clock of another incarnation would differ.
   if (VmClock_ && std::chrono::abs(vmClockNow() - VmClock) < MaxVmClockError)
     LastAnsweredAt_ = MonotonicClock_.now();
+  else
+    RestartSuspected_ = true;
   // The VM may have restarted since its last report. Its clock has started anew
   // then, and the leases that were granted by the earlier one are over.
   if (VmClock_ && VmClock < *VmClock_)
@@ -160,7 +162,8 @@
   const bool RecentlyAnswered =
       LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAge;
   if (Failures_ == 0 && Held_) {
-    if (RecentlyAnswered && AcknowledgedEnd_ > AnsweredAcknowledgement_)
+    if (RecentlyAnswered && !RestartSuspected_ &&
+        AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
@@ -218,6 +221,7 @@
 
 void VmLink::handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer) {
   recordVmClock(Answer.VmClock);
+  RestartSuspected_ = false;
   if (Answer.Incarnation != Incarnation_) {
     Incarnation_ = Answer.Incarnation;
     AcknowledgedEnd_ = 0;
@@ -523,12 +527,43 @@
 }
 
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
+  const auto [Entry, IsNew] = PendingThrottles_.emplace(Run, Percent);
+  // An earlier speed that is still under way must not be set after this one.
+  if (!IsNew)
+    raiseToken("speed_replaced");
+  Entry->second = Percent;
+  sendThrottle(Run, Percent);
+}
+
+void VmLink::sendThrottle(const TaskRun &Run, int Percent) {
+  const auto Pending = PendingThrottles_.find(Run);
+  if (Closed_ || Pending == PendingThrottles_.end() ||
+      Pending->second != Percent)
+    return;
+  if (!Listener_.isWanted(*this, Run)) {
+    PendingThrottles_.erase(Pending);
+    return;
+  }
   Calls_.throttle(
       target(), Run, Percent, OrderTimeout,
-      [Self = shared_from_this(), Run,
+      [Self = shared_from_this(), Run, Percent,
        FencingToken = FencingToken_](const Result<OrderAnswer> &Answer) {
-        if (!Self->Closed_ && Answer && Answer->Outcome == OrderOutcome::Fenced)
-          Self->handleFenced(FencingToken, "throttle", &Run);
+        if (Self->Closed_)
+          return;
+        const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
+        if (Fenced && Self->handleFenced(FencingToken, "throttle", &Run))
+          return;
+        const auto Pending = Self->PendingThrottles_.find(Run);
+        if (Pending == Self->PendingThrottles_.end() ||
+            Pending->second != Percent)
+          return;
+        if (Answer && !Fenced && Answer->Outcome != OrderOutcome::Unhealthy) {
+          Self->PendingThrottles_.erase(Pending);
+          return;
+        }
+        Self->ControlLoop_.after(OrderRetryDelay, [Self, Run, Percent] {
+          Self->sendThrottle(Run, Percent);
+        });
       });
 }
 
