Count the lease of an unsettled restart for as long as late orders can come

A VM that is cut off between the first answer of its new incarnation and its answer to the raised token can still be reached by an old start, seconds later, and holds a lease from then on. The lease counted from the first answer only, so that the task could be started elsewhere while it ran. Until the raised token is answered, the lease now ends no earlier than the longest delay of an order and the longest lease after the first answer. Only VMs that are lost within that round trip wait longer.

--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds LeaseMargin{400};
 /// Lowest rate of a VM's clock relative to the local one.
 constexpr double MinVmClockRate = 0.98;
+/// An order without an answer may be carried out this much later.
+constexpr milliseconds MaxOrderDelay{15000};
 /// The VM's clock is read this late from its answers, at most.
 constexpr milliseconds MaxVmClockError{1000};
 /// Entries older than this are equally useless.
@@ -241,7 +243,8 @@
   if (!Held_ || Failures_ >= FailuresUntilUnreachable)
     Listener_.onReachable(*this);
   Held_ = true;
-  RestartUnsettled_ = false;
+  if (std::exchange(RestartUnsettled_, false))
+    LatestLeaseEnd_ = *VmClock_ + Options_.MaxLease;
   Failures_ = 0;
   LeaseExpiryReported_ = false;
   for (const TaskEnd &End : Answer.Ends)
@@ -272,9 +275,10 @@
 }
 
 void VmLink::handleRestart() {
-  // Orders for the earlier incarnation may reach this one. Its clock has just
-  // started, so that the leases in those orders have not expired by it.
-  LatestLeaseEnd_ = *VmClock_ + Options_.MaxLease;
+  // Until this incarnation has received the raised token, late orders for the
+  // earlier one extend its lease: its clock has just started, so that the
+  // leases in those orders have not expired by it.
+  LatestLeaseEnd_ = *VmClock_ + MaxOrderDelay + Options_.MaxLease;
   LastAnsweredAt_ = MonotonicClock_.now();
   raiseToken("vm_restarted");
   RestartUnsettled_ = true;
