Ignore advice that was requested before its VM restarted

A ticket holds for one life of a VM. Advice that was on its way while the VM restarted was taken for advice on the new incarnation, and the start with its ticket refused (a start turned away is priced, and the task waits for the next advice). Such VMs are now asked about again.

--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -265,6 +265,7 @@
 void AdvicePlanner::requestAdvice(StepRecord &Step,
                                   std::vector<std::string> Vms, bool Renewal) {
   Step.AdvicePending = true;
+  Step.AdviceRequestedAt = Now_;
   const double ExpectedLatencyMs = expectedLatencyMs(Step, Vms.size());
   Tables_.Commands.push_back(
       RequestAdvice{nameOf(Step), std::move(Vms), ExpectedLatencyMs,
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -123,6 +123,7 @@
   bool NoNewVms = false;
   /// An advice request has not been answered yet.
   bool AdvicePending = false;
+  TimePoint AdviceRequestedAt{};
   /// The delay after the last advice request, if it failed, and when it is
   /// over.
   milliseconds AdviceRetryDelay{0};
@@ -210,6 +211,8 @@
 
 struct VmRecord {
   PoolVm Description;
+  /// When the incarnation in the description last changed.
+  TimePoint IncarnationSince{};
   /// Position among the VMs of the pool in the order of their ids.
   std::size_t Position = 0;
   /// The VM's lease is held and all its runs are known.
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -251,11 +251,16 @@
     Step->SeenVmsVersion = -1;
   else
     Step->AdviceRetryDelay = milliseconds(0);
+  // Advice that was on its way while a VM restarted is for the VM's earlier
+  // incarnation.
+  const auto IsFor = [Step](const VmRecord *Vm) {
+    return Vm != nullptr && Vm->IncarnationSince <= Step->AdviceRequestedAt;
+  };
   for (const std::string &Id : QueriedVms)
-    if (const VmRecord *Vm = Tables_.vm(Id))
+    if (const VmRecord *Vm = Tables_.vm(Id); IsFor(Vm))
       Step->QueriedVms[Vm] = Vm->Description.Incarnation;
   for (const AdviceTicket &Entry : Tickets)
-    if (VmRecord *Vm = Tables_.vm(Entry.Vm))
+    if (VmRecord *Vm = Tables_.vm(Entry.Vm); IsFor(Vm))
       Step->AllowedVms[Vm] =
           TicketRecord{Entry.Ticket, ValidUntil, Vm->Description.Incarnation};
 }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace cuminroad {
 
@@ -68,6 +69,8 @@
   // VMs list themselves again and again.
   if (Vm.Description != Listed || Vm.ListedIncarnation != Listed.Incarnation)
     ++Tables_.VmsVersion;
+  if (Vm.Description.Incarnation != Listed.Incarnation)
+    Vm.IncarnationSince = MonotonicClock_.now();
   Vm.Description = Listed;
   Vm.ListedIncarnation = Listed.Incarnation;
   if (const auto Crash = Tables_.UnexplainedCrashes.find(Listed.Host);
@@ -149,7 +152,8 @@
       Vm->ReportedIncarnation != 0 && Vm->ReportedIncarnation != Incarnation;
   Vm->ReportedIncarnation = Incarnation;
   Vm->ReportedAt = MonotonicClock_.now();
-  Vm->Description.Incarnation = Incarnation;
+  if (std::exchange(Vm->Description.Incarnation, Incarnation) != Incarnation)
+    Vm->IncarnationSince = MonotonicClock_.now();
   if (!Vm->LeaseHeld || Restarted)
     ++Tables_.VmsVersion;
   Vm->LeaseHeld = true;
