Check the limit of tasks of a step on a VM in trials over processes

Cause: a fifth of the load's steps had a limit (anti_affinity 2), but no check of a fleet trial read it, so that a task too many on a VM went unseen.

Change: fleet_checker.check_tasks_per_vm follows the tasks of each step and occurrence on each VM, from the start to the end of a run, runs that are being stopped included.

--- a/tests/failure/fleet_checker_test.py
+++ b/tests/failure/fleet_checker_test.py
@@ -67,6 +67,32 @@
         self.assertTrue(fleet_checker.check_vm_labels(
             [event("start", task="j.0.1.0")], JOBS, VMS))
 
+    def test_tasks_per_vm(self):
+        jobs = {"j": {"steps": [{"count": 3, "anti_affinity": 2},
+                                {"count": 3}]}}
+        check = lambda history: fleet_checker.check_tasks_per_vm(history, jobs)
+        two = [event("start"), event("start", task="j.0.0.1")]
+        third = event("start", task="j.0.0.2")
+        found = check(two + [third])
+        self.assertEqual(1, len(found))
+        self.assertIn("j.0.0.2 #1 starts on v beside", found[0])
+        # A run that is being stopped counts until its end.
+        stopped = event("stopped", task="j.0.0.1")
+        self.assertTrue(check(two + [third, stopped]))
+        self.assertEqual([], check(two + [stopped, third]))
+        self.assertEqual([], check(two + [event("crashed"), third]))
+        # The acknowledgement of an end names no VM.
+        acknowledged = {"at": 0, "what": "acknowledged", "task": "j.0.0.0",
+                        "run": 1}
+        self.assertTrue(check(two + [acknowledged, third]))
+        # Other VMs, steps and occurrences have limits of their own.
+        for elsewhere in (event("start", task="j.0.0.2", vm="w"),
+                          event("start", task="j.0.1.2"),
+                          event("start", task="j.1.0.2")):
+            self.assertEqual([], check(two + [elsewhere]))
+        self.assertEqual([], check([
+            event("start", task="j.0.1.%d" % index) for index in range(3)]))
+
     def test_reported_outcomes(self):
         for wrong in (call(refused=True), call(accepted=1.0),
                       call(accepted=1.0, state="completed"),
--- a/tests/support/fleet_checker.py
+++ b/tests/support/fleet_checker.py
@@ -107,6 +107,32 @@
             if step.get("requires") not in (None, labels[event["vm"]])]
 
 
+def check_tasks_per_vm(history, jobs):
+    """No start puts more tasks of a step, of one occurrence, on a VM than
+    `anti_affinity` allows. A run counts until it ends, also while it is being
+    stopped."""
+    violations, running = [], {}
+    for event in history:
+        if "vm" not in event:
+            continue
+        task = event["task"]
+        job, _, step, _ = task.split(".")
+        limit = jobs[job]["steps"][int(step)].get("anti_affinity")
+        if not limit:
+            continue
+        tasks = running.setdefault((task.rsplit(".", 1)[0], event["vm"]),
+                                   set())
+        if event["what"] != "start":
+            tasks.discard(task)
+            continue
+        tasks.add(task)
+        if len(tasks) > limit:
+            violations.append("%s #%d starts on %s beside %s, limit %d" % (
+                task, event["run"], event["vm"], sorted(tasks - {task}),
+                limit))
+    return violations
+
+
 def check_reported_outcomes(history, calls, jobs):
     """The state reported to a caller is what happened to the job."""
     violations = []
--- a/tests/support/fleet_load.py
+++ b/tests/support/fleet_load.py
@@ -32,7 +32,8 @@
             if self.rng.random() < 0.15:
                 step.update(gang=True, count=2)
             elif self.rng.random() < 0.2:
-                step["anti_affinity"] = 2
+                # Without a draw, so that a seed keeps its other values.
+                step["anti_affinity"] = 1 + step["count"] % 2
             if self.rng.random() < 0.2:
                 step["requires"] = self.rng.choice(self.trial.zones)
             steps.append(step)
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -235,6 +235,7 @@
                 fleet_checker.check_crashing_tasks(history, jobs) +
                 fleet_checker.check_step_order(history, jobs) +
                 fleet_checker.check_vm_labels(history, jobs, self.vms) +
+                fleet_checker.check_tasks_per_vm(history, jobs) +
                 fleet_checker.check_reported_outcomes(
                     history, self.load.calls, jobs))
 
