Don't take a start answered by a new incarnation for the one that was held

Cause: a VM that restarts between two holds answers starts before it is held. The first answer's clock differs from the VM's last one, but the clock was recorded, so that the answer after it counted as a recent one of the same incarnation. The next hold then acknowledged ends of the earlier incarnation, and the new one forgot its own.

Change: once a start was answered by another clock, nothing is acknowledged until a hold was answered, which tells the incarnation.

Result: VmRestartTest and VmLinkTest pass; answeredStartsDontHideARestart fails on the code before (one of four ends is lost).

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -141,6 +141,9 @@
   /// Records that an order with a lease is sent. A VM that has restarted unseen
   /// grants the longest lease for it, since its clock has just started.
   void recordLeaseSent();
+  /// \returns whether the VM's present incarnation is the one that answered
+  /// last, as far as is known at \p Now.
+  bool answeredRecently(TimePoint Now) const;
   /// \returns the local time at which the VM's clock has certainly passed \p
   /// VmTime.
   TimePoint whenVmClockHasPassed(milliseconds VmTime) const;
@@ -199,6 +202,9 @@
   TimePoint LastHoldSentAt_{};
   /// When the VM's present incarnation last answered.
   TimePoint LastAnsweredAt_{};
+  /// An answer to a start was by another clock than the VM's last one, and no
+  /// hold was answered since.
+  bool RestartSuspected_ = false;
   /// The VM's clock, and the local time at which the answer with it arrived.
   std::optional<milliseconds> VmClock_;
   TimePoint VmClockReadAt_{};
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -114,8 +114,10 @@
 }
 
 void VmLink::recordVmClockOfStart(milliseconds VmClock) {
-  // The clock of another incarnation would differ.
-  if (VmClock_ && std::chrono::abs(vmClockNow() - VmClock) < MaxVmClockError)
+  // The clock of another incarnation would differ. A hold tells which it is.
+  if (VmClock_ && std::chrono::abs(vmClockNow() - VmClock) >= MaxVmClockError)
+    RestartSuspected_ = true;
+  else
     LastAnsweredAt_ = MonotonicClock_.now();
   // The VM may have restarted since its last report. Its clock has started anew
   // then, and the leases that were granted by the earlier one are over.
@@ -139,9 +141,13 @@
   return Until;
 }
 
+bool VmLink::answeredRecently(TimePoint Now) const {
+  return !RestartSuspected_ && Now - LastAnsweredAt_ <= MaxAnswerAge;
+}
+
 void VmLink::recordLeaseSent() {
   const TimePoint Now = MonotonicClock_.now();
-  if (Now - LastAnsweredAt_ > MaxAnswerAge)
+  if (!answeredRecently(Now))
     UnseenLeaseUntil_ = Now + std::chrono::duration_cast<milliseconds>(
                                   Options_.MaxLease / MinVmClockRate);
 }
@@ -157,10 +163,9 @@
   // id. Its new incarnation numbers its ends from one, and would forget ends
   // that it has not reported. For the same reason nothing is acknowledged
   // again.
-  const bool RecentlyAnswered =
-      LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAge;
   if (Failures_ == 0 && Held_) {
-    if (RecentlyAnswered && AcknowledgedEnd_ > AnsweredAcknowledgement_)
+    if (answeredRecently(LastHoldSentAt_) &&
+        AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
@@ -216,6 +221,7 @@
 }
 
 void VmLink::handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer) {
+  RestartSuspected_ = false;
   recordVmClock(Answer.VmClock);
   if (Answer.Incarnation != Incarnation_) {
     Incarnation_ = Answer.Incarnation;
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -212,3 +212,29 @@
   ControlLoop.runFor(milliseconds(30000));
   checkLeaseExpiredAfterRuns();
 }
+
+// Guards against a lost end: the new incarnation accepts starts before it is
+// held, and its answers to them counted as those of the earlier incarnation, so
+// that the next hold acknowledged the earlier one's ends.
+BOOST_FIXTURE_TEST_CASE(answeredStartsDontHideARestart, RestartFixture) {
+  Vms.PlanRun = [](const TaskRun &) {
+    return std::pair{milliseconds(20), RunOutcome::Done};
+  };
+  RecordingDelay = milliseconds(500);
+  Link->startRun(startOf(), "spec");
+  while (EndedRuns.empty())
+    ControlLoop.runFor(milliseconds(1));
+  RestartingCalls.restart(2);
+  std::set<TaskRun> Runs;
+  for (int Index = 1; Index <= 4; ++Index) {
+    StartRun Command = startOf();
+    Command.Run.Task.Index = Index;
+    Runs.insert(Command.Run);
+    Link->startRun(Command, "spec");
+    ControlLoop.runFor(milliseconds(100));
+  }
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_REQUIRE_EQUAL(Vms.RunHistory.size(), 10);
+  for (const TaskRun &Run : Runs)
+    BOOST_CHECK(EndedRuns.contains(Run));
+}
