--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -216,6 +216,7 @@
         self.network.heal()
         for vm in self.vms:
             vm.unhealthy, vm.hangs, vm.late_share = False, False, 0
+            vm.withheld_paths = ()
             vm.set_capacity(VM_CAPACITY)
         for daemon in self.daemons:
             self.signal(daemon, signal.SIGCONT)
@@ -235,6 +236,7 @@
                 fleet_checker.check_crashing_tasks(history, jobs) +
                 fleet_checker.check_step_order(history, jobs) +
                 fleet_checker.check_vm_labels(history, jobs, self.vms) +
+                fleet_checker.check_tasks_per_vm(history, jobs) +
                 fleet_checker.check_reported_outcomes(
                     history, self.load.calls, jobs))
 
