Check limits per VM in the model of a pool

No step of the model had a limit per VM, so that nothing but two fixture tests guarded it.

Change: half of the steps get a limit of one or two; a start beyond it is a break. The checks are in a class of their own, RunRules.

--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -1,7 +1,6 @@
 #include "DisruptedPool.h"
 
 #include <algorithm>
-#include <set>
 
 #include <fmt/format.h>
 
@@ -30,16 +29,6 @@
   return Out;
 }
 
-std::string formatRunName(const TaskRun &Run) {
-  return fmt::format("{}.{}.{} run {}", Run.Task.Step.Job.substr(12),
-                     Run.Task.Step.Step, Run.Task.Index, Run.Number);
-}
-
-std::int64_t millisecondsOf(TimePoint Time) {
-  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
-      .count();
-}
-
 /// \returns the largest capacity that was in force from \p Since to \p Until.
 int largestIn(const std::vector<std::pair<TimePoint, int>> &Changes,
               TimePoint Since, TimePoint Until) {
@@ -160,7 +149,10 @@
   Step.PerTask = TestTaskSize;
   Step.Estimate = between(200, 3000);
   Step.Checkpointing = chance(3);
+  if (chance(2))
+    Step.MaxPerVm = 1 + static_cast<int>(Random_() % 2);
   Request.Plan.Steps.push_back(Step);
+  Plans_[Request.Plan.Id] = Request.Plan;
   RowTransaction Change;
   Change.Puts.push_back(
       RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
@@ -450,34 +442,10 @@
 }
 
 std::vector<std::string> DisruptedPool::violations() const {
-  std::vector<std::string> Out;
-  std::map<TaskName, std::set<std::pair<std::string, std::int64_t>>> Running;
-  for (const RunEvent &Event : Fake_.RunHistory) {
-    auto &Runs = Running[Event.Run.Task];
-    const std::pair Place{Event.Vm, Event.Run.Number};
-    if (!Event.IsStart) {
-      Runs.erase(Place);
-      continue;
-    }
-    if (!Runs.empty())
-      Out.push_back(
-          fmt::format("two runs at once at {}: {} on {}, run {} on {}",
-                      millisecondsOf(Event.Time), formatRunName(Event.Run),
-                      Event.Vm, Runs.begin()->second, Runs.begin()->first));
-    Runs.insert(Place);
-    if (Event.RunsOnVm > permittedTasks(Event.Vm, Event.Time))
-      Out.push_back(fmt::format(
-          "over capacity at {}: {} on {}, {} of {}", millisecondsOf(Event.Time),
-          formatRunName(Event.Run), Event.Vm, Event.RunsOnVm,
-          permittedTasks(Event.Vm, Event.Time)));
-  }
-  for (const auto &[Task, DoneAt] : Fake_.AcknowledgedCompletions)
-    for (const RunEvent &Event : Fake_.RunHistory)
-      if (Event.IsStart && Event.Run.Task == Task && Event.Time > DoneAt)
-        Out.push_back(fmt::format("started after its end at {}: {} on {}",
-                                  millisecondsOf(Event.Time),
-                                  formatRunName(Event.Run), Event.Vm));
-  return Out;
+  RunRules Rules(Plans_, [this](const std::string &Vm, TimePoint Time) {
+    return permittedTasks(Vm, Time);
+  });
+  return Rules.violations(Fake_);
 }
 
 std::string DisruptedPool::history() const {
@@ -486,7 +454,7 @@
     Lines.emplace_back(
         Event.Time,
         fmt::format("{} {} {} {}", Event.IsStart ? "start" : "end",
-                    formatRunName(Event.Run), Event.Vm,
+                    formatModelRun(Event.Run), Event.Vm,
                     Event.IsStart ? -1 : static_cast<int>(Event.Outcome)));
   std::stable_sort(Lines.begin(), Lines.end(),
                    [](const auto &Left, const auto &Right) {
--- a/packages/fleet/tests/DisruptedPool.h
+++ b/packages/fleet/tests/DisruptedPool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "PoolTestSupport.h"
+#include "RunRules.h"
 
 namespace cuminroad {
 
@@ -119,6 +120,7 @@
   TimePoint StoreAwayUntil_{};
   TimePoint StormUntil_{};
   bool Calm_ = false;
+  RunRules::Plans Plans_;
   int JobCount_ = 0;
   int VmCount_ = 0;
   /// The true capacity of each VM in tasks, from each time on.
