Repeat no start to a VM that refused connections until it answers

Cause: a start got no answer, and its later tries found no process at the VM's address. They were repeated all the same until the new incarnation, under the same id, carried one out. The owner knew nothing of the restart yet, as a hold sent before it was still unanswered; the label and the capacity of the new incarnation can be others.

Change: after a refused connection the VM gets no tasks, and no start is sent or repeated, until it has answered a hold that was sent later. That hold is no long poll.

Test: startIsNotRepeatedAfterTheVmRefusedConnections, which failed before.

Not covered: a later try that is sent long after the VM's last answer, with no refusal in between.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -122,6 +122,13 @@
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
+  /// Handles that the VM's process was not running.
+  void handleRefusedConnection();
+  /// \returns whether an order may reach another incarnation than the last one
+  /// that was reported.
+  bool mayHaveRestarted() const {
+    return Failures_ > 0 || RestartUnsettled_ || RefusedAt_;
+  }
   /// Handles that the VM has refused \p FencingToken.
   /// \returns whether another owner has taken the VM over; otherwise this link
   /// has raised its token since, and the order was void.
@@ -177,6 +184,8 @@
   /// The VM has restarted and has not answered the raised token yet. Orders for
   /// its earlier incarnation may still be carried out.
   bool RestartUnsettled_ = false;
+  /// When the VM last refused a connection, unless a later hold was answered.
+  std::optional<TimePoint> RefusedAt_;
   bool LeaseExpiryReported_ = false;
   bool HoldInFlight_ = false;
   bool HoldScheduled_ = false;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -164,7 +164,7 @@
       Order.AcknowledgedEnd = AcknowledgedEnd_;
     Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
-    if (LastEnd_ == AcknowledgedEnd_ && !Idle_ && !RestartUnsettled_ &&
+    if (LastEnd_ == AcknowledgedEnd_ && !Idle_ && !mayHaveRestarted() &&
         AcknowledgedEnd_ ==
             std::max(AnsweredAcknowledgement_, Order.AcknowledgedEnd))
       Order.Wait = MaxEndWait;
@@ -238,6 +238,8 @@
     Listener_.onReachable(*this);
   Held_ = true;
   RestartUnsettled_ = false;
+  if (RefusedAt_ && Sent.At >= *RefusedAt_)
+    RefusedAt_.reset();
   Failures_ = 0;
   LeaseExpiryReported_ = false;
   for (const TaskEnd &End : Answer.Ends)
@@ -248,7 +250,7 @@
   const milliseconds IdleInterval = Listener_.idleHoldInterval();
   Idle_ = IdleInterval > milliseconds(0) && Answer.Running.empty() &&
           Answer.Ends.empty() && PendingStarts_.empty() &&
-          PendingStops_.empty() && LastStartSentAt_ < Sent.At;
+          PendingStops_.empty() && LastStartSentAt_ < Sent.At && !RefusedAt_;
   if (Idle_)
     return scheduleHold(IdleInterval);
   // The first hold only reads the VM's clock; the next one, sent at once,
@@ -289,6 +291,15 @@
   return true;
 }
 
+void VmLink::handleRefusedConnection() {
+  const bool First = !mayHaveRestarted();
+  RefusedAt_ = MonotonicClock_.now();
+  if (!First)
+    return;
+  Listener_.onNoAnswer(*this);
+  rescheduleHold(milliseconds(0));
+}
+
 void VmLink::acknowledge(std::int64_t Incarnation, std::int64_t Number) {
   if (Closed_ || Incarnation != Incarnation_ || Number <= AcknowledgedEnd_)
     return;
@@ -375,7 +386,7 @@
   if (Attempts == 0) {
     const auto Lease = leaseUntil();
     if (!Lease || !Listener_.isWanted(*this, Order.Run) || !Held_ ||
-        RestartUnsettled_ || Failures_ > 0)
+        mayHaveRestarted())
       return Listener_.onStartAnswered(*this, Order.Run, StartOutcome::NotSent,
                                        "vm_not_held");
     if (Entry_.Vm.Leaving)
@@ -402,8 +413,8 @@
     // The answer to the stop, or the expiry of the lease, completes the start.
     PendingStarts_.erase(Order.Run);
     return;
-  } else if (Failures_ > 0) {
-    // The VM may have restarted since. The next hold tells.
+  } else if (mayHaveRestarted()) {
+    // The next hold tells.
     return retryStart(Order, Attempts);
   }
   recordLeaseSent();
@@ -447,6 +458,8 @@
                                std::int64_t FencingToken,
                                const Result<OrderAnswer> &Answer) {
   if (!Answer) {
+    if (Answer.error().Code == ErrorCode::ConnectFailed)
+      handleRefusedConnection();
     if (isNotSent(Answer.error().Code) && Attempts == 0)
       return completeStart(Order.Run, StartOutcome::Refused,
                            errorInfo(Answer.error().Code).Name);
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -233,6 +233,27 @@
   BOOST_CHECK(Vms.RunHistory.empty());
 }
 
+// Guards against a start that is repeated until a VM's new incarnation, of
+// which the owner knows nothing, carries it out: the VM refused connections in
+// between, and the answer to a hold is lost.
+BOOST_FIXTURE_TEST_CASE(startIsNotRepeatedAfterTheVmRefusedConnections,
+                        VmLinkFixture) {
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Calls.NextFault = [](const std::string &) {
+    return VmCallFault{VmCallFault::RequestLost, milliseconds(0)};
+  };
+  Link->startRun(startOf(), "spec");
+  ControlLoop.runFor(milliseconds(200));
+  Calls.NextFault = nullptr;
+  Vms.crash("a");
+  ControlLoop.runFor(milliseconds(500));
+  Vms.restart("a", 7);
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::OldRun});
+  BOOST_CHECK(Vms.RunHistory.empty());
+}
+
 // Guards against a task that is started elsewhere while it runs on a VM that
 // has restarted unseen: a repeated start reached the new incarnation, by whose
 // clock the start's deadline is far off.
