Check required labels in the model of a pool

Change: each VM has one of two labels, its next incarnation may have the other one, and a quarter of the steps need one. A start on a VM without it is a break, with no time allowed for a change, since a new incarnation gets tasks only once its entry is known. Rows of the tests' VMs may name a label.

--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -1,6 +1,7 @@
 #include "DisruptedPool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -78,6 +79,8 @@
   Fake_.setAddress(Id, Address);
   Fake_.setClockRate(Id, chance(2) ? SlowClockRate : 1.0);
   Capacities_[Id].emplace_back(now(), Vm.Tasks);
+  Vm.Label = Vm.EarlierLabel = anyLabel();
+  Labels_[Id][now()] = Vm.Label;
   Vms_.push_back(std::move(Vm));
 }
 
@@ -151,6 +154,8 @@
   Step.Checkpointing = chance(3);
   if (chance(2))
     Step.MaxPerVm = 1 + static_cast<int>(Random_() % 2);
+  if (chance(4))
+    Step.RequiredLabel = anyLabel();
   Request.Plan.Steps.push_back(Step);
   Plans_[Request.Plan.Id] = Request.Plan;
   RowTransaction Change;
@@ -196,7 +201,10 @@
   Vm.FrozenUntil = TimePoint{};
   Vm.WrittenAt = TimePoint{};
   Fake_.restart(Id, ++Vm.Incarnation);
-  note(fmt::format("{} is back as incarnation {}", Id, Vm.Incarnation));
+  Vm.EarlierLabel = std::exchange(Vm.Label, anyLabel());
+  Labels_[Id][now()] = Vm.Label;
+  note(fmt::format("{} is back as incarnation {} with {}", Id, Vm.Incarnation,
+                   Vm.Label));
   if (Kinds_.Shrinks && chance(3))
     resize(Vm, 1 + static_cast<int>(Random_() % TasksPerVm));
 }
@@ -209,6 +217,11 @@
   addVm(Next, Address);
 }
 
+DisruptedPool::Entry DisruptedPool::trueEntry(const ModelVm &Vm) const {
+  return Entry{Vm.Tasks, Vm.Incarnation, Vm.Address,
+               Vm.Label, true,           Fake_.vmTime(Vm.Id)};
+}
+
 void DisruptedPool::disruptVm() {
   ModelVm &Vm = anyVm();
   switch (Random_() % 8) {
@@ -245,8 +258,7 @@
     Entries_[Vm.Id] = std::move(Odd);
     OverwrittenUntil_[Vm.Id] = now() + between(100, 3000);
   };
-  const Entry True{Vm.Tasks, Vm.Incarnation, Vm.Address, true,
-                   Fake_.vmTime(Vm.Id)};
+  const Entry True = trueEntry(Vm);
   switch (Random_() % 5) {
   case 0:
     note(fmt::format("{} is cut off from the store", Vm.Id));
@@ -261,6 +273,7 @@
   case 2: {
     Entry Odd = True;
     Odd.Incarnation = std::max<std::int64_t>(1, Vm.Incarnation - 1);
+    Odd.Label = Vm.EarlierLabel;
     note(fmt::format("the entry of {} is of incarnation {}", Vm.Id,
                      Odd.Incarnation));
     return Overwrite(Odd);
@@ -361,8 +374,7 @@
       continue;
     OverwrittenUntil_.erase(Vm.Id);
     Vm.WrittenAt = now();
-    Entries_[Vm.Id] =
-        Entry{Vm.Tasks, Vm.Incarnation, Vm.Address, true, Fake_.vmTime(Vm.Id)};
+    Entries_[Vm.Id] = trueEntry(Vm);
   }
   std::erase_if(Entries_, [this](const auto &Listed) {
     const ModelVm *Vm = findVm(Listed.first);
@@ -389,12 +401,13 @@
   std::vector<StoredRow> Listed;
   const auto Number = static_cast<std::size_t>(&Daemon - Daemons_.data());
   for (const auto &[Id, Each] : Entries_) {
-    Listed.push_back(StoredRow{
-        RowName{"vms", "", Id},
-        Each.Readable ? fmt::format("{} {} {} {}", Each.Tasks, Each.Incarnation,
-                                    Each.Address, Each.Clock.count())
-                      : "?",
-        1, false});
+    Listed.push_back(StoredRow{RowName{"vms", "", Id},
+                               Each.Readable
+                                   ? fmt::format("{} {} {} {} {}", Each.Tasks,
+                                                 Each.Incarnation, Each.Address,
+                                                 Each.Clock.count(), Each.Label)
+                                   : "?",
+                               1, false});
     ReadCapacities_[{Number, Id}].emplace_back(now(), Each.Tasks);
   }
   Daemon.Process->listVms(Listed);
@@ -442,9 +455,10 @@
 }
 
 std::vector<std::string> DisruptedPool::violations() const {
-  RunRules Rules(Plans_, [this](const std::string &Vm, TimePoint Time) {
-    return permittedTasks(Vm, Time);
-  });
+  RunRules Rules(Plans_, Labels_,
+                 [this](const std::string &Vm, TimePoint Time) {
+                   return permittedTasks(Vm, Time);
+                 });
   return Rules.violations(Fake_);
 }
 
--- a/packages/fleet/tests/DisruptedPool.h
+++ b/packages/fleet/tests/DisruptedPool.h
@@ -55,6 +55,7 @@
     int Tasks = 0;
     std::int64_t Incarnation = 0;
     std::string Address;
+    std::string Label;
     bool Readable = true;
     milliseconds Clock{0};
     bool operator==(const Entry &) const = default;
@@ -63,6 +64,9 @@
     std::string Id;
     std::string Address;
     int Tasks = 0;
+    std::string Label;
+    /// The label of the incarnation before.
+    std::string EarlierLabel;
     std::int64_t Incarnation = 1;
     bool Up = true;
     /// Until then its calls to the store fail.
@@ -101,6 +105,8 @@
   void comeBack(const std::string &Id);
   void replaceVm(const std::string &Id);
   void resize(ModelVm &Vm, int Tasks);
+  std::string anyLabel() { return chance(2) ? "kind1" : "kind2"; }
+  Entry trueEntry(const ModelVm &Vm) const;
   ModelVm *findVm(const std::string &Id);
   /// VMs write their entries, entries expire, and daemons read them.
   void beat();
@@ -121,6 +127,7 @@
   TimePoint StormUntil_{};
   bool Calm_ = false;
   RunRules::Plans Plans_;
+  RunRules::Labels Labels_;
   int JobCount_ = 0;
   int VmCount_ = 0;
   /// The true capacity of each VM in tasks, from each time on.
--- a/packages/fleet/tests/PoolTestSupport.cpp
+++ b/packages/fleet/tests/PoolTestSupport.cpp
@@ -32,6 +32,8 @@
   Fields >> Out.Vm.Incarnation >> Out.Address;
   if (std::int64_t ClockMs = 0; Fields >> ClockMs)
     Out.Clock = milliseconds(ClockMs);
+  if (std::string Label; Fields >> Label)
+    Out.Vm.Labels.push_back(Label);
   return Out;
 }
 
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -80,8 +80,8 @@
 };
 
 /// Test formats of rows: the value of a VM's row is the number of tasks that
-/// fit on it, and optionally its incarnation, its address, and its clock in
-/// milliseconds.
+/// fit on it, and optionally its incarnation, its address, its clock in
+/// milliseconds, and a label.
 class TestFormats final : public PlatformFormats {
 public:
   std::string configTable() const override { return "op"; }
--- a/packages/fleet/tests/RunRules.cpp
+++ b/packages/fleet/tests/RunRules.cpp
@@ -1,5 +1,6 @@
 #include "RunRules.h"
 
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -16,8 +17,10 @@
       .count();
 }
 
-RunRules::RunRules(const Plans &Submitted, TaskLimit PermittedTasks)
-    : Submitted_(Submitted), PermittedTasks_(std::move(PermittedTasks)) {}
+RunRules::RunRules(const Plans &Submitted, const Labels &VmLabels,
+                   TaskLimit PermittedTasks)
+    : Submitted_(Submitted), VmLabels_(VmLabels),
+      PermittedTasks_(std::move(PermittedTasks)) {}
 
 const StepPlan &RunRules::stepOf(const TaskRun &Run) const {
   return Submitted_.at(Run.Task.Step.Job).Steps.at(Run.Task.Step.Step);
@@ -58,6 +61,16 @@
            fmt::format(", {} of {}", Tasks.size(), Limit));
 }
 
+void RunRules::checkLabel(const RunEvent &Start) {
+  const std::string &Required = stepOf(Start.Run).RequiredLabel;
+  const auto &Labels = VmLabels_.at(Start.Vm);
+  const std::string &Present =
+      std::prev(Labels.upper_bound(Start.Time))->second;
+  if (!Required.empty() && Required != Present)
+    report("without the label", Start,
+           fmt::format(", {} instead of {}", Present, Required));
+}
+
 void RunRules::checkCompletions(const FakeVms &Vms) {
   for (const auto &[Task, DoneAt] : Vms.AcknowledgedCompletions)
     for (const RunEvent &Event : Vms.RunHistory)
@@ -77,6 +90,7 @@
     checkSingleRun(Event);
     checkCapacity(Event);
     checkLimitPerVm(Event);
+    checkLabel(Event);
     Runs.insert(Event.Run);
   }
   checkCompletions(Vms);
--- a/packages/fleet/tests/RunRules.h
+++ b/packages/fleet/tests/RunRules.h
@@ -17,11 +17,14 @@
 public:
   /// The submitted jobs by their ids.
   using Plans = std::map<std::string, JobPlan>;
+  /// The label of each VM, from each time on.
+  using Labels = std::map<std::string, std::map<TimePoint, std::string>>;
   /// \returns how many tasks may be on a VM at a time.
   using TaskLimit = std::function<int(const std::string &Vm, TimePoint Time)>;
 
-  /// \param Submitted must outlive the checks.
-  RunRules(const Plans &Submitted, TaskLimit PermittedTasks);
+  /// \param Submitted and \p VmLabels must outlive the checks.
+  RunRules(const Plans &Submitted, const Labels &VmLabels,
+           TaskLimit PermittedTasks);
 
   /// \returns what broke the rules in the history of \p Vms.
   std::vector<std::string> violations(const FakeVms &Vms);
@@ -33,9 +36,11 @@
   void checkSingleRun(const RunEvent &Start);
   void checkCapacity(const RunEvent &Start);
   void checkLimitPerVm(const RunEvent &Start);
+  void checkLabel(const RunEvent &Start);
   void checkCompletions(const FakeVms &Vms);
 
   const Plans &Submitted_;
+  const Labels &VmLabels_;
   TaskLimit PermittedTasks_;
   /// The runs on each VM that have not ended, those that are being stopped
   /// included.
