Check order, attempts and cancellations in the model of a pool

The model had no steps that depend on others, no jobs that fail, and no cancelled jobs.

Change: a quarter of the jobs have a second step, half of the runs of one job in ten fail, and one job in six is cancelled within 8 s. Breaks are a start before all tasks of the earlier step have ended, a start after acknowledged failures have used the attempts up, and a start or a run of a cancelled job later than the bounds. The latter are judged in calm times only, once no process can be frozen any more and the contact time has passed. What the checks go by is one aggregate.

--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -16,17 +16,20 @@
 constexpr milliseconds EntryLifetime = HeartbeatInterval * 3;
 constexpr milliseconds BeatInterval{100};
 constexpr milliseconds ContactTime{3000};
+/// The longest disruption that goes on in calm times.
+constexpr milliseconds LongestFreeze{12000};
 constexpr milliseconds DisruptedTime{60000};
 constexpr milliseconds CalmTime{30000};
 /// A process takes at least this long, in milliseconds, to start again.
 constexpr int ShortestRestart = 350;
 constexpr double SlowClockRate = 0.98;
+constexpr int MaxAttempts = 4;
 
 QueueTerms modelQueue() {
   QueueTerms Out;
   Out.Name = "q";
   Out.Service = TestService;
-  Out.MaxAttempts = 4;
+  Out.MaxAttempts = MaxAttempts;
   return Out;
 }
 
@@ -47,12 +50,18 @@
 
 DisruptedPool::DisruptedPool(unsigned Seed, Disruptions Kinds)
     : Random_(Seed), Kinds_(Kinds), Fake_(ControlLoop_) {
-  Fake_.PlanRun = [this](const TaskRun &) {
+  Fake_.PlanRun = [this](const TaskRun &Run) {
     const int Longest = chance(3) ? 9000 : 1500;
-    return std::pair{between(100, Longest),
-                     chance(15) ? RunOutcome::Failed : RunOutcome::Done};
+    const bool Hopeless = HopelessJobs_.contains(Run.Task.Step.Job);
+    return std::pair{between(100, Longest), chance(Hopeless ? 2 : 15)
+                                                ? RunOutcome::Failed
+                                                : RunOutcome::Done};
   };
   Fake_.PlanStop = [this](const TaskRun &) { return between(0, 800); };
+  Facts_.MaxAttempts = MaxAttempts;
+  Facts_.PermittedTasks = [this](const std::string &Vm, TimePoint Time) {
+    return permittedTasks(Vm, Time);
+  };
   Daemons_.reserve(3);
   for (int Number = 0; Number < InitialVms; ++Number)
     addVm(fmt::format("vm{}", VmCount_++), fmt::format("h{}:1", Number));
@@ -80,7 +89,7 @@
   Fake_.setClockRate(Id, chance(2) ? SlowClockRate : 1.0);
   Capacities_[Id].emplace_back(now(), Vm.Tasks);
   Vm.Label = Vm.EarlierLabel = anyLabel();
-  Labels_[Id][now()] = Vm.Label;
+  Facts_.Labels[Id][now()] = Vm.Label;
   Vms_.push_back(std::move(Vm));
 }
 
@@ -140,6 +149,19 @@
                    : StoreFault{StoreFault::Delayed, between(300, 5000)};
 }
 
+StepPlan DisruptedPool::anyStep() {
+  StepPlan Out;
+  Out.Tasks = 1 + static_cast<int>(Random_() % 5);
+  Out.PerTask = TestTaskSize;
+  Out.Estimate = between(200, 3000);
+  Out.Checkpointing = chance(3);
+  if (chance(2))
+    Out.MaxPerVm = 1 + static_cast<int>(Random_() % 2);
+  if (chance(4))
+    Out.RequiredLabel = anyLabel();
+  return Out;
+}
+
 void DisruptedPool::submit() {
   JobRequest Request;
   Request.Queue = "q";
@@ -147,21 +169,29 @@
   Request.Plan.Id =
       fmt::format("{:016x}", 0x1000000000000000ULL * (Random_() % 16) +
                                  static_cast<unsigned long long>(++JobCount_));
-  StepPlan Step;
-  Step.Tasks = 1 + static_cast<int>(Random_() % 5);
-  Step.PerTask = TestTaskSize;
-  Step.Estimate = between(200, 3000);
-  Step.Checkpointing = chance(3);
-  if (chance(2))
-    Step.MaxPerVm = 1 + static_cast<int>(Random_() % 2);
-  if (chance(4))
-    Step.RequiredLabel = anyLabel();
-  Request.Plan.Steps.push_back(Step);
-  Plans_[Request.Plan.Id] = Request.Plan;
+  Request.Plan.Steps.push_back(anyStep());
+  if (chance(4)) {
+    Request.Plan.Steps.push_back(anyStep());
+    Request.Plan.Steps.back().DependsOn = {0};
+  }
+  if (chance(10))
+    HopelessJobs_.insert(Request.Plan.Id);
+  Facts_.Submitted[Request.Plan.Id] = Request.Plan;
   RowTransaction Change;
   Change.Puts.push_back(
       RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
   Rows_.apply(Change);
+  if (chance(6))
+    ControlLoop_.after(between(0, 8000),
+                       [this, Job = Request.Plan.Id] { cancel(Job); });
+}
+
+void DisruptedPool::cancel(const std::string &Job) {
+  note(fmt::format("{} is cancelled", formatModelJob(Job)));
+  Facts_.CancelledAt[Job] = now();
+  RowTransaction Change;
+  Change.Puts.push_back(RowPut{cancelRow(Job), "1"});
+  Rows_.apply(Change);
 }
 
 DisruptedPool::ModelVm *DisruptedPool::findVm(const std::string &Id) {
@@ -202,7 +232,7 @@
   Vm.WrittenAt = TimePoint{};
   Fake_.restart(Id, ++Vm.Incarnation);
   Vm.EarlierLabel = std::exchange(Vm.Label, anyLabel());
-  Labels_[Id][now()] = Vm.Label;
+  Facts_.Labels[Id][now()] = Vm.Label;
   note(fmt::format("{} is back as incarnation {} with {}", Id, Vm.Incarnation,
                    Vm.Label));
   if (Kinds_.Shrinks && chance(3))
@@ -328,7 +358,8 @@
     Daemon->Read.clear();
     return;
   default: {
-    const milliseconds Duration = between(300, 12000);
+    const milliseconds Duration =
+        between(300, static_cast<int>(LongestFreeze.count()));
     note(fmt::format("daemon {} is frozen for {} ms", Daemon - Daemons_.data(),
                      Duration.count()));
     Daemon->Process->Process.freeze();
@@ -436,6 +467,7 @@
     ControlLoop_.runFor(BeatInterval);
   }
   Calm_ = true;
+  Facts_.InTouchSince = now() + LongestFreeze + ContactTime;
   for (const TimePoint CalmEnd = now() + CalmTime; now() < CalmEnd;) {
     beat();
     ControlLoop_.runFor(BeatInterval);
@@ -455,11 +487,7 @@
 }
 
 std::vector<std::string> DisruptedPool::violations() const {
-  RunRules Rules(Plans_, Labels_,
-                 [this](const std::string &Vm, TimePoint Time) {
-                   return permittedTasks(Vm, Time);
-                 });
-  return Rules.violations(Fake_);
+  return RunRules(Facts_).violations(Fake_);
 }
 
 std::string DisruptedPool::history() const {
--- a/packages/fleet/tests/DisruptedPool.h
+++ b/packages/fleet/tests/DisruptedPool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,7 +96,9 @@
   void addDaemon(const std::string &Name);
   VmCallFault orderFault(ModelDaemon &Daemon, const std::string &Vm);
   StoreFault storeFault(ModelDaemon &Daemon);
+  StepPlan anyStep();
   void submit();
+  void cancel(const std::string &Job);
   void disrupt();
   void disruptVm();
   void disruptEntry();
@@ -126,8 +129,9 @@
   TimePoint StoreAwayUntil_{};
   TimePoint StormUntil_{};
   bool Calm_ = false;
-  RunRules::Plans Plans_;
-  RunRules::Labels Labels_;
+  RunRules::Facts Facts_;
+  /// Jobs half of whose runs fail.
+  std::set<std::string> HopelessJobs_;
   int JobCount_ = 0;
   int VmCount_ = 0;
   /// The true capacity of each VM in tasks, from each time on.
--- a/packages/fleet/tests/RunRules.cpp
+++ b/packages/fleet/tests/RunRules.cpp
@@ -1,14 +1,23 @@
 #include "RunRules.h"
 
+#include <algorithm>
 #include <iterator>
-#include <utility>
 
 #include <fmt/format.h>
 
 namespace cuminroad {
 
+namespace {
+
+constexpr milliseconds MaxCancelTime{3000};
+constexpr milliseconds MaxStopTime{900};
+
+} // namespace
+
+std::string formatModelJob(const std::string &Job) { return Job.substr(12); }
+
 std::string formatModelRun(const TaskRun &Run) {
-  return fmt::format("{}.{}.{} run {}", Run.Task.Step.Job.substr(12),
+  return fmt::format("{}.{}.{} run {}", formatModelJob(Run.Task.Step.Job),
                      Run.Task.Step.Step, Run.Task.Index, Run.Number);
 }
 
@@ -17,13 +26,8 @@
       .count();
 }
 
-RunRules::RunRules(const Plans &Submitted, const Labels &VmLabels,
-                   TaskLimit PermittedTasks)
-    : Submitted_(Submitted), VmLabels_(VmLabels),
-      PermittedTasks_(std::move(PermittedTasks)) {}
-
 const StepPlan &RunRules::stepOf(const TaskRun &Run) const {
-  return Submitted_.at(Run.Task.Step.Job).Steps.at(Run.Task.Step.Step);
+  return Known_.Submitted.at(Run.Task.Step.Job).Steps.at(Run.Task.Step.Step);
 }
 
 void RunRules::report(const char *Rule, const RunEvent &Start,
@@ -42,7 +46,7 @@
 }
 
 void RunRules::checkCapacity(const RunEvent &Start) {
-  const int Permitted = PermittedTasks_(Start.Vm, Start.Time);
+  const int Permitted = Known_.PermittedTasks(Start.Vm, Start.Time);
   if (Start.RunsOnVm > Permitted)
     report("over capacity", Start,
            fmt::format(", {} of {}", Start.RunsOnVm, Permitted));
@@ -63,7 +67,7 @@
 
 void RunRules::checkLabel(const RunEvent &Start) {
   const std::string &Required = stepOf(Start.Run).RequiredLabel;
-  const auto &Labels = VmLabels_.at(Start.Vm);
+  const auto &Labels = Known_.Labels.at(Start.Vm);
   const std::string &Present =
       std::prev(Labels.upper_bound(Start.Time))->second;
   if (!Required.empty() && Required != Present)
@@ -71,6 +75,45 @@
            fmt::format(", {} instead of {}", Present, Required));
 }
 
+void RunRules::checkOrder(const RunEvent &Start) {
+  const StepName &Step = Start.Run.Task.Step;
+  for (const int Earlier : stepOf(Start.Run).DependsOn) {
+    const StepName Needed{Step.Job, Step.Occurrence, Earlier};
+    const int Tasks = Known_.Submitted.at(Step.Job).Steps.at(Earlier).Tasks;
+    for (int Index = 0; Index < Tasks; ++Index)
+      if (!Done_.contains(TaskName{Needed, Index}))
+        return report("before an earlier step", Start,
+                      fmt::format(", task {} of step {}", Index, Earlier));
+  }
+}
+
+void RunRules::checkCancellation(const RunEvent &Event) {
+  const auto Cancelled = Known_.CancelledAt.find(Event.Run.Task.Step.Job);
+  if (Cancelled == Known_.CancelledAt.end())
+    return;
+  const TimePoint Since =
+      std::max(Cancelled->second + MaxCancelTime, Known_.InTouchSince);
+  if (Event.IsStart && Event.Time > Since)
+    report("started after its cancellation", Event, "");
+  if (!Event.IsStart && Event.Time > Since + MaxStopTime)
+    report("runs after its cancellation", Event, "");
+}
+
+void RunRules::checkAttempts(const FakeVms &Vms) {
+  std::map<TaskName, std::vector<TimePoint>> Failures;
+  for (const auto &[Task, FailedAt] : Vms.AcknowledgedFailures)
+    Failures[Task].push_back(FailedAt);
+  for (auto &[Task, Times] : Failures) {
+    if (static_cast<int>(Times.size()) < Known_.MaxAttempts)
+      continue;
+    std::sort(Times.begin(), Times.end());
+    const TimePoint LastAttempt = Times[Known_.MaxAttempts - 1];
+    for (const RunEvent &Event : Vms.RunHistory)
+      if (Event.IsStart && Event.Run.Task == Task && Event.Time > LastAttempt)
+        report("started after its last attempt", Event, "");
+  }
+}
+
 void RunRules::checkCompletions(const FakeVms &Vms) {
   for (const auto &[Task, DoneAt] : Vms.AcknowledgedCompletions)
     for (const RunEvent &Event : Vms.RunHistory)
@@ -80,20 +123,26 @@
 
 std::vector<std::string> RunRules::violations(const FakeVms &Vms) {
   Running_.clear();
+  Done_.clear();
   Violations_.clear();
   for (const RunEvent &Event : Vms.RunHistory) {
+    checkCancellation(Event);
     std::set<TaskRun> &Runs = Running_[Event.Vm];
     if (!Event.IsStart) {
       Runs.erase(Event.Run);
+      if (Event.Outcome == RunOutcome::Done)
+        Done_.insert(Event.Run.Task);
       continue;
     }
     checkSingleRun(Event);
     checkCapacity(Event);
     checkLimitPerVm(Event);
     checkLabel(Event);
+    checkOrder(Event);
     Runs.insert(Event.Run);
   }
   checkCompletions(Vms);
+  checkAttempts(Vms);
   return Violations_;
 }
 
--- a/packages/fleet/tests/RunRulesTest.cpp
+++ b/packages/fleet/tests/RunRulesTest.cpp
@@ -70,7 +70,9 @@
 } // namespace
 
 // Guards against two runs of a task at once, and against starts beyond a VM's
-// capacity or a step's limit per VM, after disruptions that overlap.
+// capacity or a step's limit per VM, on VMs without its label, before earlier
+// steps, after the last attempt or a cancellation, after disruptions that
+// overlap.
 BOOST_AUTO_TEST_CASE(allDisruptionsOverlap) { checkRules(1, 20, {}); }
 
 // Guards against the same where the VMs, their entries, the orders and the
--- a/tests/fakes/include/cuminroad/fakes/FakeVms.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeVms.h
@@ -65,6 +65,8 @@
   /// Done and the VM's lease did not expire between the end and the
   /// acknowledgement.
   std::vector<std::pair<TaskName, TimePoint>> AcknowledgedCompletions;
+  /// The same for ends as Failed.
+  std::vector<std::pair<TaskName, TimePoint>> AcknowledgedFailures;
   /// Calls that were refused for their fencing token.
   int FencedCalls = 0;
 
--- a/tests/fakes/src/FakeVms.cpp
+++ b/tests/fakes/src/FakeVms.cpp
@@ -163,8 +163,12 @@
     if (End.Number > Order.AcknowledgedEnd)
       return false;
     const auto EndTime = State->EndTimes.find(End.Number);
-    if (End.Outcome == RunOutcome::Done && EndTime != State->EndTimes.end())
+    if (EndTime == State->EndTimes.end())
+      return true;
+    if (End.Outcome == RunOutcome::Done)
       AcknowledgedCompletions.emplace_back(End.Run.Task, EndTime->second);
+    if (End.Outcome == RunOutcome::Failed)
+      AcknowledgedFailures.emplace_back(End.Run.Task, EndTime->second);
     return true;
   });
   for (const TaskRun &Run : State->Running)
