--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -133,6 +133,13 @@
   void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
+  /// Handles that the VM's process was not running.
+  void handleRefusedConnection();
+  /// \returns whether an order may reach another incarnation than the last one
+  /// that was reported.
+  bool mayHaveRestarted() const {
+    return Failures_ > 0 || RestartUnsettled_ || RefusedAt_;
+  }
   void raiseToken(std::string_view Reason);
   /// Handles that the VM has refused an order for its \p FencingToken. \p Run
   /// is null for a hold. \returns whether another owner has taken the VM over;
@@ -194,6 +201,8 @@
   /// The VM has restarted and has not answered the raised token yet. Orders for
   /// its earlier incarnation may still be carried out.
   bool RestartUnsettled_ = false;
+  /// When the VM last refused a connection, unless a later hold was answered.
+  std::optional<TimePoint> RefusedAt_;
   bool LeaseExpiryReported_ = false;
   bool HoldInFlight_ = false;
   bool HoldScheduled_ = false;
--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -1,7 +1,7 @@
 #include "DisruptedPool.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -16,30 +16,23 @@
 constexpr milliseconds EntryLifetime = HeartbeatInterval * 3;
 constexpr milliseconds BeatInterval{100};
 constexpr milliseconds ContactTime{3000};
+/// The longest disruption that goes on in calm times.
+constexpr milliseconds LongestFreeze{12000};
 constexpr milliseconds DisruptedTime{60000};
 constexpr milliseconds CalmTime{30000};
 /// A process takes at least this long, in milliseconds, to start again.
 constexpr int ShortestRestart = 350;
 constexpr double SlowClockRate = 0.98;
+constexpr int MaxAttempts = 4;
 
 QueueTerms modelQueue() {
   QueueTerms Out;
   Out.Name = "q";
   Out.Service = TestService;
-  Out.MaxAttempts = 4;
+  Out.MaxAttempts = MaxAttempts;
   return Out;
 }
 
-std::string formatRunName(const TaskRun &Run) {
-  return fmt::format("{}.{}.{} run {}", Run.Task.Step.Job.substr(12),
-                     Run.Task.Step.Step, Run.Task.Index, Run.Number);
-}
-
-std::int64_t millisecondsOf(TimePoint Time) {
-  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
-      .count();
-}
-
 /// \returns the largest capacity that was in force from \p Since to \p Until.
 int largestIn(const std::vector<std::pair<TimePoint, int>> &Changes,
               TimePoint Since, TimePoint Until) {
@@ -57,12 +50,18 @@
 
 DisruptedPool::DisruptedPool(unsigned Seed, Disruptions Kinds)
     : Random_(Seed), Kinds_(Kinds), Fake_(ControlLoop_) {
-  Fake_.PlanRun = [this](const TaskRun &) {
+  Fake_.PlanRun = [this](const TaskRun &Run) {
     const int Longest = chance(3) ? 9000 : 1500;
-    return std::pair{between(100, Longest),
-                     chance(15) ? RunOutcome::Failed : RunOutcome::Done};
+    const bool Hopeless = HopelessJobs_.contains(Run.Task.Step.Job);
+    return std::pair{between(100, Longest), chance(Hopeless ? 2 : 15)
+                                                ? RunOutcome::Failed
+                                                : RunOutcome::Done};
   };
   Fake_.PlanStop = [this](const TaskRun &) { return between(0, 800); };
+  Facts_.MaxAttempts = MaxAttempts;
+  Facts_.PermittedTasks = [this](const std::string &Vm, TimePoint Time) {
+    return permittedTasks(Vm, Time);
+  };
   Daemons_.reserve(3);
   for (int Number = 0; Number < InitialVms; ++Number)
     addVm(fmt::format("vm{}", VmCount_++), fmt::format("h{}:1", Number));
@@ -89,6 +88,8 @@
   Fake_.setAddress(Id, Address);
   Fake_.setClockRate(Id, chance(2) ? SlowClockRate : 1.0);
   Capacities_[Id].emplace_back(now(), Vm.Tasks);
+  Vm.Label = Vm.EarlierLabel = anyLabel();
+  Facts_.Labels[Id][now()] = Vm.Label;
   Vms_.push_back(std::move(Vm));
 }
 
@@ -148,6 +149,19 @@
                    : StoreFault{StoreFault::Delayed, between(300, 5000)};
 }
 
+StepPlan DisruptedPool::anyStep() {
+  StepPlan Out;
+  Out.Tasks = 1 + static_cast<int>(Random_() % 5);
+  Out.PerTask = TestTaskSize;
+  Out.Estimate = between(200, 3000);
+  Out.Checkpointing = chance(3);
+  if (chance(2))
+    Out.MaxPerVm = 1 + static_cast<int>(Random_() % 2);
+  if (chance(4))
+    Out.RequiredLabel = anyLabel();
+  return Out;
+}
+
 void DisruptedPool::submit() {
   JobRequest Request;
   Request.Queue = "q";
@@ -155,16 +169,29 @@
   Request.Plan.Id =
       fmt::format("{:016x}", 0x1000000000000000ULL * (Random_() % 16) +
                                  static_cast<unsigned long long>(++JobCount_));
-  StepPlan Step;
-  Step.Tasks = 1 + static_cast<int>(Random_() % 5);
-  Step.PerTask = TestTaskSize;
-  Step.Estimate = between(200, 3000);
-  Step.Checkpointing = chance(3);
-  Request.Plan.Steps.push_back(Step);
+  Request.Plan.Steps.push_back(anyStep());
+  if (chance(4)) {
+    Request.Plan.Steps.push_back(anyStep());
+    Request.Plan.Steps.back().DependsOn = {0};
+  }
+  if (chance(10))
+    HopelessJobs_.insert(Request.Plan.Id);
+  Facts_.Submitted[Request.Plan.Id] = Request.Plan;
   RowTransaction Change;
   Change.Puts.push_back(
       RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
   Rows_.apply(Change);
+  if (chance(6))
+    ControlLoop_.after(between(0, 8000),
+                       [this, Job = Request.Plan.Id] { cancel(Job); });
+}
+
+void DisruptedPool::cancel(const std::string &Job) {
+  note(fmt::format("{} is cancelled", formatModelJob(Job)));
+  Facts_.CancelledAt[Job] = now();
+  RowTransaction Change;
+  Change.Puts.push_back(RowPut{cancelRow(Job), "1"});
+  Rows_.apply(Change);
 }
 
 DisruptedPool::ModelVm *DisruptedPool::findVm(const std::string &Id) {
@@ -204,7 +231,10 @@
   Vm.FrozenUntil = TimePoint{};
   Vm.WrittenAt = TimePoint{};
   Fake_.restart(Id, ++Vm.Incarnation);
-  note(fmt::format("{} is back as incarnation {}", Id, Vm.Incarnation));
+  Vm.EarlierLabel = std::exchange(Vm.Label, anyLabel());
+  Facts_.Labels[Id][now()] = Vm.Label;
+  note(fmt::format("{} is back as incarnation {} with {}", Id, Vm.Incarnation,
+                   Vm.Label));
   if (Kinds_.Shrinks && chance(3))
     resize(Vm, 1 + static_cast<int>(Random_() % TasksPerVm));
 }
@@ -217,6 +247,11 @@
   addVm(Next, Address);
 }
 
+DisruptedPool::Entry DisruptedPool::trueEntry(const ModelVm &Vm) const {
+  return Entry{Vm.Tasks, Vm.Incarnation, Vm.Address,
+               Vm.Label, true,           Fake_.vmTime(Vm.Id)};
+}
+
 void DisruptedPool::disruptVm() {
   ModelVm &Vm = anyVm();
   switch (Random_() % 8) {
@@ -253,8 +288,7 @@
     Entries_[Vm.Id] = std::move(Odd);
     OverwrittenUntil_[Vm.Id] = now() + between(100, 3000);
   };
-  const Entry True{Vm.Tasks, Vm.Incarnation, Vm.Address, true,
-                   Fake_.vmTime(Vm.Id)};
+  const Entry True = trueEntry(Vm);
   switch (Random_() % 5) {
   case 0:
     note(fmt::format("{} is cut off from the store", Vm.Id));
@@ -269,6 +303,7 @@
   case 2: {
     Entry Odd = True;
     Odd.Incarnation = std::max<std::int64_t>(1, Vm.Incarnation - 1);
+    Odd.Label = Vm.EarlierLabel;
     note(fmt::format("the entry of {} is of incarnation {}", Vm.Id,
                      Odd.Incarnation));
     return Overwrite(Odd);
@@ -323,7 +358,8 @@
     Daemon->Read.clear();
     return;
   default: {
-    const milliseconds Duration = between(300, 12000);
+    const milliseconds Duration =
+        between(300, static_cast<int>(LongestFreeze.count()));
     note(fmt::format("daemon {} is frozen for {} ms", Daemon - Daemons_.data(),
                      Duration.count()));
     Daemon->Process->Process.freeze();
@@ -369,8 +405,7 @@
       continue;
     OverwrittenUntil_.erase(Vm.Id);
     Vm.WrittenAt = now();
-    Entries_[Vm.Id] =
-        Entry{Vm.Tasks, Vm.Incarnation, Vm.Address, true, Fake_.vmTime(Vm.Id)};
+    Entries_[Vm.Id] = trueEntry(Vm);
   }
   std::erase_if(Entries_, [this](const auto &Listed) {
     const ModelVm *Vm = findVm(Listed.first);
@@ -397,12 +432,13 @@
   std::vector<StoredRow> Listed;
   const auto Number = static_cast<std::size_t>(&Daemon - Daemons_.data());
   for (const auto &[Id, Each] : Entries_) {
-    Listed.push_back(StoredRow{
-        RowName{"vms", "", Id},
-        Each.Readable ? fmt::format("{} {} {} {}", Each.Tasks, Each.Incarnation,
-                                    Each.Address, Each.Clock.count())
-                      : "?",
-        1, false});
+    Listed.push_back(StoredRow{RowName{"vms", "", Id},
+                               Each.Readable
+                                   ? fmt::format("{} {} {} {} {}", Each.Tasks,
+                                                 Each.Incarnation, Each.Address,
+                                                 Each.Clock.count(), Each.Label)
+                                   : "?",
+                               1, false});
     ReadCapacities_[{Number, Id}].emplace_back(now(), Each.Tasks);
   }
   Daemon.Process->listVms(Listed);
@@ -431,6 +467,7 @@
     ControlLoop_.runFor(BeatInterval);
   }
   Calm_ = true;
+  Facts_.InTouchSince = now() + LongestFreeze + ContactTime;
   for (const TimePoint CalmEnd = now() + CalmTime; now() < CalmEnd;) {
     beat();
     ControlLoop_.runFor(BeatInterval);
@@ -450,34 +487,7 @@
 }
 
 std::vector<std::string> DisruptedPool::violations() const {
-  std::vector<std::string> Out;
-  std::map<TaskName, std::set<std::pair<std::string, std::int64_t>>> Running;
-  for (const RunEvent &Event : Fake_.RunHistory) {
-    auto &Runs = Running[Event.Run.Task];
-    const std::pair Place{Event.Vm, Event.Run.Number};
-    if (!Event.IsStart) {
-      Runs.erase(Place);
-      continue;
-    }
-    if (!Runs.empty())
-      Out.push_back(
-          fmt::format("two runs at once at {}: {} on {}, run {} on {}",
-                      millisecondsOf(Event.Time), formatRunName(Event.Run),
-                      Event.Vm, Runs.begin()->second, Runs.begin()->first));
-    Runs.insert(Place);
-    if (Event.RunsOnVm > permittedTasks(Event.Vm, Event.Time))
-      Out.push_back(fmt::format(
-          "over capacity at {}: {} on {}, {} of {}", millisecondsOf(Event.Time),
-          formatRunName(Event.Run), Event.Vm, Event.RunsOnVm,
-          permittedTasks(Event.Vm, Event.Time)));
-  }
-  for (const auto &[Task, DoneAt] : Fake_.AcknowledgedCompletions)
-    for (const RunEvent &Event : Fake_.RunHistory)
-      if (Event.IsStart && Event.Run.Task == Task && Event.Time > DoneAt)
-        Out.push_back(fmt::format("started after its end at {}: {} on {}",
-                                  millisecondsOf(Event.Time),
-                                  formatRunName(Event.Run), Event.Vm));
-  return Out;
+  return RunRules(Facts_).violations(Fake_);
 }
 
 std::string DisruptedPool::history() const {
@@ -486,7 +496,7 @@
     Lines.emplace_back(
         Event.Time,
         fmt::format("{} {} {} {}", Event.IsStart ? "start" : "end",
-                    formatRunName(Event.Run), Event.Vm,
+                    formatModelRun(Event.Run), Event.Vm,
                     Event.IsStart ? -1 : static_cast<int>(Event.Outcome)));
   std::stable_sort(Lines.begin(), Lines.end(),
                    [](const auto &Left, const auto &Right) {
--- a/packages/fleet/tests/DisruptedPool.h
+++ b/packages/fleet/tests/DisruptedPool.h
@@ -4,10 +4,12 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "PoolTestSupport.h"
+#include "RunRules.h"
 
 namespace cuminroad {
 
@@ -54,6 +56,7 @@
     int Tasks = 0;
     std::int64_t Incarnation = 0;
     std::string Address;
+    std::string Label;
     bool Readable = true;
     milliseconds Clock{0};
     bool operator==(const Entry &) const = default;
@@ -62,6 +65,9 @@
     std::string Id;
     std::string Address;
     int Tasks = 0;
+    std::string Label;
+    /// The label of the incarnation before.
+    std::string EarlierLabel;
     std::int64_t Incarnation = 1;
     bool Up = true;
     /// Until then its calls to the store fail.
@@ -90,7 +96,9 @@
   void addDaemon(const std::string &Name);
   VmCallFault orderFault(ModelDaemon &Daemon, const std::string &Vm);
   StoreFault storeFault(ModelDaemon &Daemon);
+  StepPlan anyStep();
   void submit();
+  void cancel(const std::string &Job);
   void disrupt();
   void disruptVm();
   void disruptEntry();
@@ -100,6 +108,8 @@
   void comeBack(const std::string &Id);
   void replaceVm(const std::string &Id);
   void resize(ModelVm &Vm, int Tasks);
+  std::string anyLabel() { return chance(2) ? "kind1" : "kind2"; }
+  Entry trueEntry(const ModelVm &Vm) const;
   ModelVm *findVm(const std::string &Id);
   /// VMs write their entries, entries expire, and daemons read them.
   void beat();
@@ -119,6 +129,9 @@
   TimePoint StoreAwayUntil_{};
   TimePoint StormUntil_{};
   bool Calm_ = false;
+  RunRules::Facts Facts_;
+  /// Jobs half of whose runs fail.
+  std::set<std::string> HopelessJobs_;
   int JobCount_ = 0;
   int VmCount_ = 0;
   /// The true capacity of each VM in tasks, from each time on.
