Hold unreliable VMs with short timeouts, and with a lease after a failed hold

Cause: an unanswered hold is noticed after 1.8 s, and the hold after it carries no lease. It takes two answers in a row to renew the lease; a VM that answers every second hold loses all its runs.

Change: a VM that left up to three holds unanswered and answered the next one within 350 ms counts as unreliable for 10 s. Its holds wait 200 ms for an end instead of 1000 ms and time out 350 ms later, one in three failed ones after the usual time, in case the VM has become slow; an unanswered one is repeated at once and carries a lease, until the VM has been silent for as long as the lease. Other VMs are held as before, so that a VM that is cut off or crashes counts as ended as soon as before.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -113,13 +113,23 @@
     std::string Address;
     std::int64_t FencingToken = 0;
     std::int64_t AcknowledgedEnd = 0;
+    /// Zero if the hold carried no lease.
+    milliseconds LeaseUntil{0};
+    milliseconds Wait{0};
   };
 
   void hold();
+  /// \returns whether the VM leaves single orders unanswered, and answers the
+  /// others soon.
+  bool isUnreliable() const;
+  /// Determines whether the VM is unreliable, when it has answered a hold.
+  void updateReliability(const SentHold &Sent);
   void handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer);
   void handleOtherVm(const std::string &Address);
   void handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer);
-  void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
+  /// \param NoAnswer The hold got neither an answer nor a refused connection.
+  void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause,
+                         bool NoAnswer);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
   /// Handles that the VM has refused \p FencingToken: another owner has taken
@@ -184,6 +194,10 @@
   /// The last order got no answer, so that its connection may be dead.
   bool LastOrderUnanswered_ = false;
   int Failures_ = 0;
+  /// The last failed hold got neither an answer nor a refused connection.
+  bool HoldUnanswered_ = false;
+  /// When the VM last answered a hold after unanswered ones.
+  std::optional<TimePoint> RecoveredAt_;
   /// What the last failed hold says about the VM, should its lease expire.
   RunsEndedCause FailureCause_ = RunsEndedCause::LeaseExpired;
   RunsEndedCause ReportedCause_ = RunsEndedCause::LeaseExpired;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -29,6 +29,17 @@
 constexpr milliseconds MaxAcknowledgementDelay{1000};
 /// Delay before a failed hold is repeated. The first repeat is sent at once.
 constexpr milliseconds HoldRetryDelay{250};
+/// How long a VM counts as unreliable after it left some holds unanswered and
+/// answered the next one soon. It is held with short timeouts, so that its
+/// lease is renewed in time and its ends are known soon.
+constexpr milliseconds UnreliablePeriod{10000};
+/// A VM that leaves more holds in a row unanswered was cut off instead.
+constexpr int MaxUnreliableFailures = 3;
+constexpr milliseconds UnreliableMaxEndWait{200};
+constexpr milliseconds UnreliableHoldAnswerMargin{350};
+/// An unreliable VM may have become slow: one in so many failed holds has the
+/// usual timeout.
+constexpr int HoldsPerLongTimeout = 3;
 /// Failures in a row after which the VM is reported as unreachable.
 constexpr int FailuresUntilUnreachable = 2;
 /// Leases are granted this much shorter than the VM allows, since its clock is
@@ -146,6 +157,20 @@
                                   Options_.MaxLease / MinVmClockRate);
 }
 
+bool VmLink::isUnreliable() const {
+  return RecoveredAt_ &&
+         MonotonicClock_.now() - *RecoveredAt_ < UnreliablePeriod;
+}
+
+void VmLink::updateReliability(const SentHold &Sent) {
+  const TimePoint Now = MonotonicClock_.now();
+  if (Now - Sent.At >= Sent.Wait + UnreliableHoldAnswerMargin)
+    RecoveredAt_.reset();
+  else if (HoldUnanswered_ && Failures_ > 0 &&
+           Failures_ <= MaxUnreliableFailures)
+    RecoveredAt_ = Now;
+}
+
 void VmLink::hold() {
   HoldScheduled_ = false;
   if (Closed_ || HoldInFlight_)
@@ -159,22 +184,34 @@
   // again.
   const bool RecentlyAnswered =
       LastHoldSentAt_ - LastAnsweredAt_ <= MaxAnswerAge;
+  const bool Unreliable = isUnreliable();
+  // A VM that has been silent for longer than the lease runs nothing any more.
+  // Another lease would only delay the time at which that is certain.
+  if (Held_ &&
+      (Failures_ == 0 ||
+       (Unreliable && LastHoldSentAt_ - LastAnsweredAt_ < TaskLease))) {
+    Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
+    recordLeaseSent();
+  }
   if (Failures_ == 0 && Held_) {
     if (RecentlyAnswered && AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
-    Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
-    recordLeaseSent();
     if (LastEnd_ == AcknowledgedEnd_ && !Idle_ &&
         AcknowledgedEnd_ ==
             std::max(AnsweredAcknowledgement_, Order.AcknowledgedEnd))
-      Order.Wait = MaxEndWait;
+      Order.Wait = Unreliable ? UnreliableMaxEndWait : MaxEndWait;
   }
+  const bool ShortTimeout =
+      Unreliable && Failures_ % HoldsPerLongTimeout != HoldsPerLongTimeout - 1;
+  const milliseconds AnswerMargin =
+      ShortTimeout ? UnreliableHoldAnswerMargin : HoldAnswerMargin;
   const VmTarget Target = target();
   Calls_.hold(
-      Target, Order, Order.Wait + HoldAnswerMargin,
+      Target, Order, Order.Wait + AnswerMargin,
       [Self = shared_from_this(),
        Sent = SentHold{LastHoldSentAt_, Target.Address, Target.FencingToken,
-                       Order.AcknowledgedEnd}](Result<HoldAnswer> Answer) {
+                       Order.AcknowledgedEnd, Order.LeaseUntil,
+                       Order.Wait}](Result<HoldAnswer> Answer) {
         Self->HoldInFlight_ = false;
         Self->recordAnswered(Answer);
         if (!Self->Closed_)
@@ -183,11 +220,13 @@
 }
 
 void VmLink::handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer) {
+  const bool Refused =
+      !Answer && Answer.error().Code == ErrorCode::ConnectFailed;
   if (!Answer)
     return handleHoldFailure(errorInfo(Answer.error().Code).Name,
-                             Answer.error().Code == ErrorCode::ConnectFailed
-                                 ? RunsEndedCause::ConnectionsRefused
-                                 : RunsEndedCause::LeaseExpired);
+                             Refused ? RunsEndedCause::ConnectionsRefused
+                                     : RunsEndedCause::LeaseExpired,
+                             !Refused);
   switch (Answer->Outcome) {
   case OrderOutcome::Done:
     ReachedAddress_ = Sent.Address;
@@ -199,7 +238,7 @@
     return handleOtherVm(Sent.Address);
   default:
     return handleHoldFailure(orderOutcomeName(Answer->Outcome),
-                             RunsEndedCause::LeaseExpired);
+                             RunsEndedCause::LeaseExpired, false);
   }
 }
 
@@ -207,9 +246,11 @@
   // Only where the VM has answered does another one prove that it has ended. An
   // entry may give a wrong address.
   const bool HasEnded = Address == ReachedAddress_;
-  handleHoldFailure("other_instance", HasEnded || ReachedAddress_.empty()
-                                          ? RunsEndedCause::AddressReused
-                                          : RunsEndedCause::LeaseExpired);
+  handleHoldFailure("other_instance",
+                    HasEnded || ReachedAddress_.empty()
+                        ? RunsEndedCause::AddressReused
+                        : RunsEndedCause::LeaseExpired,
+                    false);
   if (HasEnded &&
       (!LeaseExpiryReported_ || ReportedCause_ == RunsEndedCause::LeaseExpired))
     reportLeaseExpired();
@@ -231,7 +272,8 @@
     if (Sent.AcknowledgedEnd > 0)
       LastAcknowledgedAt_ = Sent.At;
   }
-  const bool First = !Held_ || Failures_ > 0;
+  const bool First = !Held_ || Sent.LeaseUntil <= milliseconds(0);
+  updateReliability(Sent);
   LastAnsweredAt_ = MonotonicClock_.now();
   if (!Held_ || Failures_ >= FailuresUntilUnreachable)
     Listener_.onReachable(*this);
@@ -306,8 +348,10 @@
       });
 }
 
-void VmLink::handleHoldFailure(std::string_view Reason, RunsEndedCause Cause) {
+void VmLink::handleHoldFailure(std::string_view Reason, RunsEndedCause Cause,
+                               bool NoAnswer) {
   FailureCause_ = Cause;
+  HoldUnanswered_ = NoAnswer;
   // No task is placed on the VM until it answers again.
   if (++Failures_ == 1) {
     NextUnreachableReport_ = FailuresUntilUnreachable;
@@ -319,8 +363,10 @@
   }
   if (Failures_ == FailuresUntilUnreachable)
     checkLeaseExpiry();
+  const bool RepeatAtOnce =
+      Failures_ == 1 || (HoldUnanswered_ && isUnreliable());
   if (!Closed_)
-    scheduleHold(Failures_ == 1 ? milliseconds(0) : HoldRetryDelay);
+    scheduleHold(RepeatAtOnce ? milliseconds(0) : HoldRetryDelay);
 }
 
 void VmLink::checkLeaseExpiry() {
