Repeat starts to unreliable VMs at once, and when a hold is answered

Cause: the second try of a start has a timeout of 900 ms and is repeated 200 ms later. A start that waits for a failed hold polled every 200 ms.

Change: all tries to an unreliable VM have the first one's timeout, and an unanswered one is repeated at once. A start that waits for a hold is repeated when the hold is answered, on all VMs. None is repeated while a hold has failed, as before: the VM may have restarted.

Tests: two cases in UnreliableVmTest, which fail on the code before.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -163,7 +163,7 @@
   void handleStartAnswer(const StartOrder &Order, int Attempts,
                          std::int64_t FencingToken,
                          const Result<OrderAnswer> &Answer);
-  void retryStart(const StartOrder &Order, int Attempts);
+  void retryStart(const StartOrder &Order, int Attempts, bool Answered = true);
   void sendStop(const TaskRun &Run, milliseconds RetryDelay);
   VmTarget target() const;
   /// Records whether the last order got any answer.
@@ -222,6 +222,9 @@
   TimePoint LastStartSentAt_{};
   /// Starts that are neither definitely answered nor expired.
   std::set<TaskRun> PendingStarts_;
+  /// Starts whose next try waits until the VM answers a hold, with the number
+  /// of tries before.
+  std::vector<std::pair<StartOrder, int>> PausedStarts_;
   /// Stops that the VM has not answered.
   std::set<TaskRun> PendingStops_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -284,6 +284,8 @@
   for (const TaskEnd &End : Answer.Ends)
     LastEnd_ = std::max(LastEnd_, End.Number);
   Listener_.onReport(*this, Answer, Sent.At);
+  for (auto &[Order, Attempts] : std::exchange(PausedStarts_, {}))
+    sendStart(std::move(Order), Attempts);
   if (Closed_)
     return;
   const milliseconds IdleInterval = Listener_.idleHoldInterval();
@@ -318,6 +320,7 @@
   if (Failures_ == 0)
     Listener_.onNoAnswer(*this);
   // Reports of the VM from the next one on tell which of them were carried out.
+  PausedStarts_.clear();
   for (const TaskRun &Run : std::exchange(PendingStarts_, {}))
     Listener_.onStartAnswered(*this, Run, StartOutcome::OldRun, "vm_restarted");
   scheduleHold(milliseconds(0));
@@ -447,11 +450,13 @@
     return;
   } else if (Failures_ > 0) {
     // The VM may have restarted since. The next hold tells.
-    return retryStart(Order, Attempts);
+    PausedStarts_.emplace_back(std::move(Order), Attempts);
+    return;
   }
   recordLeaseSent();
   Calls_.start(
-      target(), Order, Attempts == 0 ? FirstOrderTimeout : OrderTimeout,
+      target(), Order,
+      Attempts == 0 || isUnreliable() ? FirstOrderTimeout : OrderTimeout,
       [Self = shared_from_this(), Order, Attempts, Incarnation = Incarnation_,
        FencingToken = FencingToken_,
        SentAt = MonotonicClock_.now()](const Result<OrderAnswer> &Answer) {
@@ -493,7 +498,7 @@
                            errorInfo(Answer.error().Code).Name);
     // The order may have been carried out, or may still be. Repeating the same
     // run is harmless and determines the outcome.
-    return retryStart(Order, Attempts);
+    return retryStart(Order, Attempts, /*Answered=*/false);
   }
   if (Answer->Outcome == OrderOutcome::Fenced) {
     handleFenced(FencingToken);
@@ -514,8 +519,10 @@
   completeStart(Order.Run, Outcome, orderOutcomeName(Answer->Outcome));
 }
 
-void VmLink::retryStart(const StartOrder &Order, int Attempts) {
-  ControlLoop_.after(Attempts == 0 ? milliseconds(0) : OrderRetryDelay,
+void VmLink::retryStart(const StartOrder &Order, int Attempts, bool Answered) {
+  ControlLoop_.after(Attempts == 0 || (!Answered && isUnreliable())
+                         ? milliseconds(0)
+                         : OrderRetryDelay,
                      [Self = shared_from_this(), Order, Attempts] {
                        Self->sendStart(Order, Attempts + 1);
                      });
--- a/packages/fleet/tests/UnreliableVmTest.cpp
+++ b/packages/fleet/tests/UnreliableVmTest.cpp
@@ -1,6 +1,7 @@
 // A VM leaves single orders unanswered and carries them out seconds later.
 
 #include <random>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 
@@ -26,6 +27,19 @@
   return VmCallFault{VmCallFault::Delayed, Delay};
 }
 
+void leaveEverySecondHoldUnanswered(Fixture &Test, milliseconds Duration) {
+  Test.Calls.NextFault = [Calls = 0](const std::string &) mutable {
+    return ++Calls % 2 == 0 ? VmCallFault{} : delayed(milliseconds(5000));
+  };
+  Test.ControlLoop.runFor(Duration);
+}
+
+void awaitReport(Fixture &Test) {
+  const int Before = Test.Reports;
+  while (Test.Reports == Before)
+    Test.ControlLoop.runFor(milliseconds(1));
+}
+
 /// Leaves half of the VM's orders unanswered.
 auto halfUnanswered(std::uint32_t Seed) {
   return [Random = std::mt19937(Seed)](const std::string &) mutable {
@@ -41,10 +55,7 @@
 // hold after an unanswered one carried no lease.
 BOOST_FIXTURE_TEST_CASE(runSurvivesIfEverySecondHoldIsAnswered, Fixture) {
   startLongRun(*this);
-  Calls.NextFault = [Calls = 0](const std::string &) mutable {
-    return ++Calls % 2 == 0 ? VmCallFault{} : delayed(milliseconds(5000));
-  };
-  ControlLoop.runFor(milliseconds(30000));
+  leaveEverySecondHoldUnanswered(*this, milliseconds(30000));
   BOOST_CHECK_EQUAL(Vms.RunHistory.size(), 1);
   BOOST_CHECK(!LeaseExpiredAt);
 }
@@ -78,10 +89,7 @@
 // would not be reached any more.
 BOOST_FIXTURE_TEST_CASE(slowVmIsGivenTimeAfterAnUnansweredHold, Fixture) {
   startLongRun(*this);
-  Calls.NextFault = [Calls = 0](const std::string &) mutable {
-    return ++Calls % 2 == 0 ? VmCallFault{} : delayed(milliseconds(5000));
-  };
-  ControlLoop.runFor(milliseconds(5000));
+  leaveEverySecondHoldUnanswered(*this, milliseconds(5000));
   Calls.NextFault = [](const std::string &) {
     return VmCallFault{VmCallFault::SlowResponse, milliseconds(500)};
   };
@@ -96,13 +104,51 @@
 // elsewhere, as the VM that ran them may be unreliable.
 BOOST_FIXTURE_TEST_CASE(silentVmExpiresSoonAlsoIfItWasUnreliable, Fixture) {
   startLongRun(*this);
-  Calls.NextFault = [Calls = 0](const std::string &) mutable {
-    return ++Calls % 2 == 0 ? VmCallFault{} : delayed(milliseconds(5000));
-  };
-  ControlLoop.runFor(milliseconds(10000));
+  leaveEverySecondHoldUnanswered(*this, milliseconds(10000));
   Calls.NextFault = [](const std::string &) {
     return VmCallFault{VmCallFault::RequestLost, {}};
   };
   ControlLoop.runFor(milliseconds(12000));
   BOOST_CHECK(LeaseExpiredAt);
 }
+
+// Guards against tasks that wait for the longer timeout of later tries, and
+// then for new advice, since their ticket has expired.
+BOOST_FIXTURE_TEST_CASE(startOnAnUnreliableVmIsRepeatedAtOnce, Fixture) {
+  startLongRun(*this);
+  leaveEverySecondHoldUnanswered(*this, milliseconds(5000));
+  Outcomes.clear();
+  awaitReport(*this);
+  StartRun Next = startOf();
+  Next.Run.Number = 2;
+  // The first three tries are unanswered; holds are answered.
+  Calls.NextFault = [this, Tries = Calls.StartCalls,
+                     Last = Calls.StartCalls + 3](const std::string &) mutable {
+    const bool IsStart =
+        std::exchange(Tries, Calls.StartCalls) < Calls.StartCalls;
+    return IsStart && Tries <= Last ? delayed(milliseconds(5000))
+                                    : VmCallFault{};
+  };
+  Link->startRun(Next, "spec");
+  ControlLoop.runFor(milliseconds(1300));
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::Accepted});
+}
+
+// Guards against starts that wait for a timer although the VM has answered.
+BOOST_FIXTURE_TEST_CASE(startIsRepeatedOnceTheNextHoldIsAnswered, Fixture) {
+  startLongRun(*this);
+  Outcomes.clear();
+  Calls.NextFault = [](const std::string &) {
+    return VmCallFault{VmCallFault::RequestLost, {}};
+  };
+  StartRun Next = startOf();
+  Next.Run.Number = 2;
+  Link->startRun(Next, "spec");
+  ControlLoop.runFor(milliseconds(2500));
+  Calls.NextFault = nullptr;
+  const int Before = Calls.StartCalls;
+  awaitReport(*this);
+  BOOST_CHECK_EQUAL(Calls.StartCalls, Before + 1);
+  ControlLoop.runFor(milliseconds(100));
+  BOOST_CHECK(Outcomes == std::vector{StartOutcome::Accepted});
+}
