--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -122,8 +122,6 @@
   /// \returns whether the VM leaves single orders unanswered, and answers the
   /// others soon.
   bool isUnreliable() const;
-  /// \returns whether no task is to be started on the VM until it answers.
-  bool isSilent() const;
   /// Determines whether the VM is unreliable, when it has answered a hold.
   void updateReliability(const SentHold &Sent);
   void handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer);
@@ -196,7 +194,6 @@
   /// The last order got no answer, so that its connection may be dead.
   bool LastOrderUnanswered_ = false;
   int Failures_ = 0;
-  bool SilenceReported_ = false;
   /// The last failed hold got neither an answer nor a refused connection.
   bool HoldUnanswered_ = false;
   /// When the VM last answered a hold after unanswered ones.
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -162,11 +162,6 @@
          MonotonicClock_.now() - *RecoveredAt_ < UnreliablePeriod;
 }
 
-bool VmLink::isSilent() const {
-  return Failures_ >=
-         (isUnreliable() && HoldUnanswered_ ? FailuresUntilUnreachable : 1);
-}
-
 void VmLink::updateReliability(const SentHold &Sent) {
   const TimePoint Now = MonotonicClock_.now();
   if (Now - Sent.At >= Sent.Wait + UnreliableHoldAnswerMargin)
@@ -285,7 +280,6 @@
   Held_ = true;
   RestartUnsettled_ = false;
   Failures_ = 0;
-  SilenceReported_ = false;
   LeaseExpiryReported_ = false;
   for (const TaskEnd &End : Answer.Ends)
     LastEnd_ = std::max(LastEnd_, End.Number);
@@ -323,7 +317,7 @@
   LastAnsweredAt_ = MonotonicClock_.now();
   FencingToken_ = Tokens_.next();
   RestartUnsettled_ = true;
-  if (!std::exchange(SilenceReported_, true))
+  if (Failures_ == 0)
     Listener_.onNoAnswer(*this);
   // Reports of the VM from the next one on tell which of them were carried out.
   PausedStarts_.clear();
@@ -361,11 +355,9 @@
                                bool NoAnswer) {
   FailureCause_ = Cause;
   HoldUnanswered_ = NoAnswer;
-  if (++Failures_ == 1)
-    NextUnreachableReport_ = FailuresUntilUnreachable;
   // No task is placed on the VM until it answers again.
-  if (isSilent() && !SilenceReported_) {
-    SilenceReported_ = true;
+  if (++Failures_ == 1) {
+    NextUnreachableReport_ = FailuresUntilUnreachable;
     Listener_.onNoAnswer(*this);
   }
   if (Failures_ == NextUnreachableReport_) {
@@ -429,7 +421,7 @@
   if (Attempts == 0) {
     const auto Lease = leaseUntil();
     if (!Lease || !Listener_.isWanted(*this, Order.Run) || !Held_ ||
-        RestartUnsettled_ || isSilent())
+        RestartUnsettled_ || Failures_ > 0)
       return Listener_.onStartAnswered(*this, Order.Run, StartOutcome::NotSent,
                                        "vm_not_held");
     if (Entry_.Vm.Leaving)
