--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -147,7 +147,7 @@
   /// Records the clock in the answer to a start, which doesn't tell the VM's
   /// incarnation.
   void recordVmClockOfStart(milliseconds VmClock);
-  std::optional<milliseconds> leaseUntil(milliseconds Longest);
+  std::optional<milliseconds> leaseUntil();
   /// Records that an order with a lease is sent. A VM that has restarted unseen
   /// grants the longest lease for it, since its clock has just started.
   void recordLeaseSent();
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -135,14 +135,14 @@
   recordVmClock(VmClock);
 }
 
-std::optional<milliseconds> VmLink::leaseUntil(milliseconds Longest) {
+std::optional<milliseconds> VmLink::leaseUntil() {
   if (!VmClock_)
     return std::nullopt;
   const TimePoint Now = MonotonicClock_.now();
   const milliseconds Allowed =
       std::chrono::duration_cast<milliseconds>(Listener_.leaseLimit() - Now);
   const milliseconds Lease =
-      std::min({Options_.MaxLease - LeaseMargin, Longest, Allowed});
+      std::min({Options_.MaxLease - LeaseMargin, TaskLease, Allowed});
   if (Lease.count() <= 0)
     return std::nullopt;
   const milliseconds Until = vmClockNow() + Lease;
@@ -190,8 +190,7 @@
   if (Held_ &&
       (Failures_ == 0 ||
        (Unreliable && LastHoldSentAt_ - LastAnsweredAt_ < TaskLease))) {
-    const milliseconds Longest = Unreliable ? Options_.MaxLease : TaskLease;
-    Order.LeaseUntil = leaseUntil(Longest).value_or(milliseconds(0));
+    Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
     recordLeaseSent();
   }
   if (Failures_ == 0 && Held_) {
@@ -420,7 +419,7 @@
   if (Closed_)
     return;
   if (Attempts == 0) {
-    const auto Lease = leaseUntil(TaskLease);
+    const auto Lease = leaseUntil();
     if (!Lease || !Listener_.isWanted(*this, Order.Run) || !Held_ ||
         RestartUnsettled_ || Failures_ > 0)
       return Listener_.onStartAnswered(*this, Order.Run, StartOutcome::NotSent,
