--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -448,9 +448,7 @@
     // The answer to the stop, or the expiry of the lease, completes the start.
     PendingStarts_.erase(Order.Run);
     return;
-  } else if (Failures_ >= (isUnreliable() && HoldUnanswered_
-                               ? FailuresUntilUnreachable
-                               : 1)) {
+  } else if (Failures_ > 0) {
     // The VM may have restarted since. The next hold tells.
     PausedStarts_.emplace_back(std::move(Order), Attempts);
     return;
