Give the holds after an unanswered one short timeouts on all VMs

Cause: a VM counted as unreliable only once it had answered again.

Change: after an unanswered hold, the next ones have the timeouts of an unreliable VM and are repeated at once, until four in a row have failed. They carry no lease, as before.

Test: runSurvivesThreeUnansweredHolds in UnreliableVmTest, which fails on the code before.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -122,6 +122,9 @@
   /// \returns whether the VM leaves single orders unanswered, and answers the
   /// others soon.
   bool isUnreliable() const;
+  /// \returns whether the VM is unreliable or has just left some holds
+  /// unanswered.
+  bool mayBeUnreliable() const;
   /// Determines whether the VM is unreliable, when it has answered a hold.
   void updateReliability(const SentHold &Sent);
   void handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer);
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -162,6 +162,11 @@
          MonotonicClock_.now() - *RecoveredAt_ < UnreliablePeriod;
 }
 
+bool VmLink::mayBeUnreliable() const {
+  return isUnreliable() || (HoldUnanswered_ && Failures_ > 0 &&
+                            Failures_ <= MaxUnreliableFailures);
+}
+
 void VmLink::updateReliability(const SentHold &Sent) {
   const TimePoint Now = MonotonicClock_.now();
   if (Now - Sent.At >= Sent.Wait + UnreliableHoldAnswerMargin)
@@ -202,7 +207,8 @@
       Order.Wait = Unreliable ? UnreliableMaxEndWait : MaxEndWait;
   }
   const bool ShortTimeout =
-      Unreliable && Failures_ % HoldsPerLongTimeout != HoldsPerLongTimeout - 1;
+      mayBeUnreliable() &&
+      Failures_ % HoldsPerLongTimeout != HoldsPerLongTimeout - 1;
   const milliseconds AnswerMargin =
       ShortTimeout ? UnreliableHoldAnswerMargin : HoldAnswerMargin;
   const VmTarget Target = target();
@@ -367,7 +373,7 @@
   if (Failures_ == FailuresUntilUnreachable)
     checkLeaseExpiry();
   const bool RepeatAtOnce =
-      Failures_ == 1 || (HoldUnanswered_ && isUnreliable());
+      Failures_ == 1 || (HoldUnanswered_ && mayBeUnreliable());
   if (!Closed_)
     scheduleHold(RepeatAtOnce ? milliseconds(0) : HoldRetryDelay);
 }
--- a/packages/fleet/tests/UnreliableVmTest.cpp
+++ b/packages/fleet/tests/UnreliableVmTest.cpp
@@ -152,3 +152,15 @@
   ControlLoop.runFor(milliseconds(100));
   BOOST_CHECK(Outcomes == std::vector{StartOutcome::Accepted});
 }
+
+// Guards against a lease that expires while a VM that answered so far leaves
+// its first holds unanswered.
+BOOST_FIXTURE_TEST_CASE(runSurvivesThreeUnansweredHolds, Fixture) {
+  startLongRun(*this);
+  awaitReport(*this);
+  Calls.NextFault = [Calls = 0](const std::string &) mutable {
+    return ++Calls <= 3 ? delayed(milliseconds(5000)) : VmCallFault{};
+  };
+  ControlLoop.runFor(milliseconds(10000));
+  BOOST_CHECK_EQUAL(Vms.RunHistory.size(), 1);
+}
