--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -278,7 +278,8 @@
     if (Sent.AcknowledgedEnd > 0)
       LastAcknowledgedAt_ = Sent.At;
   }
-  const bool First = !Held_ || Sent.LeaseUntil <= milliseconds(0);
+  const bool First =
+      !Held_ || (Failures_ > 0 && Sent.LeaseUntil <= milliseconds(0));
   updateReliability(Sent);
   LastAnsweredAt_ = MonotonicClock_.now();
   if (!Held_ || Failures_ >= FailuresUntilUnreachable)
--- a/packages/fleet/tests/UnreliableVmTest.cpp
+++ b/packages/fleet/tests/UnreliableVmTest.cpp
@@ -164,3 +164,28 @@
   ControlLoop.runFor(milliseconds(10000));
   BOOST_CHECK_EQUAL(Vms.RunHistory.size(), 1);
 }
+
+namespace {
+
+struct LimitedFixture : VmLinkFixture {
+  TimePoint leaseLimit() const override { return Limit; }
+  TimePoint Limit = TimePoint::max();
+};
+
+} // namespace
+
+// Guards against an owner that is busy with holds while it can't renew its
+// ownership: holds without a lease were sent one after the other.
+BOOST_FIXTURE_TEST_CASE(holdsWithoutALeaseAreSentAtTheUsualInterval,
+                        LimitedFixture) {
+  RecordingDelay = milliseconds(60000);
+  connect();
+  ControlLoop.runFor(milliseconds(500));
+  Link->startRun(startOf(), "spec");
+  while (EndedRuns.empty())
+    ControlLoop.runFor(milliseconds(1));
+  Limit = ControlLoop.MonotonicClock.now();
+  const int Before = Calls.HoldCalls;
+  ControlLoop.runFor(milliseconds(6000));
+  BOOST_CHECK_LE(Calls.HoldCalls - Before, 11);
+}
