--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -124,13 +124,26 @@
     std::string Address;
     std::int64_t FencingToken = 0;
     std::int64_t AcknowledgedEnd = 0;
+    /// Zero if the hold carried no lease.
+    milliseconds LeaseUntil{0};
+    milliseconds Wait{0};
   };
 
   void hold();
+  /// \returns whether the VM leaves single orders unanswered, and answers the
+  /// others soon.
+  bool isUnreliable() const;
+  /// \returns whether the VM is unreliable or has just left some holds
+  /// unanswered.
+  bool mayBeUnreliable() const;
+  /// Determines whether the VM is unreliable, when it has answered a hold.
+  void updateReliability(const SentHold &Sent);
   void handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer);
   void handleOtherVm(const std::string &Address);
   void handleHoldSuccess(const SentHold &Sent, const HoldAnswer &Answer);
-  void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause);
+  /// \param NoAnswer The hold got neither an answer nor a refused connection.
+  void handleHoldFailure(std::string_view Reason, RunsEndedCause Cause,
+                         bool NoAnswer);
   /// Voids what was sent to the VM's earlier incarnation.
   void handleRestart();
   /// Handles that the VM's process was not running.
@@ -177,7 +190,7 @@
   void handleStartAnswer(const StartOrder &Order, int Attempts,
                          std::int64_t FencingToken,
                          const Result<OrderAnswer> &Answer);
-  void retryStart(const StartOrder &Order, int Attempts);
+  void retryStart(const StartOrder &Order, int Attempts, bool Answered = true);
   void sendStop(const TaskRun &Run, milliseconds RetryDelay);
   void sendThrottle(const TaskRun &Run, int Percent);
   VmTarget target() const;
@@ -211,6 +224,10 @@
   /// The last order got no answer, so that its connection may be dead.
   bool LastOrderUnanswered_ = false;
   int Failures_ = 0;
+  /// The last failed hold got neither an answer nor a refused connection.
+  bool HoldUnanswered_ = false;
+  /// When the VM last answered a hold after unanswered ones.
+  std::optional<TimePoint> RecoveredAt_;
   /// What the last failed hold says about the VM, should its lease expire.
   RunsEndedCause FailureCause_ = RunsEndedCause::LeaseExpired;
   RunsEndedCause ReportedCause_ = RunsEndedCause::LeaseExpired;
@@ -238,6 +255,9 @@
   TimePoint LastStartSentAt_{};
   /// Starts that are neither definitely answered nor expired.
   std::set<TaskRun> PendingStarts_;
+  /// Starts whose next try waits until the VM answers a hold, with the number
+  /// of tries before.
+  std::vector<std::pair<StartOrder, int>> PausedStarts_;
   /// Stops that the VM has not answered.
   std::set<TaskRun> PendingStops_;
   /// Speeds that the VM has not confirmed.
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -29,6 +29,17 @@
 constexpr milliseconds MaxAcknowledgementDelay{1000};
 /// Delay before a failed hold is repeated. The first repeat is sent at once.
 constexpr milliseconds HoldRetryDelay{250};
+/// How long a VM counts as unreliable after it left some holds unanswered and
+/// answered the next one soon. It is held with short timeouts, so that its
+/// lease is renewed in time and its ends are known soon.
+constexpr milliseconds UnreliablePeriod{10000};
+/// A VM that leaves more holds in a row unanswered was cut off instead.
+constexpr int MaxUnreliableFailures = 3;
+constexpr milliseconds UnreliableMaxEndWait{200};
+constexpr milliseconds UnreliableHoldAnswerMargin{350};
+/// An unreliable VM may have become slow: one in so many failed holds has the
+/// usual timeout.
+constexpr int HoldsPerLongTimeout = 3;
 /// Failures in a row after which the VM is reported as unreachable.
 constexpr int FailuresUntilUnreachable = 2;
 /// Leases are granted this much shorter than the VM allows, since its clock is
@@ -154,6 +165,25 @@
                                   Options_.MaxLease / MinVmClockRate);
 }
 
+bool VmLink::isUnreliable() const {
+  return RecoveredAt_ &&
+         MonotonicClock_.now() - *RecoveredAt_ < UnreliablePeriod;
+}
+
+bool VmLink::mayBeUnreliable() const {
+  return isUnreliable() || (HoldUnanswered_ && Failures_ > 0 &&
+                            Failures_ <= MaxUnreliableFailures);
+}
+
+void VmLink::updateReliability(const SentHold &Sent) {
+  const TimePoint Now = MonotonicClock_.now();
+  if (Now - Sent.At >= Sent.Wait + UnreliableHoldAnswerMargin)
+    RecoveredAt_.reset();
+  else if (HoldUnanswered_ && Failures_ > 0 &&
+           Failures_ <= MaxUnreliableFailures)
+    RecoveredAt_ = Now;
+}
+
 void VmLink::hold() {
   HoldScheduled_ = false;
   if (Closed_ || HoldInFlight_)
@@ -165,23 +195,36 @@
   // id. Its new incarnation numbers its ends from one, and would forget ends
   // that it has not reported. For the same reason nothing is acknowledged
   // again.
+  const bool Unreliable = isUnreliable();
+  // A VM that has been silent for longer than the lease runs nothing any more.
+  // Another lease would only delay the time at which that is certain.
+  if (Held_ &&
+      (Failures_ == 0 ||
+       (Unreliable && LastHoldSentAt_ - LastAnsweredAt_ < TaskLease))) {
+    Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
+    recordLeaseSent();
+  }
   if (Failures_ == 0 && Held_) {
     if (answeredRecently(LastHoldSentAt_) &&
         AcknowledgedEnd_ > AnsweredAcknowledgement_)
       Order.AcknowledgedEnd = AcknowledgedEnd_;
-    Order.LeaseUntil = leaseUntil().value_or(milliseconds(0));
-    recordLeaseSent();
     if (LastEnd_ == AcknowledgedEnd_ && !Idle_ && !mayHaveRestarted() &&
         AcknowledgedEnd_ ==
             std::max(AnsweredAcknowledgement_, Order.AcknowledgedEnd))
-      Order.Wait = MaxEndWait;
+      Order.Wait = Unreliable ? UnreliableMaxEndWait : MaxEndWait;
   }
+  const bool ShortTimeout =
+      mayBeUnreliable() &&
+      Failures_ % HoldsPerLongTimeout != HoldsPerLongTimeout - 1;
+  const milliseconds AnswerMargin =
+      ShortTimeout ? UnreliableHoldAnswerMargin : HoldAnswerMargin;
   const VmTarget Target = target();
   Calls_.hold(
-      Target, Order, Order.Wait + HoldAnswerMargin,
+      Target, Order, Order.Wait + AnswerMargin,
       [Self = shared_from_this(),
        Sent = SentHold{LastHoldSentAt_, Target.Address, Target.FencingToken,
-                       Order.AcknowledgedEnd}](Result<HoldAnswer> Answer) {
+                       Order.AcknowledgedEnd, Order.LeaseUntil,
+                       Order.Wait}](Result<HoldAnswer> Answer) {
         Self->HoldInFlight_ = false;
         Self->recordAnswered(Answer);
         if (!Self->Closed_)
@@ -190,11 +233,13 @@
 }
 
 void VmLink::handleHoldAnswer(const SentHold &Sent, Result<HoldAnswer> Answer) {
+  const bool Refused =
+      !Answer && Answer.error().Code == ErrorCode::ConnectFailed;
   if (!Answer)
     return handleHoldFailure(errorInfo(Answer.error().Code).Name,
-                             Answer.error().Code == ErrorCode::ConnectFailed
-                                 ? RunsEndedCause::ConnectionsRefused
-                                 : RunsEndedCause::LeaseExpired);
+                             Refused ? RunsEndedCause::ConnectionsRefused
+                                     : RunsEndedCause::LeaseExpired,
+                             !Refused);
   switch (Answer->Outcome) {
   case OrderOutcome::Done:
     ReachedAddress_ = Sent.Address;
@@ -207,7 +252,7 @@
     return handleOtherVm(Sent.Address);
   default:
     return handleHoldFailure(orderOutcomeName(Answer->Outcome),
-                             RunsEndedCause::LeaseExpired);
+                             RunsEndedCause::LeaseExpired, false);
   }
 }
 
@@ -215,9 +260,11 @@
   // Only where the VM has answered does another one prove that it has ended. An
   // entry may give a wrong address.
   const bool HasEnded = Address == ReachedAddress_;
-  handleHoldFailure("other_instance", HasEnded || ReachedAddress_.empty()
-                                          ? RunsEndedCause::AddressReused
-                                          : RunsEndedCause::LeaseExpired);
+  handleHoldFailure("other_instance",
+                    HasEnded || ReachedAddress_.empty()
+                        ? RunsEndedCause::AddressReused
+                        : RunsEndedCause::LeaseExpired,
+                    false);
   if (HasEnded &&
       (!LeaseExpiryReported_ || ReportedCause_ == RunsEndedCause::LeaseExpired))
     reportLeaseExpired();
@@ -240,7 +287,9 @@
     if (Sent.AcknowledgedEnd > 0)
       LastAcknowledgedAt_ = Sent.At;
   }
-  const bool First = !Held_ || Failures_ > 0;
+  const bool First =
+      !Held_ || (Failures_ > 0 && Sent.LeaseUntil <= milliseconds(0));
+  updateReliability(Sent);
   LastAnsweredAt_ = MonotonicClock_.now();
   if (!Held_ || Failures_ >= FailuresUntilUnreachable)
     Listener_.onReachable(*this);
@@ -254,6 +303,8 @@
   for (const TaskEnd &End : Answer.Ends)
     LastEnd_ = std::max(LastEnd_, End.Number);
   Listener_.onReport(*this, Answer, Sent.At);
+  for (auto &[Order, Attempts] : std::exchange(PausedStarts_, {}))
+    sendStart(std::move(Order), Attempts);
   if (Closed_)
     return;
   const milliseconds IdleInterval = Listener_.idleHoldInterval();
@@ -289,6 +340,7 @@
   if (Failures_ == 0)
     Listener_.onNoAnswer(*this);
   // Reports of the VM from the next one on tell which of them were carried out.
+  PausedStarts_.clear();
   for (const TaskRun &Run : std::exchange(PendingStarts_, {}))
     Listener_.onStartAnswered(*this, Run, StartOutcome::OldRun, "vm_restarted");
   scheduleHold(milliseconds(0));
@@ -338,8 +390,10 @@
       });
 }
 
-void VmLink::handleHoldFailure(std::string_view Reason, RunsEndedCause Cause) {
+void VmLink::handleHoldFailure(std::string_view Reason, RunsEndedCause Cause,
+                               bool NoAnswer) {
   FailureCause_ = Cause;
+  HoldUnanswered_ = NoAnswer;
   // No task is placed on the VM until it answers again.
   if (++Failures_ == 1) {
     NextUnreachableReport_ = FailuresUntilUnreachable;
@@ -351,8 +405,10 @@
   }
   if (Failures_ == FailuresUntilUnreachable)
     checkLeaseExpiry();
+  const bool RepeatAtOnce =
+      Failures_ == 1 || (HoldUnanswered_ && mayBeUnreliable());
   if (!Closed_)
-    scheduleHold(Failures_ == 1 ? milliseconds(0) : HoldRetryDelay);
+    scheduleHold(RepeatAtOnce ? milliseconds(0) : HoldRetryDelay);
 }
 
 void VmLink::checkLeaseExpiry() {
@@ -433,11 +489,13 @@
     return;
   } else if (mayHaveRestarted()) {
     // The next hold tells.
-    return retryStart(Order, Attempts);
+    PausedStarts_.emplace_back(std::move(Order), Attempts);
+    return;
   }
   recordLeaseSent();
   Calls_.start(
-      target(), Order, Attempts == 0 ? FirstOrderTimeout : OrderTimeout,
+      target(), Order,
+      Attempts == 0 || isUnreliable() ? FirstOrderTimeout : OrderTimeout,
       [Self = shared_from_this(), Order, Attempts, Incarnation = Incarnation_,
        FencingToken = FencingToken_,
        SentAt = MonotonicClock_.now()](const Result<OrderAnswer> &Answer) {
@@ -483,7 +541,7 @@
                            errorInfo(Answer.error().Code).Name);
     // The order may have been carried out, or may still be. Repeating the same
     // run is harmless and determines the outcome.
-    return retryStart(Order, Attempts);
+    return retryStart(Order, Attempts, /*Answered=*/false);
   }
   if (Answer->Outcome == OrderOutcome::Fenced) {
     if (!handleFenced(FencingToken, "start", &Order.Run))
@@ -505,8 +563,10 @@
   completeStart(Order.Run, Outcome, orderOutcomeName(Answer->Outcome));
 }
 
-void VmLink::retryStart(const StartOrder &Order, int Attempts) {
-  ControlLoop_.after(Attempts == 0 ? milliseconds(0) : OrderRetryDelay,
+void VmLink::retryStart(const StartOrder &Order, int Attempts, bool Answered) {
+  ControlLoop_.after(Attempts == 0 || (!Answered && isUnreliable())
+                         ? milliseconds(0)
+                         : OrderRetryDelay,
                      [Self = shared_from_this(), Order, Attempts] {
                        Self->sendStart(Order, Attempts + 1);
                      });
