Share the set-up of the tests of one owner

Two new tests had the same queue and the same row of a job; both are in PoolTestSupport now. No check is changed; StepLimitTest and PlacementLogTest pass.

--- a/packages/fleet/tests/PlacementLogTest.cpp
+++ b/packages/fleet/tests/PlacementLogTest.cpp
@@ -30,19 +30,12 @@
                               fmt::format("4 {}", Incarnation), 1, false}});
   }
   void submit(const std::string &Job, int Tasks, int MaxPerVm) {
-    JobRequest Request;
-    Request.Queue = "q";
-    Request.Service = TestService;
-    Request.Plan.Id = Job;
     StepPlan Step;
     Step.Tasks = Tasks;
     Step.PerTask = TestTaskSize;
     Step.Estimate = milliseconds(900);
     Step.MaxPerVm = MaxPerVm;
-    Request.Plan.Steps.push_back(Step);
-    RowTransaction Change;
-    Change.Puts.push_back(RowPut{requestRow(Job), encodeRequest(Request)});
-    Rows.apply(Change);
+    submitTestJob(Rows, Job, std::move(Step));
   }
   std::vector<Event> eventsOf(EventId Id) const {
     std::vector<Event> Out;
@@ -52,18 +45,10 @@
     return Out;
   }
 
-  static QueueTerms makeQueue() {
-    QueueTerms Out;
-    Out.Name = "q";
-    Out.Service = TestService;
-    Out.MaxAttempts = 3;
-    return Out;
-  }
-
   FakeLoop ControlLoop;
   FakeRows Rows;
   FakeVms Vms{ControlLoop};
-  TestDaemon Daemon{"a", ControlLoop, Rows, Vms, makeQueue()};
+  TestDaemon Daemon{"a", ControlLoop, Rows, Vms, makeTestQueue()};
   std::int64_t Incarnation = 1;
 };
 
--- a/packages/fleet/tests/PoolTestSupport.cpp
+++ b/packages/fleet/tests/PoolTestSupport.cpp
@@ -37,6 +37,25 @@
   return Out;
 }
 
+QueueTerms makeTestQueue() {
+  QueueTerms Out;
+  Out.Name = "q";
+  Out.Service = TestService;
+  Out.MaxAttempts = 3;
+  return Out;
+}
+
+void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step) {
+  JobRequest Request;
+  Request.Queue = "q";
+  Request.Service = TestService;
+  Request.Plan.Id = Job;
+  Request.Plan.Steps.push_back(std::move(Step));
+  RowTransaction Change;
+  Change.Puts.push_back(RowPut{requestRow(Job), encodeRequest(Request)});
+  Rows.apply(Change);
+}
+
 TestDaemon::TestDaemon(std::string Name, FakeLoop &ControlLoop, FakeRows &Rows,
                        FakeVms &Vms, const QueueTerms &Queue, double CpuShare)
     : Store(Rows, ControlLoop), Calls(Vms, ControlLoop), Name_(std::move(Name)),
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -98,6 +98,12 @@
 /// Size of the tests' tasks; a few of them fit on a VM.
 inline constexpr Capacity TestTaskSize{1000, 100, 0};
 
+/// \returns the terms of the test's queue "q".
+QueueTerms makeTestQueue();
+
+/// Writes the row of an accepted job of the test's queue.
+void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step);
+
 /// A daemon that may own the test's pool, without ports and peers.
 class TestDaemon {
 public:
--- a/packages/fleet/tests/StepLimitTest.cpp
+++ b/packages/fleet/tests/StepLimitTest.cpp
@@ -32,20 +32,12 @@
                               fmt::format("4 {}", Incarnation), 1, false}});
   }
   void submit() {
-    JobRequest Request;
-    Request.Queue = "q";
-    Request.Service = TestService;
-    Request.Plan.Id = "00000000000000aa";
     StepPlan Step;
     Step.Tasks = 2;
     Step.PerTask = TestTaskSize;
     Step.Estimate = RunTime;
     Step.MaxPerVm = 1;
-    Request.Plan.Steps.push_back(Step);
-    RowTransaction Change;
-    Change.Puts.push_back(
-        RowPut{requestRow(Request.Plan.Id), encodeRequest(Request)});
-    Rows.apply(Change);
+    submitTestJob(Rows, "00000000000000aa", std::move(Step));
   }
   /// \returns the most runs that were on the VM at a time.
   std::size_t mostRuns() const {
@@ -61,18 +53,10 @@
     return Most;
   }
 
-  static QueueTerms makeQueue() {
-    QueueTerms Out;
-    Out.Name = "q";
-    Out.Service = TestService;
-    Out.MaxAttempts = 3;
-    return Out;
-  }
-
   FakeLoop ControlLoop;
   FakeRows Rows;
   FakeVms Vms{ControlLoop};
-  TestDaemon Daemon{"a", ControlLoop, Rows, Vms, makeQueue()};
+  TestDaemon Daemon{"a", ControlLoop, Rows, Vms, makeTestQueue()};
 };
 
 } // namespace
