--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -468,10 +468,11 @@
 void PoolOwner::removeExpiredJobs() {
   const TimePoint Now = Context_.MonotonicClock.now();
   LastCleanupAt_ = Now;
-  for (const auto &[Job, Status] : FinalStatuses_) {
-    if (Now - Status.RecordedAt <
+  for (const auto &Entry : FinalStatuses_) {
+    if (Now - Entry.second.RecordedAt <
         Context_.Settings.FinishedJobRetention + RetentionMargin)
       continue;
+    const std::string &Job = Entry.first;
     RowTransaction Change;
     Change.Removals = {requestRow(Job), cancelRow(Job)};
     Context_.Store.commit(
