Say once when a VM has left a few holds unanswered

The same three conditions stood in mayBeUnreliable() and updateReliability(). A comment of a test referred to a test that no longer precedes it, and a test's name still said that a late try is stopped, where its checks (unchanged) say that it is refused.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -133,6 +133,9 @@
   /// \returns whether the VM leaves single orders unanswered, and answers the
   /// others soon.
   bool isUnreliable() const;
+  /// \returns whether the last holds got no answer, and too few of them for a
+  /// VM that was cut off.
+  bool leftFewHoldsUnanswered() const;
   /// \returns whether the VM is unreliable or has just left some holds
   /// unanswered.
   bool mayBeUnreliable() const;
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -139,17 +139,19 @@
          MonotonicClock_.now() - *RecoveredAt_ < UnreliablePeriod;
 }
 
+bool VmLink::leftFewHoldsUnanswered() const {
+  return HoldUnanswered_ && Failures_ > 0 && Failures_ <= MaxUnreliableFailures;
+}
+
 bool VmLink::mayBeUnreliable() const {
-  return isUnreliable() || (HoldUnanswered_ && Failures_ > 0 &&
-                            Failures_ <= MaxUnreliableFailures);
+  return isUnreliable() || leftFewHoldsUnanswered();
 }
 
 void VmLink::updateReliability(const SentHold &Sent) {
   const TimePoint Now = MonotonicClock_.now();
   if (Now - Sent.At >= Sent.Wait + UnreliableHoldAnswerMargin)
     RecoveredAt_.reset();
-  else if (HoldUnanswered_ && Failures_ > 0 &&
-           Failures_ <= MaxUnreliableFailures)
+  else if (leftFewHoldsUnanswered())
     RecoveredAt_ = Now;
 }
 
--- a/packages/fleet/tests/VmRestartTest.cpp
+++ b/packages/fleet/tests/VmRestartTest.cpp
@@ -134,7 +134,7 @@
 // Guards against a run that starts on a VM's new incarnation after it was given
 // up: a repeat of the start was accepted by the earlier incarnation, and the
 // first try is carried out late.
-BOOST_FIXTURE_TEST_CASE(lateTryOfAnAcceptedStartIsStoppedAfterARestart,
+BOOST_FIXTURE_TEST_CASE(lateTryOfAnAcceptedStartIsVoidAfterARestart,
                         VmLinkFixture) {
   Vms.PlanRun = [](const TaskRun &) {
     return std::pair{milliseconds(60000), RunOutcome::Done};
@@ -192,8 +192,8 @@
               Calls.Latency * 2);
 }
 
-// Guards against the same start where the VM's link was removed meanwhile, as
-// the VM was not listed.
+// Guards against a start that reaches a VM's new incarnation after the VM was
+// not listed for a while, so that the link that had sent it was removed.
 BOOST_FIXTURE_TEST_CASE(lateStartOfAnEarlierLinkIsVoid, VmLinkFixture) {
   connect();
   ControlLoop.runFor(milliseconds(500));
