--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -18,6 +18,7 @@
 import threading
 import time
 
+import link
 import platform_standin
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -80,6 +81,7 @@
         self.began = time.monotonic()
         self.store = platform_standin.Store()
         self.daemons, self.workers, self.events = [], {}, []
+        self.links = {}
         self.advice_port, self.internal_port = free_ports(2)
         self.advice_s = 0.02
         self.versions = 0
@@ -93,10 +95,14 @@
 
     # The platform and the workers.
 
-    def start(self, daemons, workers, routes, needs_ticket=False):
+    def start(self, daemons, workers, routes, needs_ticket=False,
+              withholds=False):
         if not os.path.exists(COMMAND[0]):
             raise CannotRun("the deploy file's build is missing")
         self.needs_ticket = needs_ticket
+        self.withhold_file = os.path.join(self.directory, "withhold")
+        if withholds:
+            open(self.withhold_file, "w").close()
         platform_standin.serve_advice(self.advice_port, self.advice_s)
         self.store.serve(self.internal_port, "internal")
         threading.Thread(target=self.expire_entries, daemon=True).start()
@@ -130,16 +136,21 @@
                     % (self.versions, [r["name"] for r in routes]))
 
     def start_worker(self, name, number, port=None):
-        port = port or free_ports(1)[0]
+        if not port:
+            port = free_ports(1)[0]
+            # Daemons reach each worker by a link of its own.
+            self.links[port] = link.Link(port)
         command = [sys.executable, os.path.join(os.path.dirname(__file__),
                                                 "worker.py"),
                    "--id", name, "--service", "fitting", "--zone",
                    ["za", "zb", "zc"][number % 3], "--rack",
                    "r%d-%d" % (number % 3, number // 3), "--port", str(port),
+                   "--address-port", str(self.links[port].port),
                    "--store", str(self.internal_port), "--cpu", "16000",
                    "--mem-mb", "32768", "--max-hold-ms",
                    str(BOUNDS["max_hold_ms"]), "--heartbeat-ms",
-                   str(HEARTBEAT_MS)]
+                   str(HEARTBEAT_MS), "--warm-up-ms", "500",
+                   "--withhold-file", self.withhold_file]
         if self.needs_ticket:
             command.append("--needs-ticket")
         process = subprocess.Popen(command, stdout=subprocess.PIPE,
@@ -154,7 +165,7 @@
             with self.lock:
                 self.events.append(event)
             details = {k: v for k, v in event.items()
-                       if k not in ("at", "worker", "what", "spec")}
+                       if k not in ("at", "worker", "what", "spec", "body")}
             self.record("worker %s: %s %s" % (event["worker"], event["what"],
                                               details or ""))
 
@@ -168,6 +179,20 @@
                                 "what": "crash"})
         return port, number
 
+    def set_cut(self, port, cut):
+        self.record("DISRUPTION: the worker at port %d is %s the daemons" % (
+            port, "cut off from" if cut else "connected again to"))
+        self.links[port].cut = cut
+
+    def withheld(self, job):
+        orders = [e for e in self.runs_of("withheld")
+                  if e["body"]["task"].startswith(job)]
+        return orders[0] if orders else None
+
+    def runs_of(self, what):
+        with self.lock:
+            return [e for e in self.events if e["what"] == what]
+
     def runs(self, job, what="start"):
         with self.lock:
             return [e for e in self.events if e["what"] == what and
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,6 +7,7 @@
 import argparse
 import http.client
 import json
+import os
 import sys
 import threading
 import time
@@ -59,6 +60,18 @@
                      self.clock_ms() + self.options.max_hold_ms)
         self.lease_end_ms = max(self.lease_end_ms, wanted)
 
+    def withholds(self, path, body):
+        """Whether the order gets no answer now: the first start whose spec
+        asks for that, at whichever worker it arrives."""
+        if (path != "/v1/run-start" or not self.options.withhold_file or
+                not json.loads(body["spec"]).get("late")):
+            return False
+        try:
+            os.unlink(self.options.withhold_file)
+        except OSError:
+            return False
+        return True
+
     def handle(self, path, body):
         """Carries out an order; called with the lock held."""
         if path == "/v1/advise":
@@ -145,7 +158,7 @@
     def entry(self):
         o = self.options
         self.seq += 1
-        return {"service": o.service, "address": "127.0.0.1:%d" % o.port,
+        return {"service": o.service, "address": "127.0.0.1:%d" % o.address_port,
                 "zone": o.zone, "version": "v1", "slots": 8, "state": "ready",
                 "seq": self.seq, "born": self.born,
                 "clock_ms": self.clock_ms(),
@@ -153,7 +166,9 @@
                 "labels": ["a", o.rack]}
 
     def report(self):
-        """Writes the worker's entry to the store every heartbeat."""
+        """Writes the worker's entry to the store every heartbeat, first when
+        it has come up."""
+        time.sleep(self.options.warm_up_ms / 1000)
         while True:
             try:
                 store = http.client.HTTPConnection("127.0.0.1",
@@ -183,6 +198,12 @@
                 if self.headers.get("Expected-Instance",
                                     worker.options.id) != worker.options.id:
                     return self.answer(421, {})
+                if worker.withholds(self.path, body):
+                    # Carried out later by whoever runs the case, or never.
+                    worker.log("withheld", path=self.path, body=body)
+                    time.sleep(15)
+                    self.close_connection = True
+                    return None
                 with worker.lock:
                     count = worker.end_count
                     status, result = worker.handle(self.path, body)
@@ -228,9 +249,10 @@
     for name in ("id", "service", "zone", "rack"):
         parser.add_argument("--" + name, required=True)
     for name in ("port", "store", "cpu", "mem-mb", "max-hold-ms",
-                 "heartbeat-ms"):
+                 "heartbeat-ms", "warm-up-ms", "address-port"):
         parser.add_argument("--" + name, type=int, required=True)
     parser.add_argument("--needs-ticket", action="store_true")
+    parser.add_argument("--withhold-file")
     Worker(parser.parse_args()).serve()
 
 
