--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -41,26 +41,33 @@
     """The case could not be brought about."""
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-def port_pair():
-    """Two ports in a row, as a port range has them."""
-    for first in range(20000 + secrets.randbelow(8000), 31000):
-        try:
-            with socket.socket() as a, socket.socket() as b:
-                a.bind(("127.0.0.1", first))
-                b.bind(("127.0.0.1", first + 1))
-                return first, first + 1
-        except OSError:
-            continue
+# Below the range from which outgoing channels take their ports.
+PORTS = range(10000, 31000)
+taken_ports = set()
+
+
+def is_free(port):
+    if port in taken_ports:
+        return False
+    try:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
+
+
+def free_ports(count, adjacent=False):
+    """Free ports; adjacent ones if a range is asked for."""
+    for _ in range(1000):
+        if adjacent:
+            first = secrets.choice(PORTS)
+            ports = list(range(first, first + count))
+        else:
+            ports = [secrets.choice(PORTS) for _ in range(count)]
+        if len(set(ports)) == count and all(map(is_free, ports)):
+            taken_ports.update(ports)
+            return ports
     raise CannotRun("no free ports")
 
 
@@ -68,7 +75,7 @@
     def __init__(self, name, zone):
         self.name, self.zone = name, zone
         self.front, self.ready, self.store = free_ports(3)
-        self.range = port_pair()
+        self.range = free_ports(2, adjacent=True)
         self.process = None
 
 
@@ -139,7 +146,7 @@
         if not port:
             port = free_ports(1)[0]
             # Daemons reach each worker by a link of its own.
-            self.links[port] = link.Link(port)
+            self.links[port] = link.Link(free_ports(1)[0], port)
         command = [sys.executable, os.path.join(os.path.dirname(__file__),
                                                 "worker.py"),
                    "--id", name, "--service", "fitting", "--zone",
--- a/review/standins/link.py
+++ b/review/standins/link.py
@@ -6,15 +6,16 @@
 
 
 class Link:
-    def __init__(self, target_port):
+    def __init__(self, port, target_port):
         self.target_port = target_port
         self.cut = False
         self.sockets = set()
         self.lock = threading.Lock()
         self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", port))
         self.listener.listen(64)
-        self.port = self.listener.getsockname()[1]
+        self.port = port
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
