--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -103,7 +103,7 @@
     # The platform and the workers.
 
     def start(self, daemons, workers, routes, needs_ticket=False,
-              withholds=False):
+              withholds=False, scanning=0):
         if not os.path.exists(COMMAND[0]):
             raise CannotRun("the deploy file's build is missing")
         self.needs_ticket = needs_ticket
@@ -116,6 +116,9 @@
         self.write_config(routes)
         for number in range(workers):
             self.start_worker("i-%08x" % (0xa0000000 + number), number)
+        for number in range(workers, workers + scanning):
+            self.start_worker("i-%08x" % (0xa0000000 + number), number,
+                              service="scanning")
         zones = ["za", "zb", "zc"]
         for number in range(daemons):
             daemon = Daemon("front-%s-%d" % (zones[number % 3], number),
@@ -137,19 +140,20 @@
         self.versions += 3
         self.store.put_json("op", "config", {
             "version": self.versions, "routes": routes,
-            "services": [{"name": "fitting"}],
+            "services": [{"name": "fitting"}, {"name": "scanning"}],
             "limits": {"max_body_bytes": 262144}})
         self.record("operator: config version %d with routes %s, acknowledged"
-                    % (self.versions, [r["name"] for r in routes]))
+                    % (self.versions, {r["name"]: r["service"]
+                                       for r in routes}))
 
-    def start_worker(self, name, number, port=None):
+    def start_worker(self, name, number, port=None, service="fitting"):
         if not port:
             port = free_ports(1)[0]
             # Daemons reach each worker by a link of its own.
             self.links[port] = link.Link(free_ports(1)[0], port)
         command = [sys.executable, os.path.join(os.path.dirname(__file__),
                                                 "worker.py"),
-                   "--id", name, "--service", "fitting", "--zone",
+                   "--id", name, "--service", service, "--zone",
                    ["za", "zb", "zc"][number % 3], "--rack",
                    "r%d-%d" % (number % 3, number // 3), "--port", str(port),
                    "--address-port", str(self.links[port].port),
