Keep the terms of its queue with each accepted job

Callers saw a job as failed (attempts_used) after one of its four attempts: its queue had been dropped while it ran, and its pool's owner killed.

Cause: an owner looked the terms of a job up by the name of its queue in the contracts that it had read, and took defaults (one attempt, no advice, priority 0) for a queue that was not there. Related ways to the same default: a queue that the owner has not read yet, and advice, without which starts carry no ticket. An owner that had known the queue kept its terms, a new one did not.

Change: the row of a job has the terms under which it was accepted. The scheduler applies the terms in force of the queue, or else those of the row. Jobs in rows of earlier versions, of a queue that is missing, are not failed for their attempts; a task of them that failed waits for the terms. The event job_queue_not_in_force tells which terms a job got.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -50,6 +50,7 @@
   JobsLoaded = 1406,
   JobStage = 1407,
   JobGivenUp = 1408,
+  JobQueueNotInForce = 1409,
   TaskStarted = 1410,
   TaskStartFailed = 1411,
   TaskEnded = 1412,
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -108,6 +108,11 @@
               "The job reached a final stage."},
     EventInfo{EventId::JobGivenUp, Severity::Warning, "job_given_up",
               "The job fails because one of its tasks crashed several VMs."},
+    EventInfo{EventId::JobQueueNotInForce, Severity::Info,
+              "job_queue_not_in_force",
+              "A pool's owner reads a job whose queue its contracts lack; the "
+              "detail says whether the terms are known under which the job was "
+              "accepted."},
     EventInfo{EventId::TaskStarted, Severity::Info, "task_started",
               "A VM started the task."},
     EventInfo{EventId::TaskStartFailed, Severity::Warning, "task_start_failed",
--- a/packages/fleet/include/cuminroad/fleet/JobRows.h
+++ b/packages/fleet/include/cuminroad/fleet/JobRows.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_FLEET_JOBROWS_H
 #define CUMINROAD_FLEET_JOBROWS_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "cuminroad/base/Clock.h"
 #include "cuminroad/base/Error.h"
 #include "cuminroad/pool/JobPlan.h"
+#include "cuminroad/pool/QueueTerms.h"
 #include "cuminroad/store/RowStore.h"
 
 namespace cuminroad {
@@ -22,6 +24,9 @@
   /// Time by the store's clock.
   milliseconds AcceptedAt{0};
   JobPlan Plan;
+  /// The terms of the queue by that contract; empty in rows of versions that
+  /// did not store them.
+  std::optional<QueueTerms> Terms;
 };
 
 // Names of the rows that the fleet keeps in the store.
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -115,6 +115,9 @@
   bool isRecordTooLarge(const std::string &Job) const;
   void recordChanges();
   void logDiagnostics();
+  /// Logs that the terms under which the job was accepted apply to it, if they
+  /// do.
+  void logAcceptedTerms(const std::string &Job, const QueueTerms &Accepted);
   void logCrash(const VmCrash &Crash);
   void reportLoad();
   /// Sends starts that are recorded in the store.
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -2,6 +2,7 @@
 #define CUMINROAD_FLEET_QUEUEREGISTRY_H
 
 #include <string_view>
+#include <vector>
 
 #include "cuminroad/fleet/QueueConfig.h"
 
@@ -21,6 +22,8 @@
   /// \returns the terms of a queue, or null. The pointer is valid until the
   /// next apply().
   const QueueTerms *terms(std::string_view Queue) const;
+  /// \returns the terms of all queues.
+  std::vector<QueueTerms> allTerms() const;
 
 private:
   QueueConfig Config_;
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -82,8 +82,9 @@
 void JobFrontend::submit(const QueueTerms &Queue, JobPlan Plan,
                          milliseconds CallerTimeout, SubmitDone Done) {
   auto Pending = std::make_shared<Submission>();
-  Pending->Request = JobRequest{Queue.Name, Queue.Service,
-                                Context_.Store.storeTime(), std::move(Plan)};
+  Pending->Request =
+      JobRequest{Queue.Name, Queue.Service, Context_.Store.storeTime(),
+                 std::move(Plan), Queue};
   const TimePoint Now = Context_.MonotonicClock.now();
   Pending->ReceivedAt = Now;
   Pending->Deadline = Now + CallerTimeout - ResponseMargin;
--- a/packages/fleet/src/JobRows.cpp
+++ b/packages/fleet/src/JobRows.cpp
@@ -27,6 +27,36 @@
   return fmt::format("jobs-{}", Number % PartitionCount);
 }
 
+/// Lists instead of objects, since the terms are part of each job's row.
+nlohmann::json toJson(const QueueTerms &Terms) {
+  nlohmann::json Out{Terms.Priority, Terms.MaxAttempts, Terms.Stretch,
+                     Terms.LatencyTarget.count()};
+  if (Terms.Advice)
+    Out.push_back({Terms.Advice->DecisionTime.count(), Terms.Advice->PerVmMs,
+                   Terms.Advice->ValidFor.count()});
+  return Out;
+}
+
+milliseconds millisecondsAt(const nlohmann::json &Input, std::size_t Index) {
+  return milliseconds(Input.at(Index).get<std::int64_t>());
+}
+
+QueueTerms termsFromJson(const JobRequest &Request,
+                         const nlohmann::json &Input) {
+  QueueTerms Out;
+  Out.Name = Request.Queue;
+  Out.Service = Request.Service;
+  Out.Priority = Input.at(0).get<int>();
+  Out.MaxAttempts = Input.at(1).get<int>();
+  Out.Stretch = Input.at(2).get<double>();
+  Out.LatencyTarget = millisecondsAt(Input, 3);
+  if (Input.size() > 4)
+    Out.Advice =
+        AdviceTerms{millisecondsAt(Input[4], 0), Input[4].at(1).get<double>(),
+                    millisecondsAt(Input[4], 2)};
+  return Out;
+}
+
 } // namespace
 
 RowName requestRow(std::string_view Job) {
@@ -66,10 +96,13 @@
 }
 
 std::string encodeRequest(const JobRequest &Request) {
-  return packMessage({{"queue", Request.Queue},
-                      {"service", Request.Service},
-                      {"at", Request.AcceptedAt.count()},
-                      {"plan", toJson(Request.Plan)}});
+  nlohmann::json Out{{"queue", Request.Queue},
+                     {"service", Request.Service},
+                     {"at", Request.AcceptedAt.count()},
+                     {"plan", toJson(Request.Plan)}};
+  if (Request.Terms)
+    Out["terms"] = toJson(*Request.Terms);
+  return packMessage(Out);
 }
 
 Result<JobRequest> decodeRequest(std::string_view Job, std::string_view Bytes) {
@@ -84,6 +117,8 @@
           return tl::unexpected(Plan.error());
         Out.Plan = std::move(*Plan);
         Out.Plan.Id = Job;
+        if (const auto Terms = Input.find("terms"); Terms != Input.end())
+          Out.Terms = termsFromJson(Out, *Terms);
         return Out;
       });
 }
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -53,6 +53,16 @@
   return Out;
 }
 
+QueueTerms acceptedTerms(const JobRequest &Request) {
+  if (Request.Terms)
+    return *Request.Terms;
+  QueueTerms Out;
+  Out.Name = Request.Queue;
+  Out.Service = Request.Service;
+  Out.Known = false;
+  return Out;
+}
+
 PoolOptions poolOptions(const FleetSettings &Settings) {
   PoolOptions Out;
   Out.RemoteFactor = Settings.RemoteFactor;
@@ -275,14 +285,13 @@
   }
   if (Scheduler_->stage(Job) || FinalStatuses_.contains(Job))
     return;
-  QueueTerms Terms;
-  if (const QueueTerms *Known = Context_.Queues.terms(Request.Queue))
-    Terms = *Known;
-  Terms.Name = Request.Queue;
+  QueueTerms Terms = acceptedTerms(Request);
   const milliseconds Age = std::max(
       Context_.Store.storeTime() - Request.AcceptedAt, milliseconds(0));
   const TimePoint Accepted = Context_.MonotonicClock.now() - Age;
   const auto Progress = LoadedProgress_.find(Job);
+  if (Progress == LoadedProgress_.end() || !isFinal(Progress->second.Stage))
+    logAcceptedTerms(Job, Terms);
   if (Progress == LoadedProgress_.end()) {
     Scheduler_->addJob(std::move(Request.Plan), std::move(Terms), Accepted);
     return;
@@ -307,6 +316,7 @@
     return;
   Scheduler_ = makePoolScheduler(Context_.MonotonicClock, Context_.SystemClock,
                                  poolOptions(Context_.Settings));
+  Scheduler_->setQueues(Context_.Queues.allTerms());
   for (auto &[Job, Request] : LoadedRequests_)
     applyRequest(std::move(Request));
   for (const std::string &Job : LoadedCancels_)
@@ -327,8 +337,7 @@
   if (!Scheduler_)
     return;
   AdviceDispatcher_->setQueues(Context_.Queues.config().Routes);
-  for (const QueueRoute &Route : Context_.Queues.config().Routes)
-    Scheduler_->setTerms(Route.Terms);
+  Scheduler_->setQueues(Context_.Queues.allTerms());
   schedulePass();
 }
 
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -114,4 +114,15 @@
           Starts.AdviceChecks));
 }
 
+void PoolOwner::logAcceptedTerms(const std::string &Job,
+                                 const QueueTerms &Accepted) {
+  if (Context_.Queues.terms(Accepted.Name) != nullptr)
+    return;
+  Context_.Events.record(EventId::JobQueueNotInForce, Job,
+                         Accepted.Known
+                             ? fmt::format("{} accepted with attempts {}",
+                                           Accepted.Name, Accepted.MaxAttempts)
+                             : fmt::format("{} terms unknown", Accepted.Name));
+}
+
 } // namespace cuminroad
--- a/packages/fleet/src/QueueRegistry.cpp
+++ b/packages/fleet/src/QueueRegistry.cpp
@@ -27,4 +27,12 @@
   return nullptr;
 }
 
+std::vector<QueueTerms> QueueRegistry::allTerms() const {
+  std::vector<QueueTerms> Out;
+  Out.reserve(Config_.Routes.size());
+  for (const QueueRoute &Route : Config_.Routes)
+    Out.push_back(Route.Terms);
+  return Out;
+}
+
 } // namespace cuminroad
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -1,118 +1,15 @@
 // Answers to clients about their jobs while the store fails.
 
-#include <map>
 #include <random>
 
 #include <boost/test/unit_test.hpp>
 
-#include "PoolTestSupport.h"
-#include "cuminroad/fleet/JobFrontend.h"
+#include "FrontendFixture.h"
 #include "cuminroad/pool/JobProgress.h"
 
 using namespace cuminroad;
 
-namespace {
-
-constexpr milliseconds CallerTimeout{3000};
-
-class StubOwnerLookup final : public OwnerLookup {
-public:
-  const OwnerRow *ownerOf(std::string_view) const override {
-    return Known ? &Row : nullptr;
-  }
-  bool Known = false;
-  OwnerRow Row{};
-};
-
-struct Fixture {
-  Fixture()
-      : Vms(ControlLoop), Store(Rows, ControlLoop), Calls(Vms, ControlLoop),
-        Events("a", 100, nullptr), Peers(Http), Advisor(ControlLoop),
-        Directory(Formats, Events),
-        Context{Settings,    Self,   ControlLoop.MonotonicClock,
-                SystemClock, Events, ControlLoop,
-                Store,       Calls,  Advisor,
-                Peers,       Queues, Directory,
-                Metrics},
-        Frontend(Context, Pools, Owners) {
-    Queue.Name = "q";
-    Queue.Service = TestService;
-    // The store has answered a call before the test begins.
-    ControlLoop.runFor(milliseconds(1000));
-  }
-
-  void submit(const std::string &Id, std::size_t SpecBytes = 0) {
-    JobPlan Plan;
-    Plan.Id = Id;
-    Plan.Spec = std::string(SpecBytes, 's');
-    StepPlan Step;
-    Step.Tasks = 1;
-    Step.PerTask = TestTaskSize;
-    Plan.Steps.push_back(Step);
-    const TimePoint SubmittedAt = ControlLoop.MonotonicClock.now();
-    Frontend.submit(Queue, Plan, CallerTimeout,
-                    [this, Id, SubmittedAt](SubmitReply Reply) {
-                      ++Replies;
-                      LastReply = Reply;
-                      ReplyTime = std::chrono::duration_cast<milliseconds>(
-                          ControlLoop.MonotonicClock.now() - SubmittedAt);
-                    });
-  }
-  bool isWritten(const std::string &Id) const {
-    return Rows.find(requestRow(Id)) != nullptr;
-  }
-  std::optional<bool> cancel(const std::string &Id) {
-    std::optional<bool> Out;
-    Frontend.cancel(Id, CallerTimeout,
-                    [&Out](QueryResult<bool> Answer) { Out = Answer.Value; });
-    ControlLoop.runFor(2 * CallerTimeout);
-    return Out;
-  }
-  std::optional<std::optional<JobStage>> stage(const std::string &Id) {
-    std::optional<std::optional<JobStage>> Out;
-    Frontend.status(Queue, Id, CallerTimeout,
-                    [&Out](QueryResult<std::optional<JobStatus>> Answer) {
-                      if (Answer.Value && *Answer.Value)
-                        Out = std::optional((*Answer.Value)->Stage);
-                      else if (Answer.Value)
-                        Out.emplace();
-                    });
-    ControlLoop.runFor(2 * CallerTimeout);
-    return Out;
-  }
-  void setStoreFate(StoreFault Fate) {
-    Store.NextFault = [Fate] { return Fate; };
-  }
-
-  FakeLoop ControlLoop;
-  FakeRows Rows;
-  FakeVms Vms;
-  FakeRowStore Store;
-  FakeVmCalls Calls;
-  DaemonIdentity Self;
-  FleetSettings Settings;
-  EventLog Events;
-  SystemWallClock SystemClock;
-  FailingHttpClient Http;
-  PeerCalls Peers;
-  AllowAllAdvisor Advisor;
-  TestFormats Formats;
-  QueueRegistry Queues;
-  VmDirectory Directory;
-  FleetMetrics Metrics;
-  FleetContext Context;
-  NoOwnedPools Pools;
-  StubOwnerLookup Owners;
-  JobFrontend Frontend;
-  QueueTerms Queue;
-  int Replies = 0;
-  SubmitReply LastReply;
-  milliseconds ReplyTime{0};
-};
-
-} // namespace
-
-BOOST_FIXTURE_TEST_CASE(resubmittedJobIsNotDuplicated, Fixture) {
+BOOST_FIXTURE_TEST_CASE(resubmittedJobIsNotDuplicated, FrontendFixture) {
   submit("j");
   ControlLoop.runFor(CallerTimeout);
   BOOST_REQUIRE(isWritten("j"));
@@ -126,7 +23,7 @@
 
 // Guards against a submission that the store refuses on every daemon: it was
 // retried, and the daemons took the store for unreachable.
-BOOST_FIXTURE_TEST_CASE(tooLargeJobIsRefusedAtOnce, Fixture) {
+BOOST_FIXTURE_TEST_CASE(tooLargeJobIsRefusedAtOnce, FrontendFixture) {
   submit("j", Settings.MaxRowBytes);
   BOOST_REQUIRE_EQUAL(Replies, 1);
   BOOST_CHECK(LastReply.Outcome == SubmitOutcome::TooLarge);
@@ -134,7 +31,7 @@
   BOOST_CHECK_EQUAL(Store.CommitCalls, 0);
 }
 
-BOOST_FIXTURE_TEST_CASE(refusedJobIsNeverWritten, Fixture) {
+BOOST_FIXTURE_TEST_CASE(refusedJobIsNeverWritten, FrontendFixture) {
   setStoreFate({StoreFault::Refused, {}});
   submit("j");
   ControlLoop.runFor(CallerTimeout);
@@ -148,7 +45,8 @@
   BOOST_CHECK(!isWritten("j"));
 }
 
-BOOST_FIXTURE_TEST_CASE(shortStoreOutageIsNotVisibleToCallers, Fixture) {
+BOOST_FIXTURE_TEST_CASE(shortStoreOutageIsNotVisibleToCallers,
+                        FrontendFixture) {
   setStoreFate({StoreFault::Refused, {}});
   submit("j");
   ControlLoop.runFor(milliseconds(200));
@@ -158,7 +56,7 @@
   BOOST_CHECK(isWritten("j"));
 }
 
-BOOST_FIXTURE_TEST_CASE(writeWithALostAnswerIsRetried, Fixture) {
+BOOST_FIXTURE_TEST_CASE(writeWithALostAnswerIsRetried, FrontendFixture) {
   setStoreFate({StoreFault::ResponseLost, {}});
   submit("j");
   ControlLoop.runFor(milliseconds(100));
@@ -168,7 +66,8 @@
   BOOST_CHECK(LastReply.Outcome == SubmitOutcome::Accepted);
 }
 
-BOOST_FIXTURE_TEST_CASE(possiblyWrittenJobIsNotReportedAsRefused, Fixture) {
+BOOST_FIXTURE_TEST_CASE(possiblyWrittenJobIsNotReportedAsRefused,
+                        FrontendFixture) {
   // The first attempt takes effect late; all others are refused.
   int Calls = 0;
   Store.NextFault = [&Calls] {
@@ -186,7 +85,8 @@
 // Load: the store is away for seconds and breaks off every call. Guards against
 // writes whose outcome is unknown, after which callers don't try again: while
 // the last call to the store has failed, a read precedes the write.
-BOOST_FIXTURE_TEST_CASE(jobIsRefusedWithoutAWriteWhileTheStoreIsAway, Fixture) {
+BOOST_FIXTURE_TEST_CASE(jobIsRefusedWithoutAWriteWhileTheStoreIsAway,
+                        FrontendFixture) {
   setStoreFate({StoreFault::RequestLost, {}});
   Store.read(RowRange{"t", "p", "", ""}, milliseconds(100),
              [](const Result<RowPage> &) {});
@@ -208,7 +108,7 @@
 
 BOOST_AUTO_TEST_CASE(repliesMatchTheStoreUnderRandomFaults) {
   for (unsigned Seed = 1; Seed <= 400; ++Seed) {
-    Fixture Setup;
+    FrontendFixture Setup;
     std::mt19937 Random(Seed);
     Setup.Store.NextFault = [&Random] {
       const auto Kind = static_cast<StoreFault::FaultKind>(Random() % 5);
@@ -226,7 +126,7 @@
   }
 }
 
-BOOST_FIXTURE_TEST_CASE(cancelReportsWhetherTheJobExists, Fixture) {
+BOOST_FIXTURE_TEST_CASE(cancelReportsWhetherTheJobExists, FrontendFixture) {
   BOOST_CHECK(cancel("j") == std::optional<bool>(false));
   BOOST_CHECK(Rows.find(cancelRow("j")) == nullptr);
   submit("j");
@@ -238,14 +138,15 @@
   BOOST_CHECK_EQUAL(Rows.find(cancelRow("j"))->Version, Version);
 }
 
-BOOST_FIXTURE_TEST_CASE(cancelWithoutTheStoreIsUnknown, Fixture) {
+BOOST_FIXTURE_TEST_CASE(cancelWithoutTheStoreIsUnknown, FrontendFixture) {
   submit("j");
   ControlLoop.runFor(CallerTimeout);
   setStoreFate({StoreFault::Refused, {}});
   BOOST_CHECK(cancel("j") == std::nullopt);
 }
 
-BOOST_FIXTURE_TEST_CASE(stageIsReadFromTheStoreWithoutAnOwner, Fixture) {
+BOOST_FIXTURE_TEST_CASE(stageIsReadFromTheStoreWithoutAnOwner,
+                        FrontendFixture) {
   BOOST_CHECK(stage("j") ==
               std::optional<std::optional<JobStage>>(std::in_place));
   submit("j");
@@ -265,7 +166,7 @@
   BOOST_CHECK(stage("j") == std::nullopt);
 }
 
-BOOST_FIXTURE_TEST_CASE(queueLengthIsUnknownWithoutTheOwner, Fixture) {
+BOOST_FIXTURE_TEST_CASE(queueLengthIsUnknownWithoutTheOwner, FrontendFixture) {
   for (const bool Known : {false, true}) {
     Owners.Known = Known;
     Owners.Row.PeerAddress = "b:1";
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -68,13 +68,18 @@
   virtual void vmRemoved(std::string_view Vm) = 0;
 
   /// Adds a job that is already recorded in the store.
-  virtual void addJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt) = 0;
+  /// \param Accepted the terms of the job's queue when the job was accepted.
+  virtual void addJob(JobPlan Plan, QueueTerms Accepted,
+                      TimePoint AcceptedAt) = 0;
   /// Adds a job that an earlier owner of the pool accepted, with its stored
   /// progress.
-  virtual void restoreJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt,
+  virtual void restoreJob(JobPlan Plan, QueueTerms Accepted,
+                          TimePoint AcceptedAt,
                           const JobProgress &Progress) = 0;
-  /// Updates the terms of a queue for its unfinished jobs.
-  virtual void setTerms(const QueueTerms &Terms) = 0;
+  /// Sets the queues of the contracts in force, in place of all earlier ones.
+  /// Their terms apply to all of their jobs; jobs of other queues have the
+  /// terms under which they were accepted.
+  virtual void setQueues(std::span<const QueueTerms> Queues) = 0;
   virtual void cancelJob(std::string_view Job) = 0;
   /// Fails an unfinished job.
   virtual void failJob(std::string_view Job, JobFailure Reason) = 0;
@@ -128,7 +133,7 @@
   virtual PoolLoad load() const = 0;
   /// \returns the plan of an unfinished job, or nullptr.
   virtual const JobPlan *plan(std::string_view Job) const = 0;
-  /// \returns the terms of an unfinished job's queue, or nullptr.
+  /// \returns the terms that apply to an unfinished job, or nullptr.
   virtual const QueueTerms *terms(std::string_view Job) const = 0;
 };
 
--- a/packages/pool/include/cuminroad/pool/QueueTerms.h
+++ b/packages/pool/include/cuminroad/pool/QueueTerms.h
@@ -18,7 +18,7 @@
   milliseconds ValidFor{0};
 };
 
-/// The terms of a customer's queue in the contract in force.
+/// The terms of a customer's queue.
 struct QueueTerms {
   std::string Name;
   /// The pool of VMs that runs the queue's jobs.
@@ -34,6 +34,9 @@
   /// Set if only some VMs may run a step and the placement advisor decides
   /// which.
   std::optional<AdviceTerms> Advice;
+  /// False while only Name is certain: the queue is in no contract in force,
+  /// and the job was stored by a version that did not store terms.
+  bool Known = true;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_POOLRECORDS_H
 #define CUMINROAD_POOL_SRC_POOLRECORDS_H
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -142,6 +143,13 @@
   bool isComplete() const {
     return DoneTasks == static_cast<int>(Tasks.size());
   }
+  /// \returns the most failures that count against the attempts of one task.
+  int failures() const {
+    int Most = GangFailures;
+    for (const TaskRecord &Task : Tasks)
+      Most = std::max(Most, Task.Failures);
+    return Most;
+  }
 };
 
 struct OccurrenceRecord {
@@ -153,7 +161,9 @@
 
 struct JobRecord {
   JobPlan Plan;
+  /// The terms that apply now, and those under which the job was accepted.
   QueueTerms Terms;
+  QueueTerms AcceptedTerms;
   TimePoint AcceptedAt{};
   /// Estimated length of the critical path; see criticalPath().
   milliseconds CriticalPath{0};
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -24,10 +24,10 @@
   void vmTasksEnded(std::string_view Vm, RunsEndedCause Cause) override;
   void vmRemoved(std::string_view Vm) override;
 
-  void addJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt) override;
-  void restoreJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt,
+  void addJob(JobPlan Plan, QueueTerms Accepted, TimePoint AcceptedAt) override;
+  void restoreJob(JobPlan Plan, QueueTerms Accepted, TimePoint AcceptedAt,
                   const JobProgress &Progress) override;
-  void setTerms(const QueueTerms &Terms) override;
+  void setQueues(std::span<const QueueTerms> Queues) override;
   void failJob(std::string_view Job, JobFailure Reason) override;
   void cancelJob(std::string_view Job) override;
   void forgetJob(std::string_view Job) override;
@@ -60,7 +60,12 @@
   const QueueTerms *terms(std::string_view Job) const override;
 
 private:
-  JobRecord &insertJob(JobPlan Plan, QueueTerms Terms, TimePoint AcceptedAt);
+  JobRecord &insertJob(JobPlan Plan, QueueTerms Accepted, TimePoint AcceptedAt);
+  /// Gives the job the terms in force of its queue, or else those under which
+  /// it was accepted.
+  void applyTerms(JobRecord &Job);
+  /// Fails a job whose tasks have failed as often as its terms allow.
+  void failIfAttemptsUsed(JobRecord &Job);
   void restoreOccurrence(JobRecord &Job, const OccurrenceProgress &Progress);
   void restoreTask(StepRecord &Step, const TaskProgress &Progress);
   /// \returns the task of \p Run if that is its current run and on \p Vm, or
@@ -142,6 +147,8 @@
   const WallClock &SystemClock_;
   PoolOptions Options_;
   PoolTables Tables_;
+  /// The terms of the queues of the contracts in force, by name.
+  std::map<std::string, QueueTerms, std::less<>> Queues_;
   TimePoint NextStuckCheck_{};
 };
 
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -5,28 +5,34 @@
 
 namespace cuminroad {
 
-JobRecord &PoolSchedulerImpl::insertJob(JobPlan Plan, QueueTerms Terms,
+JobRecord &PoolSchedulerImpl::insertJob(JobPlan Plan, QueueTerms Accepted,
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
-  New->CriticalPath = criticalPath(Plan, Terms);
   New->Plan = std::move(Plan);
-  New->Terms = std::move(Terms);
+  New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
+  applyTerms(*New);
   return Tables_.addJob(std::move(New));
 }
 
-void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Terms,
+void PoolSchedulerImpl::applyTerms(JobRecord &Job) {
+  const auto InForce = Queues_.find(Job.AcceptedTerms.Name);
+  Job.Terms = InForce == Queues_.end() ? Job.AcceptedTerms : InForce->second;
+  Job.CriticalPath = criticalPath(Job.Plan, Job.Terms);
+}
+
+void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Accepted,
                                TimePoint AcceptedAt) {
   if (stage(Plan.Id))
     return;
-  JobRecord &Job = insertJob(std::move(Plan), std::move(Terms), AcceptedAt);
+  JobRecord &Job = insertJob(std::move(Plan), std::move(Accepted), AcceptedAt);
   if (Job.Plan.Occurrences == 0) {
     Tables_.createOccurrence(Job, 0, AcceptedAt);
     Job.CreatedOccurrences = 1;
   }
 }
 
-void PoolSchedulerImpl::restoreJob(JobPlan Plan, QueueTerms Terms,
+void PoolSchedulerImpl::restoreJob(JobPlan Plan, QueueTerms Accepted,
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
   if (isFinal(Progress.Stage)) {
@@ -34,7 +40,7 @@
     return;
   }
   const std::string Id = Plan.Id;
-  addJob(std::move(Plan), std::move(Terms), AcceptedAt);
+  addJob(std::move(Plan), std::move(Accepted), AcceptedAt);
   JobRecord *Job = Tables_.job(Id);
   if (Job == nullptr)
     return;
@@ -104,10 +110,28 @@
   Tables_.assign(Task, Vm, TaskPhase::Running);
 }
 
-void PoolSchedulerImpl::setTerms(const QueueTerms &Terms) {
-  for (const auto &[Id, Job] : Tables_.Jobs)
-    if (Job->Terms.Name == Terms.Name)
-      Job->Terms = Terms;
+void PoolSchedulerImpl::setQueues(std::span<const QueueTerms> Queues) {
+  Queues_.clear();
+  for (const QueueTerms &Each : Queues)
+    Queues_.emplace(Each.Name, Each);
+  std::vector<JobRecord *> NowKnown;
+  for (const auto &[Id, Job] : Tables_.Jobs) {
+    const bool WasKnown = Job->Terms.Known;
+    applyTerms(*Job);
+    if (!WasKnown && Job->Terms.Known)
+      NowKnown.push_back(Job.get());
+  }
+  for (JobRecord *Job : NowKnown)
+    failIfAttemptsUsed(*Job);
+}
+
+void PoolSchedulerImpl::failIfAttemptsUsed(JobRecord &Job) {
+  if (isFinal(Job.Stage))
+    return;
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (const StepRecord &Step : Occurrence->Steps)
+      if (Step.failures() >= Job.Terms.MaxAttempts)
+        return failJob(Job, JobFailure::AttemptsUsed);
 }
 
 void PoolSchedulerImpl::cancelJob(std::string_view Id) {
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -177,7 +177,7 @@
     Step.GangFailedRun = Task.Run;
     Failures = ++Step.GangFailures;
   }
-  if (Failures >= Job.Terms.MaxAttempts)
+  if (Job.Terms.Known && Failures >= Job.Terms.MaxAttempts)
     failJob(Job, JobFailure::AttemptsUsed);
 }
 
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -58,6 +58,9 @@
         Out.PendingAdvice += Job->Terms.Advice && Step.AdvicePending;
         if (Step.WaitingTasks == 0)
           continue;
+        // The next run might be one more than the unknown terms allow.
+        if (!Job->Terms.Known && Step.failures() > 0)
+          continue;
         if (!StepUrgency)
           StepUrgency = urgencyOf(*Occurrence, Options, Now);
         Entries.emplace_back(*StepUrgency, &Step);
