Count a queue's waiting jobs in all pools that have some

Callers that asked for the number of waiting jobs got 0 from all daemons after an operator had sent the queue to another service, while twelve jobs waited.

Cause: JobFrontend::pending asked only the owner of the service that the queue's route names now; a job stays with the service under which it was accepted. Ruled out: the former owner forgets the jobs (the count is right again once the queue moves back), and a change that is not in force yet (the 0 lasts for as long as the jobs wait).

Owners name the queues whose jobs wait though the contracts send them elsewhere or lack them; the list is carried over to the next owner. A part that can't be had makes the count unknown.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -70,6 +70,7 @@
   AdviceFailed = 1430,
   AdviceCame = 1431,
   PoolLoad = 1440,
+  PoolCountFailed = 1441,
   RequestUnknown = 1500,
   RequestNotRun = 1501,
   PeerMessageRejected = 1600,
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -162,6 +162,9 @@
     EventInfo{EventId::PoolLoad, Severity::Info, "pool_load",
               "The load of a pool, reported by its owner each second while it "
               "has jobs."},
+    EventInfo{EventId::PoolCountFailed, Severity::Info, "pool_count_failed",
+              "The owner of a pool could not be asked how many jobs of a queue "
+              "wait there; the caller's answer is that the number is unknown."},
     EventInfo{EventId::RequestUnknown, Severity::Warning, "request_unknown",
               "It is unknown whether a request ran."},
     EventInfo{EventId::RequestNotRun, Severity::Info, "request_not_run",
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -10,8 +10,10 @@
 
 #include "cuminroad/fleet/FleetContext.h"
 #include "cuminroad/fleet/JobRows.h"
+#include "cuminroad/fleet/OwnerLookup.h"
 #include "cuminroad/fleet/PeerService.h"
-#include "cuminroad/fleet/PoolLease.h"
+#include "cuminroad/fleet/PendingJobCounter.h"
+#include "cuminroad/fleet/QueryResult.h"
 
 namespace cuminroad {
 
@@ -35,28 +37,6 @@
   milliseconds RetryAfter{0};
 };
 
-/// The answer to a query about a job or a queue.
-template <typename T> struct QueryResult {
-  /// Empty if the answer can't be determined at present.
-  std::optional<T> Value;
-
-  static QueryResult known(T Answer) {
-    QueryResult Out;
-    // Assigning an empty optional would be taken for an unknown answer.
-    Out.Value.emplace(std::move(Answer));
-    return Out;
-  }
-  static QueryResult unknown() { return {}; }
-};
-
-/// Looks up the owners of pools.
-class OwnerLookup {
-public:
-  virtual ~OwnerLookup() = default;
-  /// \returns the owner as last read from the store, or null.
-  virtual const OwnerRow *ownerOf(std::string_view Service) const = 0;
-};
-
 /// Accepts, cancels and queries jobs for clients, on any daemon. A job is
 /// accepted by a write of its row on condition that no such row exists. The
 /// pool's owner learns of the job from the store, so that a daemon without a
@@ -70,8 +50,11 @@
 
   JobFrontend(const FleetContext &Context, const OwnedPools &Owned,
               const OwnerLookup &Owners)
-      : Context_(Context), Owned_(Owned), Owners_(Owners) {}
+      : Context_(Context), Owned_(Owned), Owners_(Owners),
+        PendingJobs_(Context, Owned, Owners) {}
 
+  /// Takes note of changed contracts.
+  void queuesChanged() { PendingJobs_.queuesChanged(); }
   /// \param CallerTimeout how long the client waits for the answer.
   void submit(const QueueTerms &Queue, JobPlan Plan, milliseconds CallerTimeout,
               SubmitDone Done);
@@ -79,6 +62,8 @@
               std::function<void(QueryResult<bool>)> Done);
   void status(const QueueTerms &Queue, std::string_view Job,
               milliseconds CallerTimeout, StatusDone Done);
+  /// Counts the queue's jobs of which no task has started. The answer may be as
+  /// old as PendingJobCounter allows.
   void pending(const QueueTerms &Queue, milliseconds CallerTimeout,
                CountDone Done);
 
@@ -115,6 +100,7 @@
   FleetContext Context_;
   const OwnedPools &Owned_;
   const OwnerLookup &Owners_;
+  PendingJobCounter PendingJobs_;
 };
 
 } // namespace cuminroad
--- a/packages/fleet/include/cuminroad/fleet/OwnerRow.h
+++ b/packages/fleet/include/cuminroad/fleet/OwnerRow.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cuminroad/base/Clock.h"
 #include "cuminroad/base/Error.h"
@@ -27,6 +28,10 @@
   /// The row may be taken over when it has not changed for this long. The owner
   /// writes a longer duration while the store is slow.
   milliseconds LeaseDuration{0};
+  /// Queues with jobs in the pool of which no task has started, though the
+  /// contracts in force send the queue to another service, or lack it. Each
+  /// owner takes them over from the one before until it has read the jobs.
+  std::vector<std::string> MovedQueues;
 };
 
 std::string encodeOwner(const OwnerRow &Row);
--- a/packages/fleet/include/cuminroad/fleet/PoolLease.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolLease.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cuminroad/base/EventLog.h"
 #include "cuminroad/fleet/DaemonIdentity.h"
@@ -23,6 +24,8 @@
   TimePoint WrittenAt{};
   /// Whether the pool had an owner before, whose runs may still be on VMs.
   bool Inherited = false;
+  /// The earlier owner's OwnerRow::MovedQueues.
+  std::vector<std::string> MovedQueues;
 };
 
 /// Elects the daemon that owns a pool, by a row in the store that each of the
@@ -42,8 +45,9 @@
   /// Watches the owner row again, after this process stopped owning the pool.
   /// Takes the row over no earlier than after \p Pause.
   void resumeStandby(milliseconds Pause);
-  /// The owner as last read from the store.
-  const OwnerRow &owner() const { return Owner_; }
+  /// \returns the owner as last read from the store, or null before the first
+  /// read.
+  const OwnerRow *owner() const { return WasRead_ ? &Owner_ : nullptr; }
 
   std::function<void(PoolTerm)> OnAcquired;
   /// Returns the number of pools that this daemon owns already.
@@ -66,6 +70,7 @@
   std::string Service_;
   milliseconds StandbyOffset_;
   OwnerRow Owner_;
+  bool WasRead_ = false;
   std::int64_t LastVersion_ = -1;
   TimePoint UnchangedSince_{};
   /// This daemon does not take the row over before this time.
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -126,6 +126,7 @@
   void measureLoopDelay();
   void runPeriodicWork();
   void removeExpiredJobs();
+  void updateMovedQueues();
   void handleReplacement();
   VmLink *findLink(std::string_view Vm) const;
   std::string headValue(std::int64_t Serial) const;
@@ -134,6 +135,8 @@
   FleetContext Context_;
   PoolTerm Term_;
   FencingTokens Tokens_;
+  /// See OwnerRow.
+  std::vector<std::string> MovedQueues_;
   std::shared_ptr<FencedWriter> Writer_;
   std::shared_ptr<TableFollower> Requests_;
   std::shared_ptr<TableReader> Progress_;
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -117,6 +117,7 @@
                                   std::string_view Job) const override;
   int pending(std::string_view Service, std::string_view Queue) const override;
   const OwnerRow *ownerOf(std::string_view Service) const override;
+  std::vector<std::string> pools() const override;
 
 private:
   std::unique_ptr<HttpServer> listen(const ListenAddress &Endpoint,
@@ -248,6 +249,7 @@
     Dependencies_.Events.record(EventId::DaemonReady, Self_.Name);
   for (const std::string &Service : Queues_.config().Services)
     startLease(Service);
+  Frontend_.queuesChanged();
   for (const auto &[Service, Owner] : Owners_)
     Owner->queuesChanged();
 }
@@ -329,7 +331,14 @@
 
 const OwnerRow *FleetDaemonImpl::ownerOf(std::string_view Service) const {
   const auto Found = Leases_.find(Service);
-  return Found == Leases_.end() ? nullptr : &Found->second->owner();
+  return Found == Leases_.end() ? nullptr : Found->second->owner();
+}
+
+std::vector<std::string> FleetDaemonImpl::pools() const {
+  std::vector<std::string> Out;
+  for (const auto &[Service, Lease] : Leases_)
+    Out.push_back(Service);
+  return Out;
 }
 
 bool FleetDaemonImpl::ready() const {
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "cuminroad/fleet/OwnerRow.h"
 #include "cuminroad/pool/JobProgress.h"
 
 namespace cuminroad {
@@ -331,18 +332,9 @@
 
 void JobFrontend::pending(const QueueTerms &Queue, milliseconds CallerTimeout,
                           CountDone Done) {
-  if (Owned_.owns(Queue.Service))
-    return Done(
-        QueryResult<int>::known(Owned_.pending(Queue.Service, Queue.Name)));
-  const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
-  if (Owner == nullptr || Owner->PeerAddress.empty())
-    return Done(QueryResult<int>::unknown());
-  Context_.Peers.pending(Owner->PeerAddress, Queue.Service, Queue.Name,
-                         std::min(CallerTimeout - ResponseMargin, ReadTimeout),
-                         [Done = std::move(Done)](const Result<int> &Count) {
-                           Done(Count ? QueryResult<int>::known(*Count)
-                                      : QueryResult<int>::unknown());
-                         });
+  PendingJobs_.count(Queue,
+                     std::min(CallerTimeout - ResponseMargin, ReadTimeout),
+                     std::move(Done));
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/OwnerRow.cpp
+++ b/packages/fleet/src/OwnerRow.cpp
@@ -5,9 +5,12 @@
 namespace cuminroad {
 
 std::string encodeOwner(const OwnerRow &Row) {
-  return packMessage(nlohmann::json::array(
-      {Row.Holder, Row.Incarnation, Row.PeerAddress, Row.Epoch, Row.Serial,
-       Row.LeaseDuration.count()}));
+  auto Out =
+      nlohmann::json::array({Row.Holder, Row.Incarnation, Row.PeerAddress,
+                             Row.Epoch, Row.Serial, Row.LeaseDuration.count()});
+  if (!Row.MovedQueues.empty())
+    Out.push_back(Row.MovedQueues);
+  return packMessage(Out);
 }
 
 Result<OwnerRow> decodeOwner(std::string_view Bytes) {
@@ -19,6 +22,8 @@
     Out.Epoch = Input.at(3).get<std::int64_t>();
     Out.Serial = Input.at(4).get<std::int64_t>();
     Out.LeaseDuration = milliseconds(Input.at(5).get<std::int64_t>());
+    if (Input.size() > 6)
+      Out.MovedQueues = Input.at(6).get<std::vector<std::string>>();
     return Out;
   });
 }
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -93,6 +93,7 @@
   const std::int64_t Version =
       Page.Rows.empty() ? 0 : Page.Rows.front().Version;
   Owner_ = OwnerRow{};
+  WasRead_ = true;
   if (!Page.Rows.empty()) {
     auto Row = decodeOwner(Page.Rows.front().Value);
     if (Row)
@@ -123,7 +124,7 @@
 void PoolLease::tryAcquire(std::int64_t Version, bool Inherited) {
   const OwnerRow Row{
       Self_.Name, Self_.Incarnation, Self_.PeerAddress, Owner_.Epoch + 1,
-      0,          MaxOwnerLease};
+      0,          MaxOwnerLease,     Owner_.MovedQueues};
   RowTransaction Change;
   Change.Checks.push_back(RowCheck{ownerRow(Service_), Version});
   Change.Puts.push_back(RowPut{ownerRow(Service_), encodeOwner(Row)});
@@ -150,8 +151,8 @@
       EventId::OwnershipTaken, Service_,
       fmt::format("epoch {} inherited {}", Owner_.Epoch, AcquireInherited_));
   if (OnAcquired)
-    OnAcquired(
-        PoolTerm{Service_, Owner_.Epoch, Version, SentAt, AcquireInherited_});
+    OnAcquired(PoolTerm{Service_, Owner_.Epoch, Version, SentAt,
+                        AcquireInherited_, Owner_.MovedQueues});
 }
 
 } // namespace cuminroad
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -75,7 +75,8 @@
 } // namespace
 
 PoolOwner::PoolOwner(const FleetContext &Context, PoolTerm Term)
-    : Context_(Context), Term_(std::move(Term)), Tokens_(Term_.Epoch) {}
+    : Context_(Context), Term_(std::move(Term)), Tokens_(Term_.Epoch),
+      MovedQueues_(Term_.MovedQueues) {}
 
 std::string PoolOwner::headValue(std::int64_t Serial) const {
   const milliseconds LeaseDuration =
@@ -83,7 +84,7 @@
                  MinOwnerLease, MaxOwnerLease);
   return encodeOwner(OwnerRow{Context_.Self.Name, Context_.Self.Incarnation,
                               Context_.Self.PeerAddress, Term_.Epoch, Serial,
-                              LeaseDuration});
+                              LeaseDuration, MovedQueues_});
 }
 
 std::int64_t PoolOwner::serialOf(const std::string &HeadValue) const {
@@ -173,9 +174,9 @@
     RowTransaction Change;
     const RowName Row = ownerRow(Self->Term_.Service);
     Change.Checks.push_back(RowCheck{Row, Self->Writer_->headVersion()});
-    Change.Puts.push_back(
-        RowPut{Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0,
-                                         milliseconds(0)})});
+    Change.Puts.push_back(RowPut{
+        Row, encodeOwner(OwnerRow{"", "", "", Self->Term_.Epoch, 0,
+                                  milliseconds(0), Self->MovedQueues_})});
     Self->close();
     Self->Context_.Store.commit(std::move(Change), CommitTimeout,
                                 [](const Result<RowCommit> &) {
@@ -461,6 +462,7 @@
     Writer_->renew();
   if (Scheduler_) {
     removeUnlistedVms();
+    updateMovedQueues();
     reportLoad();
     if (shouldHandOver())
       return handOver("too slow");
@@ -508,6 +510,14 @@
   return JobStatus{isFinal(*Stage) ? JobStage::Running : *Stage};
 }
 
+void PoolOwner::updateMovedQueues() {
+  MovedQueues_ = Scheduler_->pendingQueues();
+  std::erase_if(MovedQueues_, [this](const std::string &Queue) {
+    const QueueTerms *InForce = Context_.Queues.terms(Queue);
+    return InForce != nullptr && InForce->Service == Term_.Service;
+  });
+}
+
 int PoolOwner::pending(std::string_view Queue) const {
   return Scheduler_->pendingJobs(Queue);
 }
--- a/packages/fleet/tests/FrontendFixture.h
+++ b/packages/fleet/tests/FrontendFixture.h
@@ -17,6 +17,9 @@
   const OwnerRow *ownerOf(std::string_view) const override {
     return Known ? &Row : nullptr;
   }
+  std::vector<std::string> pools() const override {
+    return {std::string(TestService)};
+  }
   bool Known = false;
   OwnerRow Row{};
 };
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -127,6 +127,8 @@
   virtual bool isCurrentRun(std::string_view Vm, const TaskRun &Run) const = 0;
   /// \returns the number of a queue's jobs of which no task has started.
   virtual int pendingJobs(std::string_view Queue) const = 0;
+  /// \returns the names of the queues with such jobs.
+  virtual std::vector<std::string> pendingQueues() const = 0;
   /// \returns the ids of the VMs on which runs may exist.
   virtual std::vector<std::string> occupiedVms() const = 0;
   /// \returns the current load of the pool.
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -179,6 +179,7 @@
   /// Whether a VM has started any task, as far as is known.
   bool Started = false;
 
+  bool isPending() const { return !Started && !isFinal(Stage); }
   /// \returns the time within which an occurrence should complete.
   milliseconds objective() const {
     return milliseconds(static_cast<std::int64_t>(
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -54,6 +54,7 @@
   JobProgress progress(std::string_view Job) const override;
   bool isCurrentRun(std::string_view Vm, const TaskRun &Run) const override;
   int pendingJobs(std::string_view Queue) const override;
+  std::vector<std::string> pendingQueues() const override;
   std::vector<std::string> occupiedVms() const override;
   PoolLoad load() const override;
   const JobPlan *plan(std::string_view Job) const override;
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -238,10 +238,18 @@
   return static_cast<int>(std::count_if(
       Tables_.Jobs.begin(), Tables_.Jobs.end(), [Queue](const auto &Entry) {
         const JobRecord &Job = *Entry.second;
-        return Job.Terms.Name == Queue && !Job.Started && !isFinal(Job.Stage);
+        return Job.Terms.Name == Queue && Job.isPending();
       }));
 }
 
+std::vector<std::string> PoolSchedulerImpl::pendingQueues() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Job] : Tables_.Jobs)
+    if (Job->isPending())
+      Out.insert(Job->Terms.Name);
+  return {Out.begin(), Out.end()};
+}
+
 const JobPlan *PoolSchedulerImpl::plan(std::string_view Id) const {
   const JobRecord *Job = Tables_.job(Id);
   return Job == nullptr ? nullptr : &Job->Plan;
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -65,6 +65,7 @@
             "advised": {**queue_settings, "priority": 1, "path_prefix": "/a/",
                         "advice": {"decision_ms": 20, "each_ms": 0.1,
                                    "valid_for_ms": 1500}}}
+        self.services = ["svc"]
         self.version = 0
         self.vms, self.daemons = [], []
         for zone in self.zones:
@@ -165,7 +166,8 @@
                   for name, queue in self.queues.items()]
         self.store.put("op", "config", json.dumps(
             {"version": self.version, "routes": routes,
-             "services": [{"name": "svc"}], "limits": {}}).encode())
+             "services": [{"name": name} for name in self.services],
+             "limits": {}}).encode())
 
     def publish_vms(self):
         """Writes the VMs' entries to the store until the trial ends."""
@@ -181,6 +183,15 @@
             cluster.call(daemon.ready_port, "GET", "/v1/ready")[0] == 200
             for daemon in self.daemons)
 
+    def start_all(self):
+        """Starts the VMs and the daemons, and waits until these are ready."""
+        self.write_config()
+        threading.Thread(target=self.simulation.run, daemon=True).start()
+        threading.Thread(target=self.publish_vms, daemon=True).start()
+        for daemon in self.daemons:
+            self.start(daemon)
+        cluster.wait_until(self.daemons_ready, 20, "daemons are ready")
+
     def run(self, faults, seconds=10, jobs_per_s=6):
         """Runs the load under the faults, then checks the history.
 
@@ -188,12 +199,7 @@
         function, and its duration in seconds. Faults may overlap.
         """
         try:
-            self.write_config()
-            threading.Thread(target=self.simulation.run, daemon=True).start()
-            threading.Thread(target=self.publish_vms, daemon=True).start()
-            for daemon in self.daemons:
-                self.start(daemon)
-            cluster.wait_until(self.daemons_ready, 20, "daemons are ready")
+            self.start_all()
             timers = [threading.Timer(start_s, function, (self, duration_s))
                       for start_s, function, duration_s in faults]
             for timer in timers:
