Stand by for pools whose service has left the contracts

Cause: a daemon started leases only for the services of the contracts that it had read. Change: each owner records its pool in the table pools; daemons read it when they start and every 30 s, and stand by for those pools too. The repeated write of a daemon's own row became a function that both use.

--- a/packages/fleet/include/cuminroad/fleet/JobRows.h
+++ b/packages/fleet/include/cuminroad/fleet/JobRows.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view ProgressTable = "progress";
 /// The owner of each pool.
 inline constexpr std::string_view OwnerTable = "owners";
+/// The services of all pools that have ever had an owner, by key.
+inline constexpr std::string_view PoolTable = "pools";
 /// The daemons of the fleet.
 inline constexpr std::string_view DaemonTable = "daemons";
 
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -13,6 +13,7 @@
 #include "cuminroad/fleet/PoolOwner.h"
 #include "cuminroad/fleet/RelayedStore.h"
 #include "cuminroad/net/LoopHttp.h"
+#include "cuminroad/store/TableReader.h"
 
 namespace cuminroad {
 
@@ -26,6 +27,8 @@
 /// time, so that other daemons come first.
 constexpr milliseconds PauseAfterRelease{10000};
 constexpr milliseconds CheckInterval{500};
+/// How often the recorded pools are read.
+constexpr milliseconds PoolListInterval{30000};
 /// VMs rewrite their entries often; changes are batched for this long.
 constexpr milliseconds VmBatchDelay{300};
 /// When all daemons start together, each receives a change for each other one;
@@ -130,6 +133,13 @@
   void startOwner(const PoolTerm &Term);
   void dropOwner(const std::string &Service, milliseconds StandbyPause);
   void registerSelf();
+  /// Records the pool, so that daemons own it after its service has left the
+  /// contracts.
+  void registerPool(const std::string &Service);
+  /// Writes a row, repeatedly if need be, while \p IsWanted returns true.
+  void writeRow(RowPut Row, std::function<bool()> IsWanted);
+  /// Starts the leases of all recorded pools, now and at intervals.
+  void readPools();
   void checkStore();
   bool ready() const;
   void drain(DrainTimer Timer);
@@ -160,6 +170,7 @@
   std::shared_ptr<TableFollower> VmFollower_;
   std::map<std::string, std::shared_ptr<PoolLease>, std::less<>> Leases_;
   std::map<std::string, std::shared_ptr<PoolOwner>, std::less<>> Owners_;
+  std::shared_ptr<TableReader> PoolReader_;
   bool Stopping_ = false;
   bool StoreUnreachable_ = false;
 };
@@ -211,23 +222,46 @@
   checkStore();
 }
 
-void FleetDaemonImpl::registerSelf() {
-  if (Stopping_)
+void FleetDaemonImpl::writeRow(RowPut Row, std::function<bool()> IsWanted) {
+  if (!IsWanted())
     return;
   RowTransaction Change;
-  Change.Puts.push_back(
-      RowPut{RowName{std::string(DaemonTable), "", Self_.Name},
-             encodeDaemon(DaemonRow{Self_.PeerAddress, Self_.Incarnation,
-                                    Self_.CpuShare})});
+  Change.Puts.push_back(Row);
   Store_.commit(std::move(Change), WriteTimeout,
-                [this](const Result<RowCommit> &Outcome) {
+                [this, Row, IsWanted](const Result<RowCommit> &Outcome) {
                   if (Outcome && Outcome->committed())
                     return;
-                  Dependencies_.ControlLoop.after(WriteRetryDelay,
-                                                  [this] { registerSelf(); });
+                  Dependencies_.ControlLoop.after(
+                      WriteRetryDelay,
+                      [this, Row, IsWanted] { writeRow(Row, IsWanted); });
                 });
 }
 
+void FleetDaemonImpl::registerSelf() {
+  writeRow(RowPut{RowName{std::string(DaemonTable), "", Self_.Name},
+                  encodeDaemon(DaemonRow{Self_.PeerAddress, Self_.Incarnation,
+                                         Self_.CpuShare})},
+           [this] { return !Stopping_; });
+}
+
+void FleetDaemonImpl::registerPool(const std::string &Service) {
+  writeRow(RowPut{RowName{std::string(PoolTable), "", Service}, ""},
+           [this, Service] { return Owners_.contains(Service); });
+}
+
+void FleetDaemonImpl::readPools() {
+  if (Stopping_)
+    return;
+  PoolReader_ = std::make_shared<TableReader>(Store_, Dependencies_.ControlLoop,
+                                              std::string(PoolTable),
+                                              std::vector<std::string>{""});
+  PoolReader_->start([this](const TableReader::Contents &Table) {
+    for (const StoredRow &Row : Table.Rows)
+      startLease(Row.Name.Key);
+    Dependencies_.ControlLoop.after(PoolListInterval, [this] { readPools(); });
+  });
+}
+
 void FleetDaemonImpl::configChanged() {
   const auto Row = ConfigRows_.rows().find(Dependencies_.Formats.configKey());
   if (Row == ConfigRows_.rows().end())
@@ -245,10 +279,12 @@
                               fmt::format("version {} queues {}",
                                           Queues_.config().Version,
                                           Queues_.config().Routes.size()));
-  if (First)
-    Dependencies_.Events.record(EventId::DaemonReady, Self_.Name);
   for (const std::string &Service : Queues_.config().Services)
     startLease(Service);
+  if (First) {
+    Dependencies_.Events.record(EventId::DaemonReady, Self_.Name);
+    readPools();
+  }
   Frontend_.queuesChanged();
   for (const auto &[Service, Owner] : Owners_)
     Owner->queuesChanged();
@@ -301,6 +337,7 @@
         followTable(Dependencies_.Formats.vmTable(), Directory_, VmBatchDelay);
   Owner->start();
   Owner->setPeers(OtherDaemons_);
+  registerPool(Term.Service);
 }
 
 void FleetDaemonImpl::dropOwner(const std::string &Service,
--- a/tests/failure/moved_queue_test.py
+++ b/tests/failure/moved_queue_test.py
@@ -37,9 +37,10 @@
     def submit_jobs(self):
         for number in range(JOBS):
             daemon = self.trial.daemons[number % len(self.trial.daemons)]
+            job = "%016x" % (number + 1)
+            self.trial.simulation.jobs[job] = WAITING_JOB
             cluster.wait_until(
-                lambda: self.call(daemon, "POST", "%016x" % (number + 1),
-                                  WAITING_JOB)[0] == 200,
+                lambda: self.call(daemon, "POST", job, WAITING_JOB)[0] == 200,
                 10, "a job is accepted")
         for daemon in self.trial.daemons:
             self.wait_for_count(daemon)
@@ -87,6 +88,29 @@
         for daemon in self.trial.daemons:
             self.wait_for_count(daemon)
 
+    def test_jobs_of_a_dropped_service_run_after_all_daemons_restart(self):
+        # Guards against a pool without an owner, once no daemon is left that
+        # has read its service in the contracts.
+        self.submit_jobs()
+        self.trial.services.remove("svc")
+        for queue in self.trial.queues.values():
+            queue["service"] = "other"
+        self.trial.write_config()
+        time.sleep(CONFIG_APPLY_S)
+        for daemon in self.trial.daemons:
+            self.trial.terminate(daemon)
+        for daemon in self.trial.daemons:
+            self.trial.start(daemon)
+        cluster.wait_until(self.trial.daemons_ready, 20, "daemons are ready")
+        for daemon in self.trial.daemons:
+            self.wait_for_count(daemon)
+        self.trial.vms[0].label = "none"
+        for number in range(JOBS):
+            cluster.wait_until(
+                lambda: self.call(self.trial.daemons[0], "GET",
+                                  "%016x" % (number + 1))[1].get("state") ==
+                "completed", 30, "job %d is completed" % number)
+
     def test_job_in_the_former_service_is_found(self):
         # A job stays in its pool, and every daemon tells its state.
         self.submit_jobs()
