--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -71,8 +71,7 @@
                      std::int64_t FencingToken) override;
   void onStartAnswered(VmLink &Link, const TaskRun &Run, StartOutcome Outcome,
                        std::string_view Reason) override;
-  void onStartTried(const TaskRun &Run, milliseconds Duration,
-                    bool Answered) override;
+  void onStartTried(milliseconds Duration, bool Answered) override;
   void onStopAnswered(VmLink &Link, const TaskRun &Run) override;
   bool isWanted(const VmLink &Link, const TaskRun &Run) const override;
   std::optional<milliseconds> capacityAge(const VmLink &Link) const override;
--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -54,8 +54,7 @@
                                std::string_view Reason) = 0;
   /// A try of a start was answered, or was given up, \p Duration after it was
   /// sent.
-  virtual void onStartTried(const TaskRun &Run, milliseconds Duration,
-                            bool Answered) = 0;
+  virtual void onStartTried(milliseconds Duration, bool Answered) = 0;
   virtual void onStopAnswered(VmLink &Link, const TaskRun &Run) = 0;
   /// Whether the run should still be started.
   virtual bool isWanted(const VmLink &Link, const TaskRun &Run) const = 0;
--- a/packages/fleet/src/PoolOwnerVms.cpp
+++ b/packages/fleet/src/PoolOwnerVms.cpp
@@ -314,10 +314,7 @@
     schedulePass();
 }
 
-void PoolOwner::onStartTried(const TaskRun &Run, milliseconds Duration,
-                             bool Answered) {
-  if (!Answered)
-    Scheduler_->startUnanswered(Run, Context_.MonotonicClock.now() - Duration);
+void PoolOwner::onStartTried(milliseconds Duration, bool Answered) {
   StartStatistics_.Unanswered += !Answered;
   StartStatistics_.LongestAnswer =
       std::max(StartStatistics_.LongestAnswer, Duration);
--- a/packages/fleet/src/VmLinkOrders.cpp
+++ b/packages/fleet/src/VmLinkOrders.cpp
@@ -99,8 +99,7 @@
         Self->recordAnswered(Answer);
         if (Self->Closed_)
           return;
-        Self->Listener_.onStartTried(Order.Run,
-                                     std::chrono::duration_cast<milliseconds>(
+        Self->Listener_.onStartTried(std::chrono::duration_cast<milliseconds>(
                                          Self->MonotonicClock_.now() - SentAt),
                                      Answer.has_value());
         if (Answer && Answer->VmClock && Incarnation == Self->Incarnation_)
--- a/packages/fleet/tests/VmLinkFixture.h
+++ b/packages/fleet/tests/VmLinkFixture.h
@@ -71,7 +71,7 @@
                        std::string_view) override {
     Outcomes.push_back(Outcome);
   }
-  void onStartTried(const TaskRun &, milliseconds, bool Answered) override {
+  void onStartTried(milliseconds, bool Answered) override {
     UnansweredTries += !Answered;
     AnsweredTries += Answered;
   }
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -90,9 +90,6 @@
   /// The VM has responded to a start command, or the command was not sent.
   virtual void startAnswered(std::string_view Vm, const TaskRun &Run,
                              StartOutcome Outcome) = 0;
-  /// A try of a start that was sent at \p SentAt got no answer. It may still be
-  /// carried out.
-  virtual void startUnanswered(const TaskRun &Run, TimePoint SentAt) = 0;
   /// The VM has accepted the command to stop a run.
   virtual void stopAnswered(std::string_view Vm, const TaskRun &Run) = 0;
   /// The advisor has responded; VMs of \p QueriedVms without a ticket must not
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -33,7 +33,6 @@
   void forgetJob(std::string_view Job) override;
 
   void taskEnded(std::string_view Vm, const TaskEnd &End) override;
-  void startUnanswered(const TaskRun &Run, TimePoint SentAt) override;
   void startAnswered(std::string_view Vm, const TaskRun &Run,
                      StartOutcome Outcome) override;
   void stopAnswered(std::string_view Vm, const TaskRun &Run) override;
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -181,13 +181,6 @@
     failJob(Job, JobFailure::AttemptsUsed);
 }
 
-void PoolSchedulerImpl::startUnanswered(const TaskRun &Run, TimePoint SentAt) {
-  constexpr milliseconds LateOrderLimit{15000};
-  if (TaskRecord *Task = Tables_.task(Run.Task))
-    Task->NotPlacedBefore =
-        std::max(Task->NotPlacedBefore, SentAt + LateOrderLimit);
-}
-
 void PoolSchedulerImpl::startAnswered(std::string_view Id, const TaskRun &Run,
                                       StartOutcome Outcome) {
   VmRecord *Vm = Tables_.vm(Id);
