Drop queues under their jobs in the trials over processes

Trials with contracts that change wrote the same queues under new versions only, so that no trial showed a job whose queue its owner lacks. A client whose queue is missing comes again.

--- a/tests/failure/fleet_soak.py
+++ b/tests/failure/fleet_soak.py
@@ -23,7 +23,7 @@
         for start_s, fault, duration_s in faults)
 
 
-def run_seed(seed, seconds, late_restarts=False):
+def run_seed(seed, seconds, late_restarts=False, dropped_queues=False):
     rng = random.Random(seed)
     chosen = fleet_faults.draw_faults(rng, rng.randint(2, 6), seconds)
     daemons = rng.randint(1, 3)
@@ -34,6 +34,10 @@
     if late_restarts:
         chosen += [(rng.uniform(0, seconds / 2), fault, seconds / 2)
                    for fault in fleet_faults.LATE_RESTARTS]
+    if dropped_queues:
+        for start_s in (0.5, 3, 6):
+            chosen += [(start_s, fleet_faults.drop_queue, 2.5),
+                       (start_s + 1, fleet_faults.kill_daemon, 0.5)]
     fault_names = "crash share %s, %s" % (crash_share, describe(chosen))
     trial = fleet_trial.Trial(seed, daemons=daemons, crash_share=crash_share)
     return soak_seeds.run_trial(seed, fault_names,
@@ -45,10 +49,13 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--late-restarts", action="store_true",
                         help="also restart VMs with late orders under way")
+    parser.add_argument("--dropped-queues", action="store_true",
+                        help="also drop queues while daemons are killed")
 
 
 if __name__ == "__main__":
     soak_seeds.main(
         __doc__, lambda seed, options: run_seed(seed, options.seconds,
-                                                options.late_restarts),
+                                                options.late_restarts,
+                                                options.dropped_queues),
         add_options)
--- a/tests/failure/fleet_test.py
+++ b/tests/failure/fleet_test.py
@@ -42,6 +42,12 @@
         self.assertTrue(fleet_soak.run_seed(8, SECONDS))
 
 
+    def test_queues_are_dropped_while_daemons_are_killed(self):
+        # Guards against jobs that fail before all of their attempts since
+        # their owner's contracts lack their queue.
+        self.assertTrue(fleet_soak.run_seed(4, SECONDS, dropped_queues=True))
+
+
 class CrashTest(FleetTrials):
     def test_tasks_that_crash_vms(self):
         # Guards against tasks that crash VM after VM without end, over
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -267,6 +267,20 @@
 LATE_RESTARTS = [start_outlives_restart, late_orders_outlive_restarts]
 
 
+def drop_queue(trial, seconds):
+    """Removes a queue from the contracts while its jobs run.
+
+    A daemon may read the change late for as long as there are other faults.
+    """
+    trial.queues_missing_until = float("inf")
+    queue = random.choice(list(trial.queues))
+    trial.dropped_queues.add(queue)
+    trial.write_config()
+    time.sleep(seconds)
+    trial.dropped_queues.discard(queue)
+    trial.write_config()
+
+
 def draw_faults(rng, count, seconds):
     """Draws faults that may overlap, as (start, function, duration) in s."""
     return [(rng.uniform(1, seconds), rng.choice(ALL), rng.uniform(0.5, 5))
--- a/tests/support/fleet_load.py
+++ b/tests/support/fleet_load.py
@@ -126,6 +126,10 @@
                 # is unknown may have been.
                 call["refused"] = not outcome_unknown
                 return
+            if status == 404 and (
+                    time.monotonic() < self.trial.queues_missing_until):
+                time.sleep(POLL_INTERVAL_S)
+                continue
             if status not in (None, 502, 504):
                 call["problems"].append("POST returned status %s" % status)
                 return
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -66,6 +66,9 @@
                         "advice": {"decision_ms": 20, "each_ms": 0.1,
                                    "valid_for_ms": 1500}}}
         self.services = ["svc"]
+        self.dropped_queues = set()
+        # Until then a daemon may lack a queue that was dropped for a while.
+        self.queues_missing_until = 0
         self.version = 0
         self.vms, self.daemons = [], []
         for zone in self.zones:
@@ -163,7 +166,8 @@
         """Writes the operator's configuration under a new version."""
         self.version += self.rng.randint(1, 5)
         routes = [{"name": name, **queue}
-                  for name, queue in self.queues.items()]
+                  for name, queue in self.queues.items()
+                  if name not in self.dropped_queues]
         self.store.put("op", "config", json.dumps(
             {"version": self.version, "routes": routes,
              "services": [{"name": name} for name in self.services],
@@ -217,6 +221,8 @@
         shutil.rmtree(self.directory)
 
     def clear_faults(self):
+        self.queues_missing_until = min(self.queues_missing_until,
+                                        time.monotonic() + CONTACT_S)
         (self.store.busy, self.store.response_delay_s,
          self.store.lost_response_share) = False, 0, 0
         self.network.heal()
