Give no count of waiting jobs before the pools are read

A daemon that had just started gave a count without the pools whose service has left the contracts, for the milliseconds until it had read them: found by reading. Such a count is unknown (503) now.

--- a/packages/fleet/include/cuminroad/fleet/PendingJobCounter.h
+++ b/packages/fleet/include/cuminroad/fleet/PendingJobCounter.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,7 +39,7 @@
   void queuesChanged();
   /// \param Timeout of each call to an owner.
   /// \param Done receives an unknown answer if one of the owners can't be
-  /// asked.
+  /// asked, or the pools have not been read yet.
   void count(const QueueTerms &Queue, milliseconds Timeout, CountDone Done);
 
 private:
@@ -53,8 +54,9 @@
     std::vector<Add> Waiting;
   };
 
-  /// \returns the services of all pools that may have jobs of the queue.
-  std::set<std::string> poolsOf(const QueueTerms &Queue) const;
+  /// \returns those of \p Pools that may have jobs of the queue.
+  std::set<std::string> poolsOf(const QueueTerms &Queue,
+                                std::span<const std::string> Pools) const;
   void countInPool(const QueuePool &Pool, milliseconds Timeout, Add Done);
   void askOwner(const QueuePool &Pool, milliseconds Timeout);
   void handleAnswer(const QueuePool &Pool, const Result<int> &Answer);
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -120,7 +120,7 @@
                                   std::string_view Job) const override;
   int pending(std::string_view Service, std::string_view Queue) const override;
   const OwnerRow *ownerOf(std::string_view Service) const override;
-  std::vector<std::string> pools() const override;
+  std::optional<std::vector<std::string>> pools() const override;
 
 private:
   std::unique_ptr<HttpServer> listen(const ListenAddress &Endpoint,
@@ -171,6 +171,7 @@
   std::map<std::string, std::shared_ptr<PoolLease>, std::less<>> Leases_;
   std::map<std::string, std::shared_ptr<PoolOwner>, std::less<>> Owners_;
   std::shared_ptr<TableReader> PoolReader_;
+  bool PoolsRead_ = false;
   bool Stopping_ = false;
   bool StoreUnreachable_ = false;
 };
@@ -256,6 +257,7 @@
                                               std::string(PoolTable),
                                               std::vector<std::string>{""});
   PoolReader_->start([this](const TableReader::Contents &Table) {
+    PoolsRead_ = true;
     for (const StoredRow &Row : Table.Rows)
       startLease(Row.Name.Key);
     Dependencies_.ControlLoop.after(PoolListInterval, [this] { readPools(); });
@@ -371,7 +373,9 @@
   return Found == Leases_.end() ? nullptr : Found->second->owner();
 }
 
-std::vector<std::string> FleetDaemonImpl::pools() const {
+std::optional<std::vector<std::string>> FleetDaemonImpl::pools() const {
+  if (!PoolsRead_)
+    return std::nullopt;
   std::vector<std::string> Out;
   for (const auto &[Service, Lease] : Leases_)
     Out.push_back(Service);
--- a/packages/fleet/src/PendingJobCounter.cpp
+++ b/packages/fleet/src/PendingJobCounter.cpp
@@ -55,13 +55,14 @@
 }
 
 std::set<std::string>
-PendingJobCounter::poolsOf(const QueueTerms &Queue) const {
+PendingJobCounter::poolsOf(const QueueTerms &Queue,
+                           std::span<const std::string> Pools) const {
   std::set<std::string> Out{Queue.Service};
   const TimePoint Now = Context_.MonotonicClock.now();
   for (const auto &[Pool, LeftAt] : LeftAt_)
     if (Pool.first == Queue.Name && Now - LeftAt <= MoveNoticeTime)
       Out.insert(Pool.second);
-  for (const std::string &Service : Owners_.pools()) {
+  for (const std::string &Service : Pools) {
     const OwnerRow *Owner = Owners_.ownerOf(Service);
     // While the row has not been read, the pool may have jobs of any queue.
     const bool MayHaveJobs =
@@ -76,7 +77,13 @@
 
 void PendingJobCounter::count(const QueueTerms &Queue, milliseconds Timeout,
                               CountDone Done) {
-  const std::set<std::string> Pools = poolsOf(Queue);
+  const auto AllPools = Owners_.pools();
+  if (!AllPools) {
+    Context_.Events.record(EventId::PoolCountFailed, Queue.Name,
+                           "pools not read");
+    return Done(QueryResult<int>::unknown());
+  }
+  const std::set<std::string> Pools = poolsOf(Queue, *AllPools);
   auto Sum = std::make_shared<Summation>();
   Sum->OpenCounts = Pools.size();
   Sum->Done = std::move(Done);
--- a/packages/fleet/tests/FrontendFixture.h
+++ b/packages/fleet/tests/FrontendFixture.h
@@ -17,8 +17,8 @@
   const OwnerRow *ownerOf(std::string_view) const override {
     return Known ? &Row : nullptr;
   }
-  std::vector<std::string> pools() const override {
-    return {std::string(TestService)};
+  std::optional<std::vector<std::string>> pools() const override {
+    return std::vector{std::string(TestService)};
   }
   bool Known = false;
   OwnerRow Row{};
--- a/packages/fleet/tests/PendingJobCounterTest.cpp
+++ b/packages/fleet/tests/PendingJobCounterTest.cpp
@@ -26,7 +26,9 @@
     const auto Found = Rows.find(Service);
     return Found == Rows.end() ? nullptr : &Found->second;
   }
-  std::vector<std::string> pools() const override { return {"a", "b"}; }
+  std::optional<std::vector<std::string>> pools() const override {
+    return Pools;
+  }
   void send(HttpCall Call, HttpCallback Done) override {
     const std::string Service = Call.Url.substr(7, 1);
     ++Calls[Service];
@@ -39,6 +41,7 @@
   }
   HttpTraffic traffic() const override { return {}; }
 
+  std::optional<std::vector<std::string>> Pools{{"a", "b"}};
   std::map<std::string, OwnerRow, std::less<>> Rows;
   /// The answer of each owner that can be reached.
   std::map<std::string, int> Counts;
@@ -51,10 +54,10 @@
 struct CounterFixture : FrontendFixture {
   CounterFixture()
       : PoolOwners(ControlLoop), OwnerCalls(PoolOwners),
-        CounterContext{Settings,    Self,      ControlLoop.MonotonicClock,
-                       SystemClock, Events,    ControlLoop,
-                       Store,       Calls,     Advisor,
-                       OwnerCalls,  Contracts, Directory,
+        CounterContext{Settings,    Self,   ControlLoop.MonotonicClock,
+                       SystemClock, Events, ControlLoop,
+                       Store,       Calls,  Advisor,
+                       OwnerCalls,  Queues, Directory,
                        Metrics},
         Counter(CounterContext, Pools, PoolOwners) {
     setService("a");
@@ -69,7 +72,7 @@
       Config.Routes.push_back(
           QueueRoute{"h", "/q/", milliseconds(3000), Queue});
     }
-    Contracts.apply(std::move(Config));
+    Queues.apply(std::move(Config));
     Counter.queuesChanged();
   }
   std::optional<int> count() {
@@ -82,7 +85,6 @@
 
   PoolOwnersStub PoolOwners;
   PeerCalls OwnerCalls;
-  QueueRegistry Contracts;
   FleetContext CounterContext;
   PendingJobCounter Counter;
   int Version = 0;
@@ -150,6 +152,9 @@
 // owners' rows.
 BOOST_FIXTURE_TEST_CASE(countIsUnknownUntilAllOwnersAreRead, CounterFixture) {
   PoolOwners.Counts = {{"a", 1}, {"b", 4}};
+  PoolOwners.Pools.reset();
+  BOOST_CHECK(!count());
+  PoolOwners.Pools = {"a", "b"};
   PoolOwners.Rows.erase("b");
   BOOST_CHECK(!count());
 }
--- a/tests/failure/moved_queue_test.py
+++ b/tests/failure/moved_queue_test.py
@@ -102,6 +102,7 @@
         for daemon in self.trial.daemons:
             self.trial.start(daemon)
         cluster.wait_until(self.trial.daemons_ready, 20, "daemons are ready")
+        self.check_counts(1)
         for daemon in self.trial.daemons:
             self.wait_for_count(daemon)
         self.trial.vms[0].label = "none"
