--- a/tests/failure/moved_queue_test.py
+++ b/tests/failure/moved_queue_test.py
@@ -1,6 +1,8 @@
 """Queues whose jobs are in the pool of another service than the present one."""
 
+import functools
 import json
+import shutil
 import time
 import unittest
 
@@ -19,13 +21,22 @@
                           "estimate_ms": 100, "requires": "none"}]}
 
 
-class MovedQueueTest(unittest.TestCase):
-    def setUp(self):
+def with_trial(test):
+    """Runs the test with daemons; their logs are kept if it fails."""
+    @functools.wraps(test)
+    def run(self):
         self.trial = fleet_trial.Trial(1, vms=1)
-        self.addCleanup(self.trial.close)
         self.trial.services.append("other")
-        self.trial.start_all()
+        try:
+            self.trial.start_all()
+            test(self)
+        finally:
+            self.trial.close()
+        shutil.rmtree(self.trial.directory)
+    return run
+
 
+class MovedQueueTest(unittest.TestCase):
     def call(self, daemon, method, job="", body=None):
         path = self.trial.queues[QUEUE]["path_prefix"] + job
         status, _, text = cluster.call(
@@ -65,6 +76,7 @@
                     self.assertEqual(body, {"pending": JOBS}, daemon.name)
             time.sleep(0.1)
 
+    @with_trial
     def test_count_includes_jobs_in_the_former_service(self):
         # Guards against a count of 0 while jobs wait in the former pool.
         self.submit_jobs()
@@ -73,6 +85,7 @@
         for daemon in self.trial.daemons:
             self.wait_for_count(daemon)
 
+    @with_trial
     def test_count_after_daemons_that_saw_the_move_have_ended(self):
         # Guards against daemons that never knew the former service, and
         # against a change of the former pool's owner.
@@ -88,6 +101,7 @@
         for daemon in self.trial.daemons:
             self.wait_for_count(daemon)
 
+    @with_trial
     def test_jobs_of_a_dropped_service_run_after_all_daemons_restart(self):
         # Guards against a pool without an owner, once no daemon is left that
         # has read its service in the contracts.
@@ -112,6 +126,7 @@
                                   "%016x" % (number + 1))[1].get("state") ==
                 "completed", 30, "job %d is completed" % number)
 
+    @with_trial
     def test_job_in_the_former_service_is_found(self):
         # A job stays in its pool, and every daemon tells its state.
         self.submit_jobs()
@@ -131,6 +146,7 @@
                 lambda: self.call(daemon, "GET") ==
                 (200, {"pending": JOBS - 1}), 5, "the job is not counted")
 
+    @with_trial
     def test_count_after_the_queue_has_moved_back(self):
         self.submit_jobs()
         for service in ("other", "svc"):
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -187,6 +187,15 @@
             cluster.call(daemon.ready_port, "GET", "/v1/ready")[0] == 200
             for daemon in self.daemons)
 
+    def daemons_started(self):
+        """Returns daemons_ready(); raises if a daemon has ended."""
+        for daemon in self.daemons:
+            if not daemon.alive():
+                with open(self.path(daemon, "log")) as log:
+                    raise AssertionError("%s ended, log in %s: %s" % (
+                        daemon.name, self.directory, log.read()[-200:]))
+        return self.daemons_ready()
+
     def start_all(self):
         """Starts the VMs and the daemons, and waits until these are ready."""
         self.write_config()
@@ -194,7 +203,7 @@
         threading.Thread(target=self.publish_vms, daemon=True).start()
         for daemon in self.daemons:
             self.start(daemon)
-        cluster.wait_until(self.daemons_ready, 20, "daemons are ready")
+        cluster.wait_until(self.daemons_started, 20, "daemons are ready")
 
     def run(self, faults, seconds=10, jobs_per_s=6):
         """Runs the load under the faults, then checks the history.
