Give a daemon's second port to it in trials over processes

Cause: the trials give a daemon a range of ports, of which it takes the first two; the harness kept the first and the last of four, between which another test's server can have one. Ports in use lie between where a block is used again whose earlier servers go on in another process.

Change: the trials take two adjacent ports.

--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -53,6 +53,15 @@
                 except OSError:
                     continue
 
+    def allocate_adjacent(self):
+        """Returns two ports, the second of which follows the first."""
+        first = self.allocate()
+        while True:
+            second = self.allocate()
+            if second == first + 1:
+                return first, second
+            first = second
+
     def close(self):
         self._reservation.close()
 
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -77,7 +77,9 @@
             for number in range(daemons):
                 self.daemons.append(Daemon(
                     "%s-%d" % (zone, number), zone,
-                    [self.ports.allocate() for _ in range(4)]))
+                    (self.ports.allocate(), self.ports.allocate(),
+                     # A daemon takes the first two ports of its range.
+                     *self.ports.allocate_adjacent())))
         self.connect_daemons()
         self.load = fleet_load.JobLoad(self, random.Random(seed + 1),
                                        crash_share)
