--- a/packages/fleet/include/cuminroad/fleet/PendingJobCounter.h
+++ b/packages/fleet/include/cuminroad/fleet/PendingJobCounter.h
@@ -25,8 +25,8 @@
 /// queue that has moved to another service has jobs in several pools. Runs on
 /// the control thread.
 ///
-/// Asked are the owner of the queue's present service, those of services that
-/// the queue has just left, and those whose rows name the queue as moved.
+/// Calls the owner of the queue's present service, the owners of services that
+/// the queue has just left, and the owners whose rows name the queue as moved.
 class PendingJobCounter {
 public:
   using CountDone = std::function<void(QueryResult<int>)>;
@@ -46,7 +46,7 @@
   using Add = std::function<void(std::optional<int>)>;
   /// A queue and a service.
   using QueuePool = std::pair<std::string, std::string>;
-  /// The jobs of one queue in one pool, as its owner last told.
+  /// The jobs of one queue in one pool by its owner's last answer.
   struct PoolCount {
     int Jobs = 0;
     std::optional<TimePoint> AnsweredAt;
--- a/packages/fleet/src/PendingJobCounter.cpp
+++ b/packages/fleet/src/PendingJobCounter.cpp
@@ -48,7 +48,7 @@
   std::erase_if(LeftAt_, [Now](const auto &Entry) {
     return Now - Entry.second > MoveNoticeTime;
   });
-  // Answers that no caller waits for are asked for again.
+  // Clears the cache, except for calls under way.
   std::erase_if(Counts_,
                 [](const auto &Entry) { return Entry.second.Waiting.empty(); });
   Services_ = std::move(Services);
