Share the set-up of two fixtures; drop a copy of the queues' terms

PendingJobCounter copied all terms to read two names; it reads the routes of the contracts as PoolOwner does. Two fixtures built the same context; both call FrontendFixture::makeContext. The test of moved queues had the same loop five times. Behaviour and assertions are as they were. fleet.PendingJobCounterTest, DroppedQueueTest, JobFrontendTest and failure.moved_queue pass.

--- a/packages/fleet/src/PendingJobCounter.cpp
+++ b/packages/fleet/src/PendingJobCounter.cpp
@@ -38,8 +38,8 @@
 void PendingJobCounter::queuesChanged() {
   const TimePoint Now = Context_.MonotonicClock.now();
   std::map<std::string, std::string> Services;
-  for (const QueueTerms &Queue : Context_.Queues.allTerms())
-    Services[Queue.Name] = Queue.Service;
+  for (const QueueRoute &Route : Context_.Queues.config().Routes)
+    Services[Route.Terms.Name] = Route.Terms.Service;
   for (const auto &[Queue, Service] : Services_) {
     const auto Present = Services.find(Queue);
     if (Present == Services.end() || Present->second != Service)
--- a/packages/fleet/tests/FrontendFixture.h
+++ b/packages/fleet/tests/FrontendFixture.h
@@ -29,12 +29,7 @@
   FrontendFixture()
       : Vms(ControlLoop), Store(Rows, ControlLoop), Calls(Vms, ControlLoop),
         Events("a", 100, nullptr), Peers(Http), Advisor(ControlLoop),
-        Directory(Formats, Events),
-        Context{Settings,    Self,   ControlLoop.MonotonicClock,
-                SystemClock, Events, ControlLoop,
-                Store,       Calls,  Advisor,
-                Peers,       Queues, Directory,
-                Metrics},
+        Directory(Formats, Events), Context(makeContext(Peers)),
         Frontend(Context, Pools, Owners) {
     Queue.Name = "q";
     Queue.Service = TestService;
@@ -42,6 +37,13 @@
     ControlLoop.runFor(milliseconds(1000));
   }
 
+  FleetContext makeContext(PeerCalls &PeersToCall) {
+    return FleetContext{Settings,    Self,   ControlLoop.MonotonicClock,
+                        SystemClock, Events, ControlLoop,
+                        Store,       Calls,  Advisor,
+                        PeersToCall, Queues, Directory,
+                        Metrics};
+  }
   void submit(const std::string &Id, std::size_t SpecBytes = 0) {
     JobPlan Plan;
     Plan.Id = Id;
--- a/packages/fleet/tests/PendingJobCounterTest.cpp
+++ b/packages/fleet/tests/PendingJobCounterTest.cpp
@@ -54,12 +54,7 @@
 struct CounterFixture : FrontendFixture {
   CounterFixture()
       : PoolOwners(ControlLoop), OwnerCalls(PoolOwners),
-        CounterContext{Settings,    Self,   ControlLoop.MonotonicClock,
-                       SystemClock, Events, ControlLoop,
-                       Store,       Calls,  Advisor,
-                       OwnerCalls,  Queues, Directory,
-                       Metrics},
-        Counter(CounterContext, Pools, PoolOwners) {
+        Counter(makeContext(OwnerCalls), Pools, PoolOwners) {
     setService("a");
   }
   /// Applies contracts that send the queue to a service, or drop it if \p
@@ -85,7 +80,6 @@
 
   PoolOwnersStub PoolOwners;
   PeerCalls OwnerCalls;
-  FleetContext CounterContext;
   PendingJobCounter Counter;
   int Version = 0;
 };
--- a/tests/failure/moved_queue_test.py
+++ b/tests/failure/moved_queue_test.py
@@ -53,13 +53,13 @@
             cluster.wait_until(
                 lambda: self.call(daemon, "POST", job, WAITING_JOB)[0] == 200,
                 10, "a job is accepted")
-        for daemon in self.trial.daemons:
-            self.wait_for_count(daemon)
+        self.wait_for_counts()
 
-    def wait_for_count(self, daemon):
-        cluster.wait_until(
-            lambda: self.call(daemon, "GET") == (200, {"pending": JOBS}),
-            15, "%s counts all jobs" % daemon.name)
+    def wait_for_counts(self):
+        for daemon in self.trial.daemons:
+            cluster.wait_until(
+                lambda: self.call(daemon, "GET") == (200, {"pending": JOBS}),
+                15, "%s counts all jobs" % daemon.name)
 
     def move_queue(self, service):
         self.trial.queues[QUEUE]["service"] = service
@@ -82,8 +82,7 @@
         self.submit_jobs()
         self.move_queue("other")
         self.check_counts(CONFIG_APPLY_S + MAX_COUNT_AGE_S)
-        for daemon in self.trial.daemons:
-            self.wait_for_count(daemon)
+        self.wait_for_counts()
 
     @with_trial
     def test_count_after_daemons_that_saw_the_move_have_ended(self):
@@ -98,8 +97,7 @@
             cluster.wait_until(self.trial.daemons_ready, 20,
                                "%s is ready" % daemon.name)
             self.check_counts(1)
-        for daemon in self.trial.daemons:
-            self.wait_for_count(daemon)
+        self.wait_for_counts()
 
     @with_trial
     def test_jobs_of_a_dropped_service_run_after_all_daemons_restart(self):
@@ -117,8 +115,7 @@
             self.trial.start(daemon)
         cluster.wait_until(self.trial.daemons_ready, 20, "daemons are ready")
         self.check_counts(1)
-        for daemon in self.trial.daemons:
-            self.wait_for_count(daemon)
+        self.wait_for_counts()
         self.trial.vms[0].label = "none"
         for number in range(JOBS):
             cluster.wait_until(
@@ -152,5 +149,4 @@
         for service in ("other", "svc"):
             self.move_queue(service)
             self.check_counts(1)
-        for daemon in self.trial.daemons:
-            self.wait_for_count(daemon)
+        self.wait_for_counts()
