Log by which answers a write counts as not performed

Change: the HTTP client counts how often a request is sent, per response and in cuminroad_http_resends_total. job_refused and job_outcome_unknown list for the first writes of the job how the store and each peer answered. store_write_unknown is logged for every write whose answer was lost. No decision is changed.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -36,6 +36,7 @@
   StoreBack = 1212,
   StoreRelayed = 1213,
   StoreRelayEnded = 1214,
+  StoreWriteUnknown = 1215,
   ContractProposed = 1300,
   ContractAccepted = 1301,
   ContractApplied = 1302,
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -74,6 +74,10 @@
               "daemons."},
     EventInfo{EventId::StoreRelayEnded, Severity::Info, "store_relay_ended",
               "Direct calls to the store succeed again."},
+    EventInfo{
+        EventId::StoreWriteUnknown, Severity::Info, "store_write_unknown",
+        "The answer to a write was lost: it may have taken effect, or may "
+        "still do so. The subject is its first row's key."},
     EventInfo{EventId::ContractProposed, Severity::Info, "contract_proposed",
               "An operator's change was written; until it is accepted, the "
               "stricter of the old and new limits applies."},
--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -15,6 +15,8 @@
 
 namespace cuminroad {
 
+struct HttpTraffic;
+
 /// Metrics of a fleet daemon, named by the Prometheus conventions. Runs on the
 /// control thread.
 class FleetMetrics {
@@ -37,6 +39,8 @@
   /// Sets the gauges of an owned pool. A default PoolLoad resets them once the
   /// pool is no longer owned.
   void setPoolLoad(const std::string &Service, const PoolLoad &Load);
+  /// Sets the counters of the HTTP client to its present \p Traffic.
+  void setHttpTraffic(const HttpTraffic &Traffic);
   /// \returns all metrics in the Prometheus text format.
   std::string render() const;
 
@@ -51,6 +55,7 @@
   prometheus::Family<prometheus::Counter> &Advice_;
   prometheus::Family<prometheus::Counter> &VmCrashes_;
   prometheus::Family<prometheus::Counter> &AbandonedJobs_;
+  prometheus::Family<prometheus::Counter> &HttpResends_;
   prometheus::Family<prometheus::Gauge> &PoolTasks_;
   prometheus::Family<prometheus::Gauge> &PoolVms_;
   prometheus::Family<prometheus::Gauge> &PoolCores_;
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -49,6 +49,8 @@
     std::string Body;
     milliseconds Timeout{0};
     std::vector<std::string> Peers;
+    /// How the tries before failed, for the event log.
+    std::string EarlierFailures = "direct not tried";
   };
 
   /// Whether the next call goes to peers first.
@@ -56,6 +58,9 @@
   /// Records whether a direct call failed.
   /// \returns whether to try a peer.
   bool recordDirectOutcome(bool Failed);
+  /// Goes on to the next peer after the present one failed as \p Failure says.
+  void skipPeer(RelayedCall &Call, std::string_view Failure);
+  static tl::unexpected<Error> noPeerFailure(const RelayedCall &Call);
   void relayPage(RelayedCall Call, PageDone Done);
   void relayCommit(RelayedCall Call, CommitDone Done);
   void send(const RelayedCall &Call, HttpCallback Done);
@@ -64,6 +69,10 @@
   template <typename T>
   std::function<void(Result<T>)>
   recordingOutcome(std::string_view Kind, std::function<void(Result<T>)> Done);
+  /// \returns a callback that records that the outcome of \p Change is unknown,
+  /// if so, and then calls \p Done.
+  CommitDone recordingUnknownWrite(const RowTransaction &Change,
+                                   CommitDone Done);
   /// Records the store's time, as reported by a peer that has just reached it.
   void recordRelayedContact(milliseconds StoreTime);
   /// \returns the peers for one call: some that reach the store, starting with
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -210,6 +210,7 @@
   MetricsServer_ = listen(
       Dependencies_.Settings.MetricsAddress,
       [this](const HttpRequest &, const HttpResponder &Respond) {
+        Metrics_.setHttpTraffic(Dependencies_.Client.traffic());
         Respond(HttpResponse{200, {}, Metrics_.render(), MetricsContentType});
       });
   FrontendServer_ = listen(Dependencies_.Settings.FrontendAddress,
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -2,6 +2,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include "cuminroad/net/HttpClient.h"
+
 namespace cuminroad {
 
 namespace {
@@ -52,6 +54,9 @@
                           "VMs that crashed under runs, by possible cause.")),
       AbandonedJobs_(counters(Registry_, "cuminroad_jobs_given_up_total",
                               "Jobs failed because a task crashed VMs.")),
+      HttpResends_(counters(Registry_, "cuminroad_http_resends_total",
+                            "Requests whose connection was lost without a "
+                            "response, by whether they were sent again.")),
       PoolTasks_(gauges(Registry_, "cuminroad_pool_tasks",
                         "Tasks of an owned pool, by state.")),
       PoolVms_(gauges(Registry_, "cuminroad_pool_vms",
@@ -118,6 +123,15 @@
       .Set(static_cast<double>(Load.TotalMilliCores) / ThousandthsPerUnit);
 }
 
+void FleetMetrics::setHttpTraffic(const HttpTraffic &Traffic) {
+  const std::pair<const char *, std::uint64_t> Resends[] = {
+      {"sent", Traffic.Resends}, {"prevented", Traffic.PreventedResends}};
+  for (const auto &[Outcome, Count] : Resends) {
+    prometheus::Counter &Counter = HttpResends_.Add({{"outcome", Outcome}});
+    Counter.Increment(static_cast<double>(Count) - Counter.Value());
+  }
+}
+
 std::string FleetMetrics::render() const {
   return prometheus::TextSerializer().Serialize(Registry_.Collect());
 }
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -34,6 +34,9 @@
 /// Outages last seconds, and so do the callers' timeouts.
 constexpr milliseconds StoreRetryAfter{1000};
 
+/// Failed writes of a job that the log shows, at most.
+constexpr int MaxLoggedWrites = 4;
+
 /// Summarizes a job's queue and steps for the event log.
 std::string describe(const JobRequest &Request) {
   std::string Out = Request.Queue;
@@ -67,6 +70,9 @@
   SubmitDone Done;
   /// An earlier attempt may have taken effect, or may still do so.
   bool Uncertain = false;
+  int Writes = 0;
+  /// How the first writes failed, for the event log.
+  std::string FailedWrites;
 };
 
 struct JobFrontend::Cancellation {
@@ -128,6 +134,7 @@
   Change.Puts.push_back(RowPut{Row, Pending->EncodedRequest});
   const milliseconds Timeout =
       std::clamp(remaining(Pending->Deadline), RetryInterval, WriteTimeout);
+  ++Pending->Writes;
   Context_.Store.commit(std::move(Change), Timeout,
                         [this, Pending](Result<RowCommit> Outcome) {
                           handleWriteResult(Pending, std::move(Outcome));
@@ -147,6 +154,10 @@
   }
   Pending->Uncertain = Pending->Uncertain ||
                        Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
+  if (Pending->Writes <= MaxLoggedWrites)
+    Pending->FailedWrites += fmt::format("; write {}: {} {}", Pending->Writes,
+                                         errorInfo(Outcome.error().Code).Name,
+                                         Outcome.error().Detail);
   handleWriteFailure(std::move(Pending), Outcome.error());
 }
 
@@ -159,11 +170,13 @@
   // retried for a part of that time only.
   if (Now < (Pending->Uncertain ? Pending->Deadline : Pending->RetryUntil))
     return writeWhenReachable(std::move(Pending), Now);
+  const std::string Reason = fmt::format(
+      "{} writes {}{}", Failure.text(), Pending->Writes, Pending->FailedWrites);
   if (Pending->Uncertain) {
-    Context_.Events.record(EventId::JobOutcomeUnknown, Job, Failure.text());
+    Context_.Events.record(EventId::JobOutcomeUnknown, Job, Reason);
     return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
   }
-  Context_.Events.record(EventId::JobRefused, Job, Failure.text());
+  Context_.Events.record(EventId::JobRefused, Job, Reason);
   reply(*Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
 
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -48,6 +48,24 @@
   return Failure.Code == ErrorCode::PlatformUnavailable;
 }
 
+std::string directFailure(const Error &Failure) {
+  return "direct " + Failure.Detail;
+}
+
+/// \returns how a peer failed to answer a call, for the event log.
+std::string failureDetail(const HttpResult &Response) {
+  if (!Response)
+    return std::string(errorInfo(Response.error().Code).Name);
+  return fmt::format("status {} sends {}", Response->Status, Response->Sends);
+}
+
+/// \returns how the store failed to answer a peer, which says so in \p
+/// Response.
+std::string reportedFailure(const HttpResponse &Response,
+                            const Error &Failure) {
+  return fmt::format("sends {}: {}", Response.Sends, Failure.Detail);
+}
+
 } // namespace
 
 RelayedStore::RelayedStore(RowStore &Direct, HttpClient &Client,
@@ -75,6 +93,24 @@
   };
 }
 
+RowStore::CommitDone
+RelayedStore::recordingUnknownWrite(const RowTransaction &Change,
+                                    CommitDone Done) {
+  RowName Row;
+  if (!Change.Puts.empty())
+    Row = Change.Puts.front().Name;
+  else if (!Change.Removals.empty())
+    Row = Change.Removals.front();
+  return [this, Row = std::move(Row),
+          Done = std::move(Done)](Result<RowCommit> Outcome) {
+    if (!Outcome && Outcome.error().Code == ErrorCode::WriteOutcomeUnknown)
+      Events_.record(
+          EventId::StoreWriteUnknown, Row.Key,
+          fmt::format("table {} {}", Row.Table, Outcome.error().Detail));
+    Done(std::move(Outcome));
+  };
+}
+
 bool RelayedStore::shouldRelayFirst() {
   if (DirectFailures_ < FailuresBeforeRelay)
     return false;
@@ -177,27 +213,45 @@
   });
 }
 
+tl::unexpected<Error> RelayedStore::noPeerFailure(const RelayedCall &Call) {
+  return failure(
+      ErrorCode::PlatformUnavailable,
+      fmt::format("no peer reaches the store; {}", Call.EarlierFailures));
+}
+
+void RelayedStore::skipPeer(RelayedCall &Call, std::string_view Failure) {
+  Call.EarlierFailures +=
+      fmt::format("; peer {} {}", Call.Peers.front(), Failure);
+  ++NextPeer_;
+  Call.Peers.erase(Call.Peers.begin());
+}
+
 void RelayedStore::relayCommit(RelayedCall Call, CommitDone Done) {
   if (Call.Peers.empty())
-    return Done(
-        failure(ErrorCode::PlatformUnavailable, "no peer reaches the store"));
+    return Done(noPeerFailure(Call));
   send(Call, [this, Call,
               Done = std::move(Done)](const HttpResult &Response) mutable {
+    const auto Unknown = [&Call](std::string_view Reason) {
+      return failure(ErrorCode::WriteOutcomeUnknown,
+                     fmt::format("{}; peer {} {}", Call.EarlierFailures,
+                                 Call.Peers.front(), Reason));
+    };
     if (!Response && !isNotSent(Response.error().Code))
-      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
-    auto Decoded = Response && Response->Status == StatusOk
-                       ? decodeCommitResponse(Response->Body)
-                       : failure(ErrorCode::PlatformUnavailable, "relay");
-    const bool NotApplied =
-        !Decoded ? Decoded.error().Code == ErrorCode::PlatformUnavailable
-                 : !Decoded->Value && isUnavailable(Decoded->Value.error());
-    if (NotApplied) {
-      ++NextPeer_;
-      Call.Peers.erase(Call.Peers.begin());
+      return Done(Unknown(failureDetail(Response)));
+    auto Decoded =
+        Response && Response->Status == StatusOk
+            ? decodeCommitResponse(Response->Body)
+            : failure(ErrorCode::PlatformUnavailable, failureDetail(Response));
+    const Error *Failure = !Decoded          ? &Decoded.error()
+                           : !Decoded->Value ? &Decoded->Value.error()
+                                             : nullptr;
+    if (Failure != nullptr && isUnavailable(*Failure)) {
+      skipPeer(Call, Decoded ? reportedFailure(*Response, *Failure)
+                             : Failure->Detail);
       return relayCommit(std::move(Call), std::move(Done));
     }
     if (!Decoded)
-      return Done(failure(ErrorCode::WriteOutcomeUnknown, "relay"));
+      return Done(Unknown("unreadable response"));
     if (Decoded->Value)
       recordRelayedContact(Decoded->StoreTime);
     Done(std::move(Decoded->Value));
@@ -206,19 +260,20 @@
 
 void RelayedStore::relayPage(RelayedCall Call, PageDone Done) {
   if (Call.Peers.empty())
-    return Done(
-        failure(ErrorCode::PlatformUnavailable, "no peer reaches the store"));
+    return Done(noPeerFailure(Call));
   send(Call, [this, Call,
               Done = std::move(Done)](const HttpResult &Response) mutable {
     if (!Response && Response.error().Code == ErrorCode::AnswerTooSlow)
       return Done(tl::unexpected(Response.error()));
-    auto Decoded = Response && Response->Status == StatusOk
-                       ? decodePageResponse(Response->Body)
-                       : failure(ErrorCode::PlatformUnavailable, "relay");
+    auto Decoded =
+        Response && Response->Status == StatusOk
+            ? decodePageResponse(Response->Body)
+            : failure(ErrorCode::PlatformUnavailable, failureDetail(Response));
     if (!Decoded ||
         (!Decoded->Value && isUnavailable(Decoded->Value.error()))) {
-      ++NextPeer_;
-      Call.Peers.erase(Call.Peers.begin());
+      skipPeer(Call, Decoded
+                         ? reportedFailure(*Response, Decoded->Value.error())
+                         : Decoded.error().Detail);
       return relayPage(std::move(Call), std::move(Done));
     }
     if (Decoded->Value)
@@ -229,7 +284,8 @@
 
 void RelayedStore::commit(RowTransaction Change, milliseconds Timeout,
                           CommitDone Done) {
-  Done = recordingOutcome("commit", std::move(Done));
+  Done = recordingUnknownWrite(Change,
+                               recordingOutcome("commit", std::move(Done)));
   const auto MakeRelayedCall = [this,
                                 Timeout](const RowTransaction &Transaction) {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
@@ -245,7 +301,9 @@
                    if (!recordDirectOutcome(Failed) ||
                        !isUnavailable(Outcome.error()))
                      return Done(std::move(Outcome));
-                   relayCommit(MakeRelayedCall(Change), std::move(Done));
+                   RelayedCall Call = MakeRelayedCall(Change);
+                   Call.EarlierFailures = directFailure(Outcome.error());
+                   relayCommit(std::move(Call), std::move(Done));
                  });
 }
 
@@ -263,7 +321,9 @@
                 Done = std::move(Done)](Result<RowPage> Page) mutable {
                  if (isTooSlow(Page) || !recordDirectOutcome(!Page))
                    return Done(std::move(Page));
-                 relayPage(MakeRelayedCall(), std::move(Done));
+                 RelayedCall Call = MakeRelayedCall();
+                 Call.EarlierFailures = directFailure(Page.error());
+                 relayPage(std::move(Call), std::move(Done));
                });
 }
 
@@ -283,7 +343,9 @@
         !Page && Page.error().Code == ErrorCode::HistoryGone;
     if (HistoryGone || isTooSlow(Page) || !recordDirectOutcome(!Page))
       return Done(std::move(Page));
-    relayPage(MakeRelayedCall(), std::move(Done));
+    RelayedCall Call = MakeRelayedCall();
+    Call.EarlierFailures = directFailure(Page.error());
+    relayPage(std::move(Call), std::move(Done));
   });
 }
 
--- a/packages/net/include/cuminroad/net/HttpClient.h
+++ b/packages/net/include/cuminroad/net/HttpClient.h
@@ -47,6 +47,10 @@
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
   std::uint64_t Calls = 0;
+  /// Requests that were sent again, since their connection was lost.
+  std::uint64_t Resends = 0;
+  /// Requests that failed with AnswerLost in place of being sent again.
+  std::uint64_t PreventedResends = 0;
 };
 
 /// Sends HTTP/1.1 calls without blocking the caller.
--- a/packages/net/include/cuminroad/net/HttpMessage.h
+++ b/packages/net/include/cuminroad/net/HttpMessage.h
@@ -35,6 +35,9 @@
   HttpHeaders Headers;
   std::string Body;
   std::string ContentType = "application/json";
+  /// For a response that a client received, how often the request was sent: a
+  /// connection that was lost may have carried an earlier copy.
+  int Sends = 1;
 };
 
 } // namespace cuminroad
--- a/packages/net/src/CurlHttpClient.cpp
+++ b/packages/net/src/CurlHttpClient.cpp
@@ -45,7 +45,8 @@
   }
 
   HttpTraffic traffic() const override {
-    return HttpTraffic{BytesSent_, BytesReceived_, Calls_};
+    return HttpTraffic{BytesSent_, BytesReceived_, Calls_, Resends_,
+                       PreventedResends_};
   }
 
 private:
@@ -99,6 +100,8 @@
     HandlePool_.release(Handle);
     BytesSent_ += Traffic.BytesSent;
     BytesReceived_ += Traffic.BytesReceived;
+    Resends_ += Traffic.Resends;
+    PreventedResends_ += Traffic.PreventedResends;
     Transfer->complete(std::move(Result));
   }
 
@@ -111,6 +114,8 @@
   std::atomic<std::uint64_t> BytesSent_{0};
   std::atomic<std::uint64_t> BytesReceived_{0};
   std::atomic<std::uint64_t> Calls_{0};
+  std::atomic<std::uint64_t> Resends_{0};
+  std::atomic<std::uint64_t> PreventedResends_{0};
   std::thread Thread_;
 };
 
--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -1,5 +1,7 @@
 #include "CurlTransfer.h"
 
+#include <algorithm>
+
 namespace cuminroad {
 
 namespace {
@@ -32,9 +34,19 @@
 }
 
 int CurlTransfer::sendCallback(void *Transfer, char *, char *, int, int) {
-  return isSent(static_cast<CurlTransfer *>(Transfer)->Handle_)
-             ? CURL_PREREQFUNC_ABORT
-             : CURL_PREREQFUNC_OK;
+  return static_cast<CurlTransfer *>(Transfer)->recordSend()
+             ? CURL_PREREQFUNC_OK
+             : CURL_PREREQFUNC_ABORT;
+}
+
+bool CurlTransfer::recordSend() {
+  const bool IsResend = isSent(Handle_);
+  ResendPrevented_ = IsResend && Call_.FailOnResend;
+  if (ResendPrevented_)
+    return false;
+  // libcurl also comes here again if it could not send a single byte before.
+  Sends_ = IsResend ? Sends_ + 1 : 1;
+  return true;
 }
 
 size_t CurlTransfer::headerCallback(char *Data, size_t Size, size_t Count,
@@ -65,6 +77,7 @@
 void CurlTransfer::prepare(CURL *Handle) {
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, writeCallback);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, headerCallback);
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, sendCallback);
   curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(Handle, CURLOPT_PROXY, "");
@@ -101,8 +114,6 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
   Handle_ = Handle;
-  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION,
-                   Call_.FailOnResend ? sendCallback : nullptr);
   curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
   // A connection opened for one call is closed after it: libcurl would keep
@@ -129,7 +140,10 @@
   curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
   Traffic.BytesSent += HeaderBytesSent + Call_.Body.size();
   Traffic.BytesReceived += HeaderBytesReceived + Response_.Body.size();
+  Traffic.Resends += std::max(Sends_ - 1, 0);
+  Traffic.PreventedResends += ResendPrevented_ ? 1 : 0;
   Response_.Status = static_cast<int>(Status);
+  Response_.Sends = Sends_;
   return makeResult(Code, HeaderBytesSent > 0);
 }
 
--- a/packages/net/src/CurlTransfer.h
+++ b/packages/net/src/CurlTransfer.h
@@ -40,6 +40,9 @@
                               void *Transfer);
   /// Called before the request is sent, and again before it is resent.
   static int sendCallback(void *Transfer, char *, char *, int, int);
+  /// Records that the request is about to be sent.
+  /// \returns whether it may be.
+  bool recordSend();
   static size_t headerCallback(char *Data, size_t Size, size_t Count,
                                void *Transfer);
   void parseHeaderLine(std::string_view Line);
@@ -49,6 +52,9 @@
   HttpCallback Done_;
   HttpResponse Response_;
   CURL *Handle_ = nullptr;
+  /// Copies of the request that were sent, at least in part.
+  int Sends_ = 0;
+  bool ResendPrevented_ = false;
   curl_slist *HeaderList_ = nullptr;
 };
 
--- a/packages/net/tests/HttpClientTest.cpp
+++ b/packages/net/tests/HttpClientTest.cpp
@@ -262,6 +262,26 @@
   BOOST_CHECK_EQUAL(Server.requests(), 2);
 }
 
+// Guards against a response that can't be told from one to a request that was
+// sent once.
+BOOST_AUTO_TEST_CASE_TEMPLATE(lostConnectionsAreCounted, Kind, ClientKinds) {
+  ScriptedServer Server({CompleteResponse, ""});
+  const auto Client = Kind::make();
+  HttpResult Result = call(*Client, post(Server.url(), false));
+  BOOST_REQUIRE(Result);
+  BOOST_CHECK_EQUAL(Result->Sends, 1);
+  Result = call(*Client, post(Server.url(), false));
+  BOOST_REQUIRE(Result);
+  BOOST_CHECK_EQUAL(Result->Sends, 2);
+  HttpCall Call = post(Server.url(), false);
+  Call.FailOnResend = true;
+  BOOST_CHECK(!call(*Client, Call));
+  const HttpTraffic Traffic = Client->traffic();
+  BOOST_CHECK_EQUAL(Traffic.Calls, 3);
+  BOOST_CHECK_EQUAL(Traffic.Resends, 1);
+  BOOST_CHECK_EQUAL(Traffic.PreventedResends, 1);
+}
+
 // Guards against calls that fail although nothing was sent before.
 BOOST_AUTO_TEST_CASE_TEMPLATE(failOnResendAllowsOpenConnections, Kind,
                               ClientKinds) {
