--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -6,10 +6,16 @@
 
 import random
 import signal
+import threading
 import time
 
 import operator_vms
 
+# Longer than a daemon retries a write that was certainly not performed.
+OUTAGE_S = 0.7
+# Connections to the store are in use again after this long.
+CALM_S = 0.3
+
 
 def random_daemon(trial):
     """Returns any daemon.
@@ -149,6 +155,58 @@
     trial.store.lost_response_share = 0
 
 
+def store_fails_at_writes(trial, seconds, status=503, late_s=0):
+    """Again and again the store takes the write of a submission, closes the
+    connection without a response, and refuses all calls from then on.
+
+    The write is performed at once, or after late_s.
+    """
+    def lose_response(_, perform):
+        trial.store.busy = True
+        trial.lost_writes += 1
+        if late_s:
+            threading.Timer(late_s, perform).start()
+        else:
+            perform()
+
+    fail_at_writes(trial, seconds, status, lose_response)
+
+
+def peers_fail_at_writes(trial, seconds):
+    """Again and again a daemon that the store refuses loses its connection to
+    a peer, as that one has performed a write, and the store refuses all."""
+    victim = random_daemon(trial)
+    trial.store.refused_daemons.add(victim.name)
+
+    def lose_connection(daemon_name, perform):
+        result = perform()
+        trial.store.busy = True
+        trial.lost_writes += 1
+        for link in trial.network.links_between(victim.name, daemon_name):
+            link.cut()
+            link.heal()
+        return result
+
+    fail_at_writes(trial, seconds, 503, lose_connection)
+    trial.store.refused_daemons.discard(victim.name)
+
+
+def fail_at_writes(trial, seconds, status, write_fault):
+    """Sets the write fault for some seconds, and ends the refusals that it
+    causes after OUTAGE_S each."""
+    trial.store.busy_status = status
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        trial.store.write_fault = write_fault
+        while not trial.store.busy and time.monotonic() < end:
+            time.sleep(0.001)
+        time.sleep(OUTAGE_S)
+        trial.store.write_fault = None
+        trial.store.busy = False
+        time.sleep(CALM_S)
+    trial.store.busy_status = 503
+
+
 def store_forgets(trial, seconds):
     """The store drops its change history, so that daemons must read anew."""
     for _ in range(3):
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -70,6 +70,8 @@
         # Until then a daemon may lack a queue that was dropped for a while.
         self.queues_missing_until = 0
         self.version = 0
+        # Writes of submissions that were performed without a response.
+        self.lost_writes = 0
         self.vms, self.daemons = [], []
         for zone in self.zones:
             for number in range(vms):
@@ -236,6 +238,8 @@
                                         time.monotonic() + CONTACT_S)
         (self.store.busy, self.store.response_delay_s,
          self.store.lost_response_share) = False, 0, 0
+        self.store.write_fault = None
+        self.store.refused_daemons.clear()
         self.network.heal()
         for vm in self.vms:
             vm.unhealthy, vm.hangs, vm.late_share = False, False, 0
--- a/tests/support/operator_servers.py
+++ b/tests/support/operator_servers.py
@@ -8,6 +8,8 @@
 from urllib.parse import parse_qsl, urlsplit
 
 ADVICE_DELAY_S = 0.02
+# The daemons' table of submitted jobs.
+REQUEST_TABLE = "requests"
 TICKET_LIFETIME_S = 1.5
 
 
@@ -63,11 +65,16 @@
     """Serves the store to one daemon."""
     def handle(_, path, query, headers, body):
         del headers
-        if store.busy:
-            return 503, {}
+        if store.busy or daemon_name in store.refused_daemons:
+            return store.busy_status, {}
         if store.response_delay_s:
             time.sleep(store.response_delay_s)
-        result = store.handle(daemon_name, path, query, body)
+        perform = lambda: store.handle(daemon_name, path, query, body)
+        write_fault = store.write_fault
+        if write_fault and any(row["table"] == REQUEST_TABLE
+                               for row in body.get("writes", [])):
+            return write_fault(daemon_name, perform)
+        result = perform()
         if (path == "/v1/rows-tx" and
                 random.random() < store.lost_response_share):
             return None
--- a/tests/support/operator_store.py
+++ b/tests/support/operator_store.py
@@ -24,8 +24,15 @@
         self.oldest_version = 0
         # Set by faults.
         self.busy = False
+        self.busy_status = 503
         self.response_delay_s = 0
         self.lost_response_share = 0
+        # The daemons whose calls are refused.
+        self.refused_daemons = set()
+        # Called in place of a transaction that writes a job's request, with
+        # the daemon's name and a function that performs the transaction.
+        # Returns what that one returned, or None to send no response.
+        self.write_fault = None
         # Ports in rows and the relay ports through which a daemon reaches
         # them: {daemon name: {port: relay port}}.
         self.port_maps = {}
