Send no request that changes something a second time unasked

Cause: where a server closes an open connection without a response, libcurl sends the request again by itself. The store had performed the first copy of a submission's write, or did so later; it refused the second with 503, and the daemon took that for the answer to both.

Change: the HTTP client lets only GET and HEAD be sent again, and calls that set AllowResend. Those are queries (advice, relayed reads), stops, speeds, and holds without an acknowledgement: as before. All others fail with answer_lost, which callers already handle as unknown: submissions, cancellations, records of owners, relayed writes, and in the product's own protocol the table's commits, claims, renewals with acknowledgements, starts, and requests to backend servers that may be repeated, whose refused second copy was taken for 'not run'.

HttpClientTest with resends allowed for all: lostRequestIsNotSentAgain gets status 200 in both clients.

--- a/packages/daemon/src/RequestFrontend.cpp
+++ b/packages/daemon/src/RequestFrontend.cpp
@@ -374,7 +374,7 @@
                             ? std::max(TimeLeft / 2, MinAttemptTime)
                             : TimeLeft;
   BackendCall.ConnectTimeout = std::min(ConnectTimeout, BackendCall.Timeout);
-  BackendCall.NeverResend = !Call->Options.Idempotent;
+  BackendCall.FreshConnection = !Call->Options.Idempotent;
   Context_.Client.send(std::move(BackendCall), [this, Call = std::move(Call),
                                                 HeldSlot = std::move(HeldSlot),
                                                 SentAt](HttpResult Response) {
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -47,6 +47,7 @@
   /// An encoded call and the peers through which it may still be made.
   struct RelayedCall {
     std::string Body;
+    bool IsRead = false;
     milliseconds Timeout{0};
     std::vector<std::string> Peers;
     /// How the tries before failed, for the event log.
--- a/packages/fleet/src/PeerCalls.cpp
+++ b/packages/fleet/src/PeerCalls.cpp
@@ -79,6 +79,8 @@
                        PlacementAdvisor::Done Done) {
   HttpCall Call = makeCall(Address, AdvisePath, Timeout);
   Call.Method = "POST";
+  // A query, which changes nothing.
+  Call.AllowResend = true;
   Call.Headers = {{"Content-Type", "application/msgpack"}};
   Call.Body = encode(AdviseRequest{
       Step, std::vector<std::string>(Vms.begin(), Vms.end()), Timeout});
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -203,6 +203,7 @@
   Http.Url = fmt::format("http://{}{}", Call.Peers.front(), StoreCallPath);
   Http.Headers = {{"Content-Type", "application/msgpack"}};
   Http.Body = Call.Body;
+  Http.AllowResend = Call.IsRead;
   Http.ConnectTimeout = std::min(ConnectTimeout, Call.Timeout);
   Http.Timeout = Call.Timeout + RelayTimeoutMargin;
   Client_.send(std::move(Http), [this, Peer = Call.Peers.front(),
@@ -289,8 +290,10 @@
   const auto MakeRelayedCall = [this,
                                 Timeout](const RowTransaction &Transaction) {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
-    return RelayedCall{encode(StoreCall(CommitCall{Transaction, RelayTimeout})),
-                       RelayTimeout, selectPeers()};
+    return RelayedCall{
+        .Body = encode(StoreCall(CommitCall{Transaction, RelayTimeout})),
+        .Timeout = RelayTimeout,
+        .Peers = selectPeers()};
   };
   if (shouldRelayFirst())
     return relayCommit(MakeRelayedCall(Change), std::move(Done));
@@ -311,8 +314,10 @@
   Done = recordingOutcome("read", std::move(Done));
   const auto MakeRelayedCall = [this, Range, Timeout] {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
-    return RelayedCall{encode(StoreCall(ReadCall{Range, RelayTimeout})),
-                       RelayTimeout, selectPeers()};
+    return RelayedCall{.Body = encode(StoreCall(ReadCall{Range, RelayTimeout})),
+                       .IsRead = true,
+                       .Timeout = RelayTimeout,
+                       .Peers = selectPeers()};
   };
   if (shouldRelayFirst())
     return relayPage(MakeRelayedCall(), std::move(Done));
@@ -332,8 +337,10 @@
   const auto MakeRelayedCall = [this, Request] {
     ChangesQuery Relayed = Request;
     Relayed.Wait = std::min(Request.Wait, RelayedWaitMax);
-    return RelayedCall{encode(StoreCall(ChangesCall{Relayed})),
-                       Relayed.Wait + ResponseAllowance, selectPeers()};
+    return RelayedCall{.Body = encode(StoreCall(ChangesCall{Relayed})),
+                       .IsRead = true,
+                       .Timeout = Relayed.Wait + ResponseAllowance,
+                       .Peers = selectPeers()};
   };
   if (shouldRelayFirst())
     return relayPage(MakeRelayedCall(), std::move(Done));
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -32,6 +32,8 @@
       : Peer_(std::move(Peer)), ControlLoop_(ControlLoop) {}
   void send(HttpCall Call, HttpCallback Done) override {
     ++CallCount;
+    if (Call.Method == "POST")
+      LastPostMayBeResent = Call.AllowResend;
     if (Hang)
       return ControlLoop_.after(Call.Timeout,
                                 [Done] { Done(failure(ErrorCode::Timeout)); });
@@ -50,6 +52,7 @@
   /// Calls get no response until they time out.
   bool Hang = false;
   int CallCount = 0;
+  bool LastPostMayBeResent = false;
 
 private:
   HttpHandler Peer_;
--- a/packages/fleet/tests/RelayedStoreTest.cpp
+++ b/packages/fleet/tests/RelayedStoreTest.cpp
@@ -81,6 +81,19 @@
   BOOST_CHECK_EQUAL(Page->Rows.size(), 1);
 }
 
+// Guards against a write that a peer performs before the connection is lost: a
+// refusal of its second copy would count for both.
+BOOST_FIXTURE_TEST_CASE(relayedWritesAreNotSentAgain, RelayedStoreFixture) {
+  Direct.NextFault = refuseCall;
+  makeFirstCalls();
+  BOOST_REQUIRE(commit("a"));
+  BOOST_CHECK(!Http.LastPostMayBeResent);
+  Store.read(RowRange{"t", "p", "", ""}, milliseconds(500),
+             [](const Result<RowPage> &) {});
+  ControlLoop.runFor(milliseconds(100));
+  BOOST_CHECK(Http.LastPostMayBeResent);
+}
+
 BOOST_FIXTURE_TEST_CASE(directCallsResumeWhenStoreIsReachable,
                         RelayedStoreFixture) {
   Direct.NextFault = refuseCall;
--- a/packages/net/include/cuminroad/net/HttpClient.h
+++ b/packages/net/include/cuminroad/net/HttpClient.h
@@ -20,13 +20,15 @@
   std::string Body;
   milliseconds ConnectTimeout{1000};
   milliseconds Timeout{5000};
-  /// The request must not reach a server twice. It is sent on a new connection,
-  /// which is closed after the response: libcurl silently resends a request if
-  /// a reused connection closes before the first byte of the response.
-  bool NeverResend = false;
-  /// Like NeverResend, but the call may use an open connection: where libcurl
-  /// would resend the request, the call fails with AnswerLost.
-  bool FailOnResend = false;
+  /// The request is sent on a new connection, which is closed after the
+  /// response.
+  bool FreshConnection = false;
+  /// If an open connection is lost before the first byte of a response, the
+  /// request is sent again on a new one. The server may get it twice, and the
+  /// response to one copy says nothing about the other: set this only where
+  /// neither does harm. GET and HEAD requests are sent again in any case, all
+  /// others fail with AnswerLost.
+  bool AllowResend = false;
   /// Sent as the X-Request-Id header, which the response must repeat if it has
   /// one; "" sends and checks none.
   std::string RequestId;
--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -18,6 +18,10 @@
          Response.Status == 204;
 }
 
+bool mayResend(const HttpCall &Call) {
+  return Call.AllowResend || Call.Method == "GET" || Call.Method == "HEAD";
+}
+
 } // namespace
 
 size_t CurlTransfer::writeCallback(char *Data, size_t Size, size_t Count,
@@ -41,7 +45,7 @@
 
 bool CurlTransfer::recordSend() {
   const bool IsResend = isSent(Handle_);
-  ResendPrevented_ = IsResend && Call_.FailOnResend;
+  ResendPrevented_ = IsResend && !mayResend(Call_);
   if (ResendPrevented_)
     return false;
   // libcurl also comes here again if it could not send a single byte before.
@@ -118,7 +122,7 @@
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
   // A connection opened for one call is closed after it: libcurl would keep
   // hundreds of them idle, and a server may limit its connections.
-  const long UseOwnConnection = Call_.NeverResend ? 1 : 0;
+  const long UseOwnConnection = Call_.FreshConnection ? 1 : 0;
   curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, UseOwnConnection);
   curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, UseOwnConnection);
 }
--- a/packages/net/tests/HttpClientTest.cpp
+++ b/packages/net/tests/HttpClientTest.cpp
@@ -107,12 +107,19 @@
   return Result.get_future().get();
 }
 
-HttpCall post(const std::string &Url, bool NeverResend) {
+HttpCall post(const std::string &Url, bool FreshConnection) {
   HttpCall Call;
   Call.Method = "POST";
   Call.Url = Url;
   Call.Timeout = milliseconds(2000);
-  Call.NeverResend = NeverResend;
+  Call.FreshConnection = FreshConnection;
+  return Call;
+}
+
+/// \returns a call on an open connection that may be sent again.
+HttpCall resendablePost(const std::string &Url) {
+  HttpCall Call = post(Url, false);
+  Call.AllowResend = true;
   return Call;
 }
 
@@ -121,7 +128,7 @@
 // Guards against requests that are sent twice: if the second request reuses the
 // connection of the first, and the server acts on it and closes the connection
 // without a response, libcurl sends the request again by itself.
-BOOST_AUTO_TEST_CASE_TEMPLATE(neverResendIsSentOnce, Kind, ClientKinds) {
+BOOST_AUTO_TEST_CASE_TEMPLATE(freshConnectionIsNotReused, Kind, ClientKinds) {
   ScriptedServer Server({CompleteResponse, ""});
   const auto Client = Kind::make();
   BOOST_REQUIRE(call(*Client, post(Server.url(), false)));
@@ -133,8 +140,7 @@
 
 // Guards against idle connections piling up until the server's limit is
 // reached.
-BOOST_AUTO_TEST_CASE_TEMPLATE(neverResendLeavesNoConnectionOpen, Kind,
-                              ClientKinds) {
+BOOST_AUTO_TEST_CASE_TEMPLATE(freshConnectionsAreClosed, Kind, ClientKinds) {
   ScriptedServer Server({CompleteResponse, CompleteResponse});
   const auto Client = Kind::make();
   for (int Count = 0; Count < 5; ++Count)
@@ -240,7 +246,7 @@
   });
   const auto Client = Kind::make();
   BOOST_CHECK(call(*Client, post(Url, false)));
-  const HttpResult Result = call(*Client, post(Url, false));
+  const HttpResult Result = call(*Client, resendablePost(Url));
   Server.join();
   BOOST_CHECK_EQUAL(Requests, 2);
   BOOST_REQUIRE(!Result);
@@ -248,18 +254,39 @@
 }
 
 // Guards against a request that the server gets twice while the caller sees one
-// answer: a refusal of the second says nothing about the first.
-BOOST_AUTO_TEST_CASE_TEMPLATE(failOnResendReportsThatTheAnswerIsLost, Kind,
+// answer: a refusal of the second says nothing about the first. Callers get
+// this without asking for it, whatever the method that changes something.
+BOOST_AUTO_TEST_CASE_TEMPLATE(lostRequestIsNotSentAgain, Kind, ClientKinds) {
+  for (const char *Method : {"POST", "PUT", "DELETE"}) {
+    ScriptedServer Server({CompleteResponse, ""});
+    const auto Client = Kind::make();
+    BOOST_REQUIRE(call(*Client, post(Server.url(), false)));
+    HttpCall Call = post(Server.url(), false);
+    Call.Method = Method;
+    const HttpResult Result = call(*Client, Call);
+    BOOST_REQUIRE(!Result);
+    BOOST_CHECK(Result.error().Code == ErrorCode::AnswerLost);
+    BOOST_CHECK_EQUAL(Server.requests(), 2);
+  }
+}
+
+// Guards against a request that is reported as not sent though its bytes are
+// under way: the server has not read them when the call times out.
+BOOST_AUTO_TEST_CASE_TEMPLATE(timeoutWhileSendingIsNotReportedAsNotSent, Kind,
                               ClientKinds) {
-  ScriptedServer Server({CompleteResponse, ""});
+  constexpr std::size_t MoreBytesThanSocketsBuffer = 32 << 20;
+  asio::io_context Context;
+  tcp::acceptor Idle(Context,
+                     tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   const auto Client = Kind::make();
-  BOOST_REQUIRE(call(*Client, post(Server.url(), false)));
-  HttpCall Call = post(Server.url(), false);
-  Call.FailOnResend = true;
+  HttpCall Call = post(
+      "http://127.0.0.1:" + std::to_string(Idle.local_endpoint().port()) + "/",
+      false);
+  Call.Body = std::string(MoreBytesThanSocketsBuffer, 'b');
+  Call.ConnectTimeout = Call.Timeout = milliseconds(500);
   const HttpResult Result = call(*Client, Call);
   BOOST_REQUIRE(!Result);
-  BOOST_CHECK(Result.error().Code == ErrorCode::AnswerLost);
-  BOOST_CHECK_EQUAL(Server.requests(), 2);
+  BOOST_CHECK(Result.error().Code == ErrorCode::Timeout);
 }
 
 // Guards against a response that can't be told from one to a request that was
@@ -270,12 +297,10 @@
   HttpResult Result = call(*Client, post(Server.url(), false));
   BOOST_REQUIRE(Result);
   BOOST_CHECK_EQUAL(Result->Sends, 1);
-  Result = call(*Client, post(Server.url(), false));
+  Result = call(*Client, resendablePost(Server.url()));
   BOOST_REQUIRE(Result);
   BOOST_CHECK_EQUAL(Result->Sends, 2);
-  HttpCall Call = post(Server.url(), false);
-  Call.FailOnResend = true;
-  BOOST_CHECK(!call(*Client, Call));
+  BOOST_CHECK(!call(*Client, post(Server.url(), false)));
   const HttpTraffic Traffic = Client->traffic();
   BOOST_CHECK_EQUAL(Traffic.Calls, 3);
   BOOST_CHECK_EQUAL(Traffic.Resends, 1);
@@ -283,15 +308,11 @@
 }
 
 // Guards against calls that fail although nothing was sent before.
-BOOST_AUTO_TEST_CASE_TEMPLATE(failOnResendAllowsOpenConnections, Kind,
-                              ClientKinds) {
+BOOST_AUTO_TEST_CASE_TEMPLATE(openConnectionsAreReused, Kind, ClientKinds) {
   ScriptedServer Server({CompleteResponse, CompleteResponse, CompleteResponse});
   const auto Client = Kind::make();
-  for (int Count = 0; Count < 3; ++Count) {
-    HttpCall Call = post(Server.url(), false);
-    Call.FailOnResend = true;
-    BOOST_CHECK(call(*Client, Call));
-  }
+  for (int Count = 0; Count < 3; ++Count)
+    BOOST_CHECK(call(*Client, post(Server.url(), false)));
   BOOST_CHECK_EQUAL(Server.requests(), 3);
 }
 
@@ -304,8 +325,9 @@
   ScriptedServer Second({CompleteResponse, CompleteResponse});
   const auto Client = Kind::make();
   for (int Count = 0; Count < 40; ++Count) {
-    HttpCall ToFirst = post(First.url(), false);
-    HttpCall ToSecond = post(Second.url(), Count % 3 == 0);
+    HttpCall ToFirst = resendablePost(First.url());
+    HttpCall ToSecond = resendablePost(Second.url());
+    ToSecond.FreshConnection = Count % 3 == 0;
     ToFirst.Timeout = ToSecond.Timeout = milliseconds(20000);
     BOOST_REQUIRE(call(*Client, ToFirst));
     BOOST_REQUIRE(call(*Client, ToSecond));
@@ -326,7 +348,7 @@
     HttpCall Call = post(Silent.url(), false);
     Call.Timeout = milliseconds(30);
     BOOST_CHECK(!call(*Client, Call));
-    HttpCall Answered = post(Server.url(), false);
+    HttpCall Answered = resendablePost(Server.url());
     Answered.Timeout = milliseconds(20000);
     const HttpResult Result = call(*Client, Answered);
     BOOST_REQUIRE(Result);
@@ -378,7 +400,6 @@
   Post.Body = "text";
   Post.Headers = {{"X-One", "1"}, {"Content-Type", "text/plain"}};
   Post.RequestId = "id";
-  Post.FailOnResend = true;
   HttpCall Get;
   Get.Url = Post.Url;
   HttpCall EmptyPost = post(Post.Url, true);
@@ -429,8 +450,8 @@
   const HttpResult Failed = call(*Client, Dropped);
   BOOST_REQUIRE(!Failed);
   BOOST_CHECK(Failed.error().Code == ErrorCode::ConnectTimedOut);
-  for (const bool NeverResend : {true, false, false}) {
-    HttpCall Call = post(Server.url(), NeverResend);
+  for (const bool FreshConnection : {true, false, false}) {
+    HttpCall Call = post(Server.url(), FreshConnection);
     Call.ConnectTimeout = Call.Timeout = AnswerLimit * 2;
     const auto SentAt = std::chrono::steady_clock::now();
     BOOST_CHECK(call(*Client, Call));
--- a/packages/store/src/FencedWriter.cpp
+++ b/packages/store/src/FencedWriter.cpp
@@ -174,7 +174,6 @@
   const std::int64_t Serial = Head == Outcome.CheckedRows.end()
                                   ? 0
                                   : HeadRow_.DecodeSerial(Head->Value);
-  // The HTTP client may have sent the first try twice.
   if (Serial >= FirstTrySerial_) {
     // Which try took effect is unknown, so that the lease keeps its earlier
     // start until the next renewal.
--- a/programs/cuminroad/DaemonClient.cpp
+++ b/programs/cuminroad/DaemonClient.cpp
@@ -31,7 +31,7 @@
   if (!Token_.empty())
     Call.Headers.emplace_back("Authorization", "Bearer " + Token_);
   Call.Timeout = CallTimeout;
-  Call.NeverResend = true;
+  Call.FreshConnection = true;
   auto Promise = std::make_shared<std::promise<HttpResult>>();
   std::future<HttpResult> Response = Promise->get_future();
   Client_->send(std::move(Call), [Promise](HttpResult Received) {
