--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -28,6 +28,8 @@
 /// How long a peer counts as reaching the store after it reported that it does.
 constexpr milliseconds ProbeResultLifetime{700};
 constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
 /// Added to a relayed call's timeout, so that the peer's own call to the store
 /// times out first and its response arrives in time.
 constexpr milliseconds RelayTimeoutMargin{100};
@@ -48,6 +50,12 @@
   return Failure.Code == ErrorCode::PlatformUnavailable;
 }
 
+/// Whether a peer that answered a call with \p Status has not made it, since it
+/// can't decode the message or doesn't know the path.
+bool isRejectedMessage(int Status) {
+  return Status == StatusBadRequest || Status == StatusNotFound;
+}
+
 std::string directFailure(const Error &Failure) {
   return "direct " + Failure.Detail;
 }
@@ -237,7 +245,11 @@
                      fmt::format("{}; peer {} {}", Call.EarlierFailures,
                                  Call.Peers.front(), Reason));
     };
-    if (!Response && !isNotSent(Response.error().Code))
+    const bool MayHaveTakenEffect =
+        Response ? Response->Status != StatusOk &&
+                       !isRejectedMessage(Response->Status)
+                 : !isNotSent(Response.error().Code);
+    if (MayHaveTakenEffect)
       return Done(Unknown(failureDetail(Response)));
     auto Decoded =
         Response && Response->Status == StatusOk
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -24,8 +24,8 @@
   HttpTraffic traffic() const override { return {}; }
 };
 
-/// Passes calls to the peer's handler, fails them with Failure, or lets them
-/// time out.
+/// Passes calls to the peer's handler, fails them with Failure, answers them
+/// with Status, or lets them time out.
 class PeerHttpClient final : public HttpClient {
 public:
   PeerHttpClient(HttpHandler Peer, FakeLoop &ControlLoop)
@@ -40,6 +40,10 @@
     if (Failure)
       return ControlLoop_.post(
           [Done, Code = *Failure] { Done(failure(Code)); });
+    if (Status && Call.Method == "POST")
+      return ControlLoop_.post([Done, Code = *Status] {
+        Done(HttpResponse{Code, {}, ""});
+      });
     HttpRequest Request;
     Request.Method = Call.Method;
     Request.Path = Call.Url.substr(Call.Url.find("/peer/"));
@@ -49,6 +53,8 @@
   }
   HttpTraffic traffic() const override { return {}; }
   std::optional<ErrorCode> Failure;
+  /// POST calls are answered with this status.
+  std::optional<int> Status;
   /// Calls get no response until they time out.
   bool Hang = false;
   int CallCount = 0;
--- a/packages/fleet/tests/RelayedStoreTest.cpp
+++ b/packages/fleet/tests/RelayedStoreTest.cpp
@@ -1,5 +1,7 @@
 // Tests calls to the store through other daemons.
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "../src/StoreMessages.h"
@@ -52,6 +54,14 @@
     return Commit;
   }
 
+  static bool isWrite(const HttpCall &Post) {
+    const auto Call = decodeStoreCall(Post.Body);
+    return Call && std::holds_alternative<CommitCall>(*Call);
+  }
+  std::ptrdiff_t relayedWrites() const {
+    return std::count_if(Http.Posts.begin(), Http.Posts.end(), isWrite);
+  }
+
   FakeLoop ControlLoop;
   FakeRows Rows;
   FakeRowStore Direct;
@@ -90,17 +100,10 @@
   Store.read(RowRange{"t", "p", "", ""}, milliseconds(500),
              [](const Result<RowPage> &) {});
   ControlLoop.runFor(milliseconds(100));
-  int Writes = 0;
-  int Reads = 0;
-  for (const HttpCall &Post : Http.Posts) {
-    const auto Call = decodeStoreCall(Post.Body);
-    BOOST_REQUIRE(Call);
-    const bool IsWrite = std::holds_alternative<CommitCall>(*Call);
-    BOOST_CHECK_EQUAL(Post.AllowResend, !IsWrite);
-    ++(IsWrite ? Writes : Reads);
-  }
-  BOOST_CHECK_GT(Writes, 0);
-  BOOST_CHECK_GT(Reads, 0);
+  for (const HttpCall &Post : Http.Posts)
+    BOOST_CHECK_EQUAL(Post.AllowResend, !isWrite(Post));
+  BOOST_CHECK_GT(relayedWrites(), 0);
+  BOOST_CHECK_GT(std::ssize(Http.Posts), relayedWrites());
 }
 
 BOOST_FIXTURE_TEST_CASE(directCallsResumeWhenStoreIsReachable,
@@ -137,6 +140,27 @@
   BOOST_CHECK(Outcome.error().Code == ErrorCode::WriteOutcomeUnknown);
 }
 
+// Guards against a relayed write that is refused and takes effect: only
+// statuses by which a daemon refuses a message say that nothing was done.
+BOOST_FIXTURE_TEST_CASE(unexpectedStatusOfAPeerGivesUnknownOutcome,
+                        RelayedStoreFixture) {
+  Direct.NextFault = refuseCall;
+  for (const auto &[Status, Expected] :
+       {std::pair(400, ErrorCode::PlatformUnavailable),
+        std::pair(404, ErrorCode::PlatformUnavailable),
+        std::pair(500, ErrorCode::WriteOutcomeUnknown),
+        std::pair(502, ErrorCode::WriteOutcomeUnknown),
+        std::pair(503, ErrorCode::WriteOutcomeUnknown)}) {
+    Http.Status = Status;
+    makeFirstCalls();
+    const auto WritesBefore = relayedWrites();
+    const auto Outcome = commit("x");
+    BOOST_REQUIRE(!Outcome);
+    BOOST_CHECK_EQUAL(relayedWrites() - WritesBefore, 1);
+    BOOST_CHECK_MESSAGE(Outcome.error().Code == Expected, "status " << Status);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(refusalByAllIsPlatformUnavailable,
                         RelayedStoreFixture) {
   Direct.NextFault = refuseCall;
