Keep the doubt about a job's acceptance with the job, not with the call

Cause: JobFrontend knew only within one call that a write may have taken effect. A copy of the submission that came to the same daemon while the store was away was refused with 503, 'never runs', though the daemon itself had answered the first copy with 504 and the job ran. In the same way a cancellation was answered with 410 while the job's submission was being written or repeated, and the job started afterwards.

Change: UnsettledJobs keeps the jobs with a submission under way and, for a minute, those whose outcome remained unknown. Their copies are answered as uncertain; a cancellation that finds no row is retried and then answered as unknown. A copy that reaches another daemon can't be told apart, as before (PLATFORM.md, open questions).

--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -14,6 +14,7 @@
 #include "cuminroad/fleet/PeerService.h"
 #include "cuminroad/fleet/PendingJobCounter.h"
 #include "cuminroad/fleet/QueryResult.h"
+#include "cuminroad/fleet/UnsettledJobs.h"
 
 namespace cuminroad {
 
@@ -25,8 +26,9 @@
   NotAccepted,
   /// The job is larger than a row of the store and can never be accepted.
   TooLarge,
-  /// Whether the job was accepted could not be determined. The client may send
-  /// the same submission again.
+  /// Whether the job was accepted, by this submission or by an earlier one of
+  /// the same job, could not be determined. The client may send the same
+  /// submission again.
   Unknown,
 };
 
@@ -51,7 +53,8 @@
   JobFrontend(const FleetContext &Context, const OwnedPools &Owned,
               const OwnerLookup &Owners)
       : Context_(Context), Owned_(Owned), Owners_(Owners),
-        PendingJobs_(Context, Owned, Owners) {}
+        PendingJobs_(Context, Owned, Owners),
+        Unsettled_(Context.MonotonicClock) {}
 
   /// Takes note of changed contracts.
   void queuesChanged() { PendingJobs_.queuesChanged(); }
@@ -101,6 +104,7 @@
   const OwnedPools &Owned_;
   const OwnerLookup &Owners_;
   PendingJobCounter PendingJobs_;
+  UnsettledJobs Unsettled_;
 };
 
 } // namespace cuminroad
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -68,7 +68,8 @@
   /// A job that was certainly not accepted is refused after this time.
   TimePoint RetryUntil;
   SubmitDone Done;
-  /// An earlier attempt may have taken effect, or may still do so.
+  /// An earlier attempt, or another submission of the job, may have taken
+  /// effect, or may still do so.
   bool Uncertain = false;
   int Writes = 0;
   /// How the first writes failed, for the event log.
@@ -100,6 +101,8 @@
                 RetryShare * static_cast<double>(CallerTimeout.count())));
   Pending->Done = std::move(Done);
   Pending->EncodedRequest = encodeRequest(Pending->Request);
+  Pending->Uncertain = Unsettled_.contains(Pending->Request.Plan.Id);
+  Unsettled_.add(Pending->Request.Plan.Id);
   // The store would refuse the row each time, as if it were away.
   if (Pending->EncodedRequest.size() > Context_.Settings.MaxRowBytes) {
     Context_.Events.record(
@@ -183,6 +186,11 @@
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
   constexpr std::string_view Names[] = {"accepted", "not_accepted", "too_large",
                                         "unknown"};
+  if (Reply.Outcome == SubmitOutcome::Unknown)
+    Unsettled_.giveUp(Pending.Request.Plan.Id);
+  else
+    Unsettled_.settle(Pending.Request.Plan.Id,
+                      Reply.Outcome == SubmitOutcome::Accepted);
   Context_.Metrics.recordSubmission(
       Pending.Request.Queue, Names[static_cast<std::size_t>(Reply.Outcome)],
       std::chrono::duration_cast<milliseconds>(Context_.MonotonicClock.now() -
@@ -236,6 +244,8 @@
           if (Each.Name.Key == Pending->Job)
             Version = Each.Version;
         }
+        if (Version == 0 && Unsettled_.contains(Pending->Job))
+          return retryCancel(Pending);
         if (Version == 0 || Cancelled)
           return Pending->Done(QueryResult<bool>::known(Version != 0));
         writeCancel(Pending, Version);
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -82,6 +82,30 @@
   BOOST_CHECK(isWritten("j"));
 }
 
+// Guards against a job that runs although a caller was told that it never does:
+// the refusal of one copy of a submission counts for an earlier copy, whose
+// write has taken effect, or does so later.
+BOOST_AUTO_TEST_CASE(copyOfAPossiblyWrittenJobIsNotReportedAsRefused) {
+  for (const StoreFault FirstWrite :
+       {StoreFault{StoreFault::ResponseLost, {}},
+        StoreFault{StoreFault::Delayed, CallerTimeout + milliseconds(2000)}}) {
+    FrontendFixture Setup;
+    int Calls = 0;
+    Setup.Store.NextFault = [&Calls, FirstWrite] {
+      return Calls++ == 0 ? FirstWrite : StoreFault{StoreFault::Refused, {}};
+    };
+    Setup.submit("j");
+    Setup.ControlLoop.runFor(CallerTimeout);
+    BOOST_REQUIRE_EQUAL(Setup.Replies, 1);
+    BOOST_REQUIRE(Setup.LastReply.Outcome == SubmitOutcome::Unknown);
+    Setup.submit("j");
+    Setup.ControlLoop.runFor(CallerTimeout);
+    BOOST_REQUIRE_EQUAL(Setup.Replies, 2);
+    BOOST_REQUIRE(Setup.isWritten("j"));
+    BOOST_CHECK(Setup.LastReply.Outcome == SubmitOutcome::Unknown);
+  }
+}
+
 // Load: the store is away for seconds and breaks off every call. Guards against
 // writes whose outcome is unknown, after which callers don't try again: while
 // the last call to the store has failed, a read precedes the write.
@@ -138,6 +162,27 @@
   BOOST_CHECK_EQUAL(Rows.find(cancelRow("j"))->Version, Version);
 }
 
+// Guards against a job that starts after its caller was told that there is none
+// to cancel: a write for the job was still under way, or is repeated.
+BOOST_AUTO_TEST_CASE(cancelDoesNotMissAPossiblyWrittenJob) {
+  for (const StoreFault FirstWrite :
+       {StoreFault{StoreFault::Delayed, 3 * CallerTimeout},
+        StoreFault{StoreFault::RequestLost, {}}}) {
+    FrontendFixture Setup;
+    int Calls = 0;
+    Setup.Store.NextFault = [&Calls, FirstWrite] {
+      return Calls++ == 0 ? FirstWrite : StoreFault{};
+    };
+    Setup.submit("j");
+    Setup.ControlLoop.runFor(milliseconds(500));
+    const std::optional<bool> Cancelled = Setup.cancel("j");
+    Setup.ControlLoop.runFor(3 * CallerTimeout);
+    BOOST_REQUIRE(Setup.isWritten("j"));
+    BOOST_CHECK(Cancelled != std::optional<bool>(false) ||
+                Setup.Rows.find(cancelRow("j")) != nullptr);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(cancelWithoutTheStoreIsUnknown, FrontendFixture) {
   submit("j");
   ControlLoop.runFor(CallerTimeout);
