Raise the token with a new speed if an earlier order got no answer

Cause: an order for a run's speed that got no answer was repeated, and the answer to the repeat counted for both. The next speed then had the same fencing token, so that the first try, carried out seconds later, replaced it; the scheduler orders each speed once, and a task could stay paused. A resend by the HTTP client hid the first try altogether.

Change: VmLink remembers runs with an unanswered order for a speed under the present token; the next speed of such a run raises the token.

--- a/packages/fleet/include/cuminroad/fleet/VmLink.h
+++ b/packages/fleet/include/cuminroad/fleet/VmLink.h
@@ -265,6 +265,9 @@
   std::set<TaskRun> PendingStops_;
   /// Speeds that the VM has not confirmed.
   std::map<TaskRun, int> PendingThrottles_;
+  /// Runs with an order for a speed that got no answer under the present
+  /// fencing token, and may still be carried out.
+  std::set<TaskRun> UnansweredThrottles_;
   /// The latest end of a lease, by the VM's clock, that any order carried.
   milliseconds LatestLeaseEnd_{0};
   /// Until then a lease may be in force on an incarnation of the VM that has
--- a/packages/fleet/src/VmLink.cpp
+++ b/packages/fleet/src/VmLink.cpp
@@ -319,6 +319,7 @@
 
 void VmLink::raiseToken(std::string_view Reason) {
   FencingToken_ = Tokens_.next();
+  UnansweredThrottles_.clear();
   Listener_.onTokenRaised(*this, Reason);
 }
 
--- a/packages/fleet/src/VmLinkOrders.cpp
+++ b/packages/fleet/src/VmLinkOrders.cpp
@@ -205,7 +205,7 @@
 void VmLink::throttleRun(const TaskRun &Run, int Percent) {
   const auto [Entry, IsNew] = PendingThrottles_.emplace(Run, Percent);
   // An earlier speed that is still under way must not be set after this one.
-  if (!IsNew)
+  if (!IsNew || UnansweredThrottles_.contains(Run))
     raiseToken("speed_replaced");
   Entry->second = Percent;
   sendThrottle(Run, Percent);
@@ -218,6 +218,7 @@
     return;
   if (!Listener_.isWanted(*this, Run)) {
     PendingThrottles_.erase(Pending);
+    UnansweredThrottles_.erase(Run);
     return;
   }
   Calls_.throttle(
@@ -229,6 +230,9 @@
         const bool Fenced = Answer && Answer->Outcome == OrderOutcome::Fenced;
         if (Fenced && Self->handleFenced(FencingToken, "throttle", &Run))
           return;
+        if (!Answer && !isNotSent(Answer.error().Code) &&
+            FencingToken == Self->FencingToken_)
+          Self->UnansweredThrottles_.insert(Run);
         const auto Pending = Self->PendingThrottles_.find(Run);
         if (Pending == Self->PendingThrottles_.end() ||
             Pending->second != Percent)
--- a/packages/fleet/tests/VmLinkTest.cpp
+++ b/packages/fleet/tests/VmLinkTest.cpp
@@ -1,5 +1,8 @@
 // When a VM's leases count as expired, and how starts are completed.
 
+#include <algorithm>
+#include <utility>
+
 #include <boost/test/unit_test.hpp>
 
 #include "VmLinkFixture.h"
@@ -12,6 +15,54 @@
 using Fixture = VmLinkFixture;
 const TaskRun &Run = LinkRun;
 
+/// Passes orders on to other calls, but sets the speed of a run itself, as a VM
+/// does that refuses lower fencing tokens.
+class SpeedCalls final : public VmCalls {
+public:
+  SpeedCalls(VmCalls &Others, FakeLoop &ControlLoop)
+      : Others_(Others), ControlLoop_(ControlLoop) {}
+
+  void start(const VmTarget &Vm, const StartOrder &Order, milliseconds Timeout,
+             OrderDone Done) override {
+    Others_.start(Vm, Order, Timeout, std::move(Done));
+  }
+  void stop(const VmTarget &Vm, const TaskRun &StoppedRun, milliseconds Timeout,
+            OrderDone Done) override {
+    Others_.stop(Vm, StoppedRun, Timeout, std::move(Done));
+  }
+  void hold(const VmTarget &Vm, const HoldOrder &Order, milliseconds Timeout,
+            HoldDone Done) override {
+    HighestToken_ = std::max(HighestToken_, Vm.FencingToken);
+    Others_.hold(Vm, Order, Timeout, std::move(Done));
+  }
+  void throttle(const VmTarget &Vm, const TaskRun &, int Percent,
+                milliseconds Timeout, OrderDone Done) override {
+    const milliseconds Delay = std::exchange(NextDelay, milliseconds(0));
+    ControlLoop_.after(Delay, [this, Percent, Token = Vm.FencingToken] {
+      if (Token < HighestToken_)
+        return;
+      HighestToken_ = Token;
+      SpeedPercent = Percent;
+    });
+    ControlLoop_.after(std::min(Delay, Timeout),
+                       [Done, IsLate = Delay > Timeout] {
+                         if (IsLate)
+                           Done(failure(ErrorCode::Timeout));
+                         else
+                           Done(OrderAnswer{});
+                       });
+  }
+
+  /// How late the next order is carried out.
+  milliseconds NextDelay{0};
+  int SpeedPercent = 100;
+
+private:
+  VmCalls &Others_;
+  FakeLoop &ControlLoop_;
+  std::int64_t HighestToken_ = 0;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(unreachedVmExpiresOnlyAfterInheritedLeases, Fixture) {
@@ -288,6 +339,32 @@
   BOOST_CHECK_EQUAL(Calls.ThrottleCalls, 2);
 }
 
+// Guards against a task that stays paused for good: an order that got no answer
+// was repeated, and the answer to the repeat counted for both, so that the late
+// one replaced a newer speed.
+BOOST_FIXTURE_TEST_CASE(lateSpeedDoesNotReplaceANewerOne, Fixture) {
+  SpeedCalls Speeds(Calls, ControlLoop);
+  VmEntry Entry;
+  Entry.Vm.Id = "a";
+  Entry.Vm.Incarnation = 1;
+  Entry.Address = "a:1";
+  Link =
+      std::make_shared<VmLink>(Entry, VmLink::Options{}, Tokens, Speeds,
+                               ControlLoop, ControlLoop.MonotonicClock, *this);
+  Link->start();
+  ControlLoop.runFor(milliseconds(500));
+  Speeds.NextDelay = milliseconds(4000);
+  Link->throttleRun(LinkRun, 0);
+  ControlLoop.runFor(milliseconds(2000));
+  BOOST_REQUIRE_EQUAL(Speeds.SpeedPercent, 0);
+  Link->throttleRun(LinkRun, 100);
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Speeds.SpeedPercent, 100);
+  ControlLoop.runFor(milliseconds(5000));
+  BOOST_CHECK_EQUAL(Speeds.SpeedPercent, 100);
+  Link->close();
+}
+
 BOOST_FIXTURE_TEST_CASE(pendingStartIsVoidInTheNewIncarnation, Fixture) {
   // An order for a VM's earlier incarnation can be carried out seconds later by
   // the new one, since its clock has just started and the order's lease has not
