Draw lost writes in the fleet soak

It could not draw two of them at once, or beside store_busy: these shared one flag, one status and one write fault of the store, and the first to end ended the others.

Change: about half of the seeds get one or two faults store_fails_at_writes (503 or 429, at once or late by 0.5 to 3 s) or peers_fail_at_writes, from a generator of their own: each seed keeps its other faults. The store keeps a refusal for each fault, and a list of write faults, of which the first takes a write. The summary of a trial counts lost writes.

--- a/tests/failure/fleet_soak.py
+++ b/tests/failure/fleet_soak.py
@@ -5,6 +5,7 @@
 Replay one with: fleet_soak.py --build build --first SEED --seeds 1
 """
 
+import functools
 import os
 import random
 import sys
@@ -17,9 +18,15 @@
 import soak_seeds
 
 
+def describe_fault(fault):
+    if isinstance(fault, functools.partial):
+        return "%s %s" % (fault.func.__name__, fault.keywords)
+    return fault.__name__
+
+
 def describe(faults):
     return ", ".join(
-        "%s at %.1f for %.1f" % (fault.__name__, start_s, duration_s)
+        "%s at %.1f for %.1f" % (describe_fault(fault), start_s, duration_s)
         for start_s, fault, duration_s in faults)
 
 
@@ -31,6 +38,7 @@
     if rng.random() < 0.5:
         chosen.append((rng.uniform(0, seconds / 2),
                        fleet_faults.change_capacities, seconds / 2))
+    chosen += fleet_faults.draw_write_faults(seed, seconds)
     if late_restarts:
         chosen += [(rng.uniform(0, seconds / 2), fault, seconds / 2)
                    for fault in fleet_faults.LATE_RESTARTS]
--- a/tests/failure/lost_write_test.py
+++ b/tests/failure/lost_write_test.py
@@ -15,7 +15,7 @@
     def run_fault(self, fault):
         trial = fleet_trial.Trial(1)
         trial.run([(0.5, fault, SECONDS - 1)], SECONDS, JOBS_PER_S)
-        print(trial.summary(), trial.lost_writes, "lost writes", flush=True)
+        print(trial.summary(), flush=True)
         # Less would leave the checks without evidence.
         self.assertGreater(trial.lost_writes, 3)
         self.assertGreater(sum(call["refused"] for call in trial.load.calls),
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -4,6 +4,7 @@
 undoes its effect at the end. Soaks print the functions in ALL by name.
 """
 
+import functools
 import random
 import signal
 import threading
@@ -134,9 +135,8 @@
 
 
 def store_busy(trial, seconds):
-    trial.store.busy = True
-    time.sleep(seconds)
-    trial.store.busy = False
+    with trial.store.refusing():
+        time.sleep(seconds)
 
 
 def store_silent(trial, seconds):
@@ -162,8 +162,6 @@
     The write is performed at once, or after late_s.
     """
     def lose_response(_, perform):
-        trial.store.busy = True
-        trial.lost_writes += 1
         if late_s:
             threading.Timer(late_s, perform).start()
         else:
@@ -176,35 +174,38 @@
     """Again and again a daemon that the store refuses loses its connection to
     a peer, as that one has performed a write, and the store refuses all."""
     victim = random_daemon(trial)
-    trial.store.refused_daemons.add(victim.name)
 
     def lose_connection(daemon_name, perform):
         result = perform()
-        trial.store.busy = True
-        trial.lost_writes += 1
         for link in trial.network.links_between(victim.name, daemon_name):
             link.cut()
             link.heal()
         return result
 
-    fail_at_writes(trial, seconds, 503, lose_connection)
-    trial.store.refused_daemons.discard(victim.name)
+    with trial.store.refusing(victim.name):
+        fail_at_writes(trial, seconds, 503, lose_connection)
 
 
 def fail_at_writes(trial, seconds, status, write_fault):
-    """Sets the write fault for some seconds, and ends the refusals that it
-    causes after OUTAGE_S each."""
-    trial.store.busy_status = status
+    """Again and again for some seconds, the write fault takes a write, and the
+    store refuses all calls for OUTAGE_S from then on."""
+    store = trial.store
+
+    def refuse_and_fail(daemon_name, perform):
+        store.refusals[refuse_and_fail] = (None, status)
+        trial.lost_writes += 1
+        return write_fault(daemon_name, perform)
+
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        trial.store.write_fault = write_fault
-        while not trial.store.busy and time.monotonic() < end:
+        store.write_faults.append(refuse_and_fail)
+        while (refuse_and_fail not in store.refusals and
+               time.monotonic() < end):
             time.sleep(0.001)
         time.sleep(OUTAGE_S)
-        trial.store.write_fault = None
-        trial.store.busy = False
+        store.write_faults.remove(refuse_and_fail)
+        store.refusals.pop(refuse_and_fail, None)
         time.sleep(CALM_S)
-    trial.store.busy_status = 503
 
 
 def store_forgets(trial, seconds):
@@ -237,11 +238,11 @@
 def shrink_without_store(trial, seconds):
     """All VMs shrink while the store is away, and grow again after it."""
     full = trial.vms[0].capacity
-    trial.store.busy = True
-    for vm in trial.vms:
-        vm.set_capacity({field: amount // 4 for field, amount in full.items()})
-    time.sleep(seconds)
-    trial.store.busy = False
+    with trial.store.refusing():
+        for vm in trial.vms:
+            vm.set_capacity({field: amount // 4
+                             for field, amount in full.items()})
+        time.sleep(seconds)
     time.sleep(seconds)
     for vm in trial.vms:
         vm.set_capacity(full)
@@ -343,3 +344,19 @@
     """Draws faults that may overlap, as (start, function, duration) in s."""
     return [(rng.uniform(1, seconds), rng.choice(ALL), rng.uniform(0.5, 5))
             for _ in range(count)]
+
+
+def draw_write_faults(seed, seconds):
+    """Draws one or two faults at writes for about half of the seeds.
+
+    They have a generator of their own, so that a seed keeps its other faults.
+    """
+    rng = random.Random("write faults of seed %d" % seed)
+    faults = []
+    for _ in range(rng.choice((0, 0, 1, 2))):
+        fault = rng.choice((peers_fail_at_writes, functools.partial(
+            store_fails_at_writes, status=rng.choice((503, 429)),
+            late_s=rng.choice((0, round(rng.uniform(0.5, 3), 1))))))
+        faults.append((rng.uniform(0, seconds / 2), fault,
+                       rng.uniform(2, seconds / 2)))
+    return faults
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -181,7 +181,7 @@
         """Writes the VMs' entries to the store until the trial ends."""
         while not self.simulation.closed:
             for vm in self.vms:
-                if not self.store.busy:
+                if not self.store.refusal_status():
                     self.store.put("servers", vm.name,
                                    json.dumps(vm.entry()).encode())
             time.sleep(VM_PUBLISH_INTERVAL_S)
@@ -236,10 +236,9 @@
     def clear_faults(self):
         self.queues_missing_until = min(self.queues_missing_until,
                                         time.monotonic() + CONTACT_S)
-        (self.store.busy, self.store.response_delay_s,
-         self.store.lost_response_share) = False, 0, 0
-        self.store.write_fault = None
-        self.store.refused_daemons.clear()
+        self.store.response_delay_s, self.store.lost_response_share = 0, 0
+        self.store.refusals.clear()
+        self.store.write_faults.clear()
         self.network.heal()
         for vm in self.vms:
             vm.unhealthy, vm.hangs, vm.late_share = False, False, 0
@@ -279,5 +278,6 @@
         for call in self.load.calls:
             state = "refused" if call["refused"] else call["state"]
             states[state] = states.get(state, 0) + 1
-        return "%s; %d runs" % (states, sum(
-            event["what"] == "start" for event in self.simulation.history))
+        return "%s; %d runs, %d lost writes" % (states, sum(
+            event["what"] == "start" for event in self.simulation.history),
+                                                self.lost_writes)
--- a/tests/support/operator_servers.py
+++ b/tests/support/operator_servers.py
@@ -65,12 +65,13 @@
     """Serves the store to one daemon."""
     def handle(_, path, query, headers, body):
         del headers
-        if store.busy or daemon_name in store.refused_daemons:
-            return store.busy_status, {}
+        refusal_status = store.refusal_status(daemon_name)
+        if refusal_status:
+            return refusal_status, {}
         if store.response_delay_s:
             time.sleep(store.response_delay_s)
         perform = lambda: store.handle(daemon_name, path, query, body)
-        write_fault = store.write_fault
+        write_fault = next(iter(store.write_faults), None)
         if write_fault and any(row["table"] == REQUEST_TABLE
                                for row in body.get("writes", [])):
             return write_fault(daemon_name, perform)
--- a/tests/support/operator_store.py
+++ b/tests/support/operator_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the operator platform's store: rows, transactions, a feed."""
 
 import base64
+import contextlib
 import re
 import threading
 import time
@@ -23,20 +24,36 @@
         self.history = []
         self.oldest_version = 0
         # Set by faults.
-        self.busy = False
-        self.busy_status = 503
+        # The daemon whose calls are refused, None for all daemons, and the
+        # status, by any key: faults that overlap end one by one.
+        self.refusals = {}
         self.response_delay_s = 0
         self.lost_response_share = 0
-        # The daemons whose calls are refused.
-        self.refused_daemons = set()
-        # Called in place of a transaction that writes a job's request, with
-        # the daemon's name and a function that performs the transaction.
-        # Returns what that one returned, or None to send no response.
-        self.write_fault = None
+        # The first is called in place of a transaction that writes a job's
+        # request, with the daemon's name and a function that performs the
+        # transaction. Returns what that one returned, or None to send no
+        # response.
+        self.write_faults = []
         # Ports in rows and the relay ports through which a daemon reaches
         # them: {daemon name: {port: relay port}}.
         self.port_maps = {}
 
+    def refusal_status(self, daemon_name=None):
+        """Returns with which status calls are refused, or None.
+
+        Without a daemon's name: those of all daemons.
+        """
+        return next((status for name, status in list(self.refusals.values())
+                     if name in (None, daemon_name)), None)
+
+    @contextlib.contextmanager
+    def refusing(self, daemon_name=None):
+        """Refuses the calls of a daemon, or of all."""
+        key = object()
+        self.refusals[key] = (daemon_name, 503)
+        yield
+        del self.refusals[key]
+
     def put(self, table, key, value, part=""):
         """Writes a row on behalf of the operator or of a VM."""
         with self.changed:
