Add a failing test of a write that is replaced before its retry

Cause: ResolvingTable::readBack takes a row with another WriteId for proof that no try of its write took effect. The row may have been replaced since. JobStore then answers NoOwner, which is "not run", for jobs that the next owner has loaded, and Api tries the next domain; ConfigManager tells an operator that another change came first, though this one is in force.

Evidence: replacedWriteIsNotReportedAsConflict fails on: the outcome is a conflict. The effects on JobStore, Api and ConfigManager are read, not run.

Command: ninja -C build store_ResolvingTableTest && build/packages/store/store_ResolvingTableTest

--- a/packages/store/tests/ResolvingTableTest.cpp
+++ b/packages/store/tests/ResolvingTableTest.cpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 #include <boost/test/unit_test.hpp>
 
@@ -132,6 +133,27 @@
   BOOST_CHECK(!Outcome->committed());
 }
 
+// Guards against a job that runs although its caller was told "not run": the
+// write of an owner takes effect, its response is lost, and the next owner
+// replaces the row before the write is sent again.
+BOOST_FIXTURE_TEST_CASE(replacedWriteIsNotReportedAsConflict, Fixture) {
+  Inner.Behaviors = {CommitBehavior::LostAfter};
+  std::optional<Result<CommitOutcome>> Outcome;
+  Rows.commit(Transaction{"mine", {{"k", 0}}, {{"k", "mine"}}},
+              [&Outcome](Result<CommitOutcome> Received) {
+                Outcome = std::move(Received);
+              });
+  const std::int64_t Version = Inner.Rows["k"].Version;
+  BOOST_REQUIRE_EQUAL(Inner.Rows["k"].WriteId, "mine");
+  BOOST_REQUIRE(
+      Inner.apply(Transaction{"other", {{"k", Version}}, {{"k", "other"}}})
+          .committed());
+  ControlLoop.drain();
+  BOOST_REQUIRE(Outcome);
+  const bool IsConflict = *Outcome && !(*Outcome)->committed();
+  BOOST_CHECK(!IsConflict);
+}
+
 BOOST_FIXTURE_TEST_CASE(refusalIsReportedWithoutRetry, Fixture) {
   Inner.Behaviors = {CommitBehavior::Refused};
   BOOST_CHECK(commit("w1", 0).error().Code == ErrorCode::PlatformUnavailable);
