Report changes of jobs with an unknown outcome as unknown

Cause: JobStore took every error of a transaction for 'certainly nothing was written'. A creation whose outcome is unknown was refused with platform_unavailable, which is 'not run', so that Api submits the job to the next domain; a cancellation was written again although the marker row may have a newer version.

Change: WriteOutcomeUnknown goes to the callers of creations and cancellations, and the owner is taken for superseded, as after a conflict.

Result: creationWithUnknownOutcomeIsNotRefused failed before (code, no answer to the cancellation) and passes; creationWithoutPlatformIsRefused passes before and after. daemon_JobStoreTest passes.

--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -36,9 +36,11 @@
   /// Called once a change is committed.
   using CommitCallback = std::function<void()>;
   /// Receives the id of the job: of the new one, or of the existing job with
-  /// the same name.
+  /// the same name. WriteOutcomeUnknown means that the job may exist, all other
+  /// errors that it does not.
   using CreateCallback = std::function<void(Result<std::string>)>;
-  /// Receives NoOwner if the cancellation was not written.
+  /// Receives NoOwner if the cancellation was not written, and
+  /// WriteOutcomeUnknown if it may have been.
   using CancelCallback = std::function<void(Result<void>)>;
   using LoadCallback = std::function<void(std::vector<JobRow>)>;
 
@@ -104,6 +106,7 @@
   void handleConflict(Batch SentBatch,
                       const std::vector<std::string> &Conflicts);
   void handleUnavailable(Batch SentBatch);
+  void handleUnknown(const Batch &SentBatch);
   void requeue(Batch &SentBatch);
   static void failCancellations(const Batch &Failed);
   void resolveNameConflict(PendingCreation Creation);
--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -212,7 +212,9 @@
 void JobStore::handleCommitResult(Batch SentBatch,
                                   const Result<CommitOutcome> &Outcome) {
   WriteInProgress_ = false;
-  if (!Outcome)
+  if (!Outcome && Outcome.error().Code == ErrorCode::WriteOutcomeUnknown)
+    handleUnknown(SentBatch);
+  else if (!Outcome)
     handleUnavailable(std::move(SentBatch));
   else if (Outcome->committed())
     handleCommitted(std::move(SentBatch), Outcome->Revision);
@@ -294,6 +296,17 @@
                      [Self = shared_from_this()] { Self->writeBatch(); });
 }
 
+void JobStore::handleUnknown(const Batch &SentBatch) {
+  // The next owner may have loaded the changes. They can't be written again:
+  // the marker row no longer has the version that this store knows.
+  for (const PendingCreation &Creation : SentBatch.Creations)
+    Creation.Done(failure(ErrorCode::WriteOutcomeUnknown, Creation.Job));
+  for (const CancelCallback &Done : SentBatch.Cancellations)
+    Done(failure(ErrorCode::WriteOutcomeUnknown));
+  if (!Closed_ && OnSuperseded)
+    OnSuperseded();
+}
+
 void JobStore::requeue(Batch &SentBatch) {
   NextBatch_.Jobs.merge(SentBatch.Jobs);
   std::move(SentBatch.Callbacks.begin(), SentBatch.Callbacks.end(),
--- a/packages/daemon/tests/JobStoreTest.cpp
+++ b/packages/daemon/tests/JobStoreTest.cpp
@@ -1,7 +1,8 @@
 // Callers get an answer to their cancellation also when the daemon stops being
 // the owner before the cancellation is written. Guards against callers that
 // wait until their timeout: close() dropped the callbacks of queued
-// cancellations.
+// cancellations. Creations and cancellations are refused only if they were
+// certainly not written.
 
 #include <optional>
 
@@ -49,10 +50,20 @@
         "j", [this](Result<void> Result) { Cancelled = std::move(Result); });
   }
 
+  void create(const std::string &Job, const std::string &Name = "") {
+    JobRow Row;
+    Row.Spec.Id = Job;
+    Row.Spec.Customer = "c";
+    Row.Name = Name;
+    Store->create(Row,
+                  [this](Result<std::string> Id) { Created = std::move(Id); });
+  }
+
   FakeLoop ControlLoop;
   HeldTable Rows;
   std::shared_ptr<JobStore> Store;
   std::optional<Result<void>> Cancelled;
+  std::optional<Result<std::string>> Created;
 };
 
 } // namespace
@@ -96,3 +107,33 @@
   BOOST_REQUIRE(Cancelled);
   BOOST_CHECK(!*Cancelled);
 }
+
+// Guards against a job that runs twice: "not run" about a write that may have
+// taken effect lets the API submit the job to the next domain.
+BOOST_FIXTURE_TEST_CASE(creationWithUnknownOutcomeIsNotRefused, Fixture) {
+  int Superseded = 0;
+  Store->OnSuperseded = [&Superseded] { ++Superseded; };
+  create("k");
+  cancel();
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Rows.Commits[1](failure(ErrorCode::WriteOutcomeUnknown));
+  BOOST_REQUIRE(Created);
+  BOOST_REQUIRE(!*Created);
+  BOOST_CHECK(Created->error().Code == ErrorCode::WriteOutcomeUnknown);
+  BOOST_REQUIRE(Cancelled);
+  BOOST_REQUIRE(!*Cancelled);
+  BOOST_CHECK(Cancelled->error().Code == ErrorCode::WriteOutcomeUnknown);
+  BOOST_CHECK_EQUAL(Superseded, 1);
+}
+
+// Guards against unknown outcomes of writes that certainly did not happen.
+BOOST_FIXTURE_TEST_CASE(creationWithoutPlatformIsRefused, Fixture) {
+  create("k");
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Rows.Commits[1](failure(ErrorCode::PlatformUnavailable));
+  BOOST_REQUIRE(Created);
+  BOOST_REQUIRE(!*Created);
+  BOOST_CHECK(Created->error().Code == ErrorCode::PlatformUnavailable);
+}
