Don't call a job under a taken name not run

Cause: where a creation conflicts over its name, a job of that name exists. If the row of the name couldn't be read, or the owner was closed meanwhile, the caller was told platform_unavailable or no_owner, which is 'not run'.

Change: a name that can't be read gives WriteOutcomeUnknown; a closed store resolves the name like an open one.

Result: creationUnderAnUnreadableNameIsNotRefused and creationUnderATakenNameIsResolvedAfterClose failed before and pass; daemon_JobStoreTest passes.

--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -263,7 +263,7 @@
     for (PendingCreation &Creation : ToRetry)
       Creation.Done(failure(ErrorCode::NoOwner));
     for (PendingCreation &Creation : NameTaken)
-      Creation.Done(failure(ErrorCode::NoOwner));
+      resolveNameConflict(std::move(Creation));
     failCancellations(SentBatch);
     if (!Closed_ && OnSuperseded)
       OnSuperseded();
@@ -320,12 +320,15 @@
 void JobStore::resolveNameConflict(PendingCreation Creation) {
   const std::string Key = nameKey(Jobs_.at(Creation.Job).Row);
   Jobs_.erase(Creation.Job);
-  Table_.read(Key, [Done = std::move(Creation.Done)](Result<TableRow> Row) {
-    if (!Row)
-      Done(tl::unexpected(Row.error()));
-    else
-      Done(Row->Value.value("job", ""));
-  });
+  Table_.read(Key,
+              [Key, Done = std::move(Creation.Done)](Result<TableRow> Row) {
+                // A job with this name exists, so "not run" would be wrong even
+                // if its id can't be read.
+                if (!Row || Row->Version == 0)
+                  Done(failure(ErrorCode::WriteOutcomeUnknown, Key));
+                else
+                  Done(Row->Value.value("job", ""));
+              });
 }
 
 } // namespace cuminroad
--- a/packages/daemon/tests/JobStoreTest.cpp
+++ b/packages/daemon/tests/JobStoreTest.cpp
@@ -4,6 +4,7 @@
 // cancellations. Creations and cancellations are refused only if they were
 // certainly not written.
 
+#include <map>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
@@ -22,12 +23,17 @@
     Commits.push_back(std::move(Done));
   }
   void read(std::string Key, RowDone Done) override {
-    Done(TableRow{Key, 0, {}, ""});
+    if (ReadsFail)
+      return Done(failure(ErrorCode::PlatformUnavailable));
+    const auto Found = Rows.find(Key);
+    Done(Found == Rows.end() ? TableRow{Key, 0, {}, ""} : Found->second);
   }
   void scan(std::string, RowsDone Done) override {
     Done(std::vector<TableRow>());
   }
   std::vector<CommitDone> Commits;
+  std::map<std::string, TableRow> Rows;
+  bool ReadsFail = false;
 };
 
 /// A store with one job in the table.
@@ -137,3 +143,31 @@
   BOOST_REQUIRE(!*Created);
   BOOST_CHECK(Created->error().Code == ErrorCode::PlatformUnavailable);
 }
+
+// Guards against "not run" about a job that exists: its name is taken, but the
+// row of the name can't be read.
+BOOST_FIXTURE_TEST_CASE(creationUnderAnUnreadableNameIsNotRefused, Fixture) {
+  create("k", "n");
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Rows.ReadsFail = true;
+  Rows.Commits[1](CommitOutcome{0, {"jobname/c/n"}});
+  BOOST_REQUIRE(Created);
+  BOOST_REQUIRE(!*Created);
+  BOOST_CHECK(Created->error().Code == ErrorCode::WriteOutcomeUnknown);
+}
+
+// Guards against "not run" about a job that exists, from an owner that was
+// closed while it wrote.
+BOOST_FIXTURE_TEST_CASE(creationUnderATakenNameIsResolvedAfterClose, Fixture) {
+  create("k", "n");
+  ControlLoop.runFor(milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(Rows.Commits.size(), 2);
+  Rows.Rows["jobname/c/n"] =
+      TableRow{"jobname/c/n", 1, {{"job", "existing"}}, "w"};
+  Store->close();
+  Rows.Commits[1](CommitOutcome{0, {"jobname/c/n"}});
+  BOOST_REQUIRE(Created);
+  BOOST_REQUIRE(*Created);
+  BOOST_CHECK_EQUAL(**Created, "existing");
+}
