Settle claims of idempotency keys by their own rows

Cause: a claim whose write had an unknown outcome, or which conflicted with a claim that couldn't be read, made the request 'not run', although another copy of it may have run under the same key at another daemon.

Change: claims are never replaced, so after an unknown outcome each is read: a claim of another daemon is forwarded to as usual, none means 'not run'. A claim that is there but can't be read, or may be there, means 'unknown'. A claim of this process doesn't count as new: it may be an earlier copy's.

The line of RequestFrontend that uses the function has no test of its own.

--- a/packages/daemon/src/IdempotencyKeyStore.cpp
+++ b/packages/daemon/src/IdempotencyKeyStore.cpp
@@ -69,6 +69,12 @@
 
 void IdempotencyKeyStore::handleCommitResult(
     std::vector<PendingClaim> Batch, const Result<CommitOutcome> &Outcome) {
+  if (!Outcome && Outcome.error().Code == ErrorCode::WriteOutcomeUnknown) {
+    // Claims are never replaced, so that reading each one settles it.
+    for (PendingClaim &Entry : Batch)
+      readExistingClaim(std::move(Entry), ErrorCode::WriteOutcomeUnknown);
+    return;
+  }
   if (!Outcome) {
     for (PendingClaim &Entry : Batch)
       Entry.Done(tl::unexpected(Outcome.error()), false);
@@ -82,19 +88,24 @@
     const auto &Conflicts = Outcome->Conflicts;
     if (std::find(Conflicts.begin(), Conflicts.end(), Entry.Key) !=
         Conflicts.end())
-      readExistingClaim(std::move(Entry));
+      readExistingClaim(std::move(Entry), ErrorCode::KeyAlreadyClaimed);
     else
       Queue_.push_back(std::move(Entry));
   }
 }
 
-void IdempotencyKeyStore::readExistingClaim(PendingClaim Claim) {
+void IdempotencyKeyStore::readExistingClaim(PendingClaim Claim,
+                                            ErrorCode IfUnreadable) {
   const std::string Key = Claim.Key;
-  Table_.read(Key, [Done = std::move(Claim.Done)](Result<TableRow> Row) {
-    if (Row)
-      Done(parseClaim(Row->Value), false);
-    else
-      Done(tl::unexpected(Row.error()), false);
+  Table_.read(Key, [Key, Done = std::move(Claim.Done),
+                    IfUnreadable](Result<TableRow> Row) {
+    if (!Row)
+      return Done(failure(IfUnreadable, Key), false);
+    if (Row->Version == 0)
+      return Done(failure(ErrorCode::PlatformUnavailable, Key), false);
+    const auto Existing = parseClaim(Row->Value);
+    Done(Existing ? Existing : failure(ErrorCode::KeyAlreadyClaimed, Key),
+         false);
   });
 }
 
--- a/packages/daemon/src/RequestFrontend.cpp
+++ b/packages/daemon/src/RequestFrontend.cpp
@@ -199,10 +199,9 @@
                                      HttpResponder Respond,
                                      const Result<IdempotencyKeyClaim> &Claim,
                                      bool NewlyClaimed) {
-  if (!Claim) {
-    // Whether or not the claim was written, the request was not sent.
-    return Respond(outcomeResponse(Outcome::NotRun, Claim.error()));
-  }
+  if (!Claim)
+    return Respond(outcomeResponse(outcomeOfFailedClaim(Claim.error().Code),
+                                   Claim.error()));
   if (Claim->Daemon != Context_.Self.Name ||
       Claim->Incarnation != Context_.Self.Incarnation)
     return forwardToDaemon(Claim->Daemon, Claim->Incarnation, Request,
