Don't report a conflict for a write that may have been replaced

Cause: after a try without a response, ResolvingTable took a row of another transaction for proof that no try had taken effect. The row may have been replaced since. JobStore then answered 'not run' for jobs that the next owner has loaded, and ConfigManager told an operator that another change came first.

Change: the outcome is then WriteOutcomeUnknown. A conflict is reported if the first row still has the version that the transaction requires (not 0, to which a deleted row returns): no try took effect, the conflict is over another row.

Test: conflictWithAnotherWriterIsReported expected a conflict in a state that the table can't tell from the one of replacedWriteIsNotReportedAsConflict (a lost try, then the row of another writer). It now checks the conflict without a lost try, with its keys; conflictAfterALostTryIsUnknown and conflictOverAnotherRowIsReportedAfterALostTry check what is known after one.

--- a/packages/store/include/cuminroad/store/ResolvingTable.h
+++ b/packages/store/include/cuminroad/store/ResolvingTable.h
@@ -18,6 +18,10 @@
 /// still reach the table. This holds for transactions that check the version of
 /// the first row that they write; the outcome of others is passed on
 /// unresolved.
+///
+/// If that row carries the WriteId of another transaction, which may have
+/// replaced this one's, the outcome is WriteOutcomeUnknown, however many tries
+/// are allowed. A conflict is reported only if no try took effect.
 class ResolvingTable final : public Table {
 public:
   /// \param MaxTries maximum number of tries of a transaction before
--- a/packages/store/src/ResolvingTable.cpp
+++ b/packages/store/src/ResolvingTable.cpp
@@ -1,6 +1,7 @@
 #include "cuminroad/store/ResolvingTable.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace cuminroad {
 
@@ -16,13 +17,30 @@
   return std::chrono::duration_cast<milliseconds>(FullDelay * Jitter(Random));
 }
 
-bool isResolvable(const Transaction &Change) {
+/// \returns the version that the transaction requires of the first row that it
+/// writes, if it checks that row.
+std::optional<std::int64_t> firstRowVersion(const Transaction &Change) {
   if (Change.Writes.empty())
-    return false;
-  return std::any_of(Change.Checks.begin(), Change.Checks.end(),
-                     [&](const VersionCheck &Check) {
-                       return Check.Key == Change.Writes.front().Key;
-                     });
+    return std::nullopt;
+  for (const VersionCheck &Check : Change.Checks)
+    if (Check.Key == Change.Writes.front().Key)
+      return Check.Version;
+  return std::nullopt;
+}
+
+/// \returns the outcome of a transaction of which a try conflicted after one
+/// without a response. \p Row is the first row that it writes, read afterwards.
+Result<CommitOutcome> settle(const Transaction &Change,
+                             const CommitOutcome &Conflict,
+                             const TableRow &Row) {
+  if (Row.WriteId == Change.WriteId)
+    return CommitOutcome{Row.Version, {}};
+  // A row has the same version twice only if it doesn't exist. So an unchanged
+  // row shows that no try took effect. Another row may have replaced this
+  // transaction's, and proves nothing.
+  if (Row.Version != 0 && Row.Version == firstRowVersion(Change))
+    return Conflict;
+  return failure(ErrorCode::WriteOutcomeUnknown, Row.Key);
 }
 
 } // namespace
@@ -69,7 +87,7 @@
     Commit->Done(std::move(Outcome));
     return;
   }
-  if (!isResolvable(Commit->Change) || Commit->Tries >= MaxTries_) {
+  if (!firstRowVersion(Commit->Change) || Commit->Tries >= MaxTries_) {
     Commit->Done(failure(ErrorCode::WriteOutcomeUnknown));
     return;
   }
@@ -84,10 +102,7 @@
       [this, Commit, Conflict = std::move(Conflict)](Result<TableRow> Row) {
         setReachable(Row.has_value());
         if (Row) {
-          CommitOutcome Outcome = Conflict;
-          if (Row->WriteId == Commit->Change.WriteId)
-            Outcome = CommitOutcome{Row->Version, {}};
-          Commit->Done(std::move(Outcome));
+          Commit->Done(settle(Commit->Change, Conflict, *Row));
           return;
         }
         if (++Commit->Tries >= MaxTries_) {
--- a/packages/store/tests/ResolvingTableTest.cpp
+++ b/packages/store/tests/ResolvingTableTest.cpp
@@ -85,10 +85,11 @@
   FakeTable Inner;
   ResolvingTable Rows{Inner, ControlLoop, 5};
 
-  Result<CommitOutcome> commit(const std::string &WriteId,
-                               std::int64_t Version) {
+  Result<CommitOutcome> commit(const std::string &WriteId, std::int64_t Version,
+                               std::vector<VersionCheck> OtherChecks = {}) {
     Result<CommitOutcome> Outcome = failure(ErrorCode::Timeout);
-    Rows.commit(Transaction{WriteId, {{"k", Version}}, {{"k", WriteId}}},
+    OtherChecks.push_back({"k", Version});
+    Rows.commit(Transaction{WriteId, OtherChecks, {{"k", WriteId}}},
                 [&Outcome](Result<CommitOutcome> Received) {
                   Outcome = std::move(Received);
                 });
@@ -126,11 +127,57 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(conflictWithAnotherWriterIsReported, Fixture) {
+  BOOST_REQUIRE(commit("other", 0)->committed());
+  const auto Outcome = commit("mine", 0);
+  BOOST_REQUIRE(Outcome);
+  BOOST_CHECK(!Outcome->committed());
+  BOOST_CHECK((Outcome->Conflicts == std::vector<std::string>{"k"}));
+}
+
+// Guards against a conflict as the answer to a write that may have taken
+// effect: after a try without a response, the row of another writer looks the
+// same whether or not it replaced this write's.
+BOOST_FIXTURE_TEST_CASE(conflictAfterALostTryIsUnknown, Fixture) {
   BOOST_REQUIRE(commit("other", 0)->committed());
   Inner.Behaviors = {CommitBehavior::LostBefore};
   const auto Outcome = commit("mine", 0);
+  BOOST_REQUIRE(!Outcome);
+  BOOST_CHECK(Outcome.error().Code == ErrorCode::WriteOutcomeUnknown);
+  BOOST_CHECK_EQUAL(Inner.Commits, 1);
+}
+
+// Guards against an unknown outcome where the first row is unchanged, so that
+// the write certainly conflicted over another row.
+BOOST_FIXTURE_TEST_CASE(conflictOverAnotherRowIsReportedAfterALostTry,
+                        Fixture) {
+  BOOST_REQUIRE(commit("old", 0)->committed());
+  const std::int64_t Version = Inner.Rows["k"].Version;
+  BOOST_REQUIRE(
+      Inner.apply(Transaction{"other", {{"name", 0}}, {{"name", "other"}}})
+          .committed());
+  Inner.Behaviors = {CommitBehavior::LostBefore};
+  const auto Outcome = commit("mine", Version, {{"name", 0}});
   BOOST_REQUIRE(Outcome);
   BOOST_CHECK(!Outcome->committed());
+  BOOST_CHECK((Outcome->Conflicts == std::vector<std::string>{"name"}));
+}
+
+// Guards against a conflict as the answer to a write that took effect and whose
+// row was then deleted: it has version 0 again, as before the write.
+BOOST_FIXTURE_TEST_CASE(deletedWriteIsNotReportedAsConflict, Fixture) {
+  Inner.Behaviors = {CommitBehavior::LostAfter};
+  std::optional<Result<CommitOutcome>> Outcome;
+  Rows.commit(Transaction{"mine", {{"k", 0}, {"name", 0}}, {{"k", "mine"}}},
+              [&Outcome](Result<CommitOutcome> Received) {
+                Outcome = std::move(Received);
+              });
+  BOOST_REQUIRE_EQUAL(Inner.Rows["k"].WriteId, "mine");
+  Inner.Rows["k"] = TableRow{"k", 0, {}, ""};
+  Inner.Rows["name"] = TableRow{"name", ++Inner.Revision, "other", "other"};
+  ControlLoop.drain();
+  BOOST_REQUIRE(Outcome);
+  BOOST_REQUIRE(!*Outcome);
+  BOOST_CHECK(Outcome->error().Code == ErrorCode::WriteOutcomeUnknown);
 }
 
 // Guards against a job that runs although its caller was told "not run": the
