Don't write a job that was removed while a caller cancelled it

Cause: a caller can cancel a named job while its creation is written. If the creation then failed, or its name was taken, JobStore removed the job but still had it in the next batch; writing the batch threw out_of_range and ended the daemon.

Change: a removed job also leaves the next batch. The batch is written while callers wait for it, so that the cancellation is answered.

Result: cancellationOfAFailedCreationIsAnswered failed before with std::out_of_range (creation failed, and name taken) and passes; the tests of daemon and store pass, clang-tidy is clean.

--- a/packages/daemon/include/cuminroad/daemon/JobStore.h
+++ b/packages/daemon/include/cuminroad/daemon/JobStore.h
@@ -91,6 +91,12 @@
     std::vector<CommitCallback> Callbacks;
     std::vector<CancelCallback> Cancellations;
     std::vector<TaskRef> Ends;
+
+    /// Whether a caller waits for the batch, or it has jobs to write. The job
+    /// that a caller waits for may have been removed since.
+    bool hasWork() const {
+      return !Jobs.empty() || !Callbacks.empty() || !Cancellations.empty();
+    }
   };
 
   std::string jobKey(const std::string &Job) const;
@@ -107,6 +113,8 @@
                       const std::vector<std::string> &Conflicts);
   void handleUnavailable(Batch SentBatch);
   void handleUnknown(const Batch &SentBatch);
+  /// Removes a job that was not created.
+  void removeJob(const std::string &Job);
   void requeue(Batch &SentBatch);
   static void failCancellations(const Batch &Failed);
   void resolveNameConflict(PendingCreation Creation);
--- a/packages/daemon/src/JobStore.cpp
+++ b/packages/daemon/src/JobStore.cpp
@@ -220,7 +220,7 @@
     handleCommitted(std::move(SentBatch), Outcome->Revision);
   else
     handleConflict(std::move(SentBatch), Outcome->Conflicts);
-  if (!NextBatch_.Jobs.empty() && !WriteInProgress_)
+  if (NextBatch_.hasWork() && !WriteInProgress_)
     scheduleWrite();
 }
 
@@ -283,13 +283,13 @@
   // changes.
   for (const PendingCreation &Creation : SentBatch.Creations) {
     SentBatch.Jobs.erase(Creation.Job);
-    Jobs_.erase(Creation.Job);
+    removeJob(Creation.Job);
     Creation.Done(failure(ErrorCode::PlatformUnavailable));
   }
   if (Closed_)
     return failCancellations(SentBatch);
   requeue(SentBatch);
-  if (NextBatch_.Jobs.empty())
+  if (!NextBatch_.hasWork())
     return;
   WriteInProgress_ = true;
   ControlLoop_.after(RetryDelay,
@@ -307,6 +307,12 @@
     OnSuperseded();
 }
 
+void JobStore::removeJob(const std::string &Job) {
+  Jobs_.erase(Job);
+  // It may have been cancelled while its creation was written.
+  NextBatch_.Jobs.erase(Job);
+}
+
 void JobStore::requeue(Batch &SentBatch) {
   NextBatch_.Jobs.merge(SentBatch.Jobs);
   std::move(SentBatch.Callbacks.begin(), SentBatch.Callbacks.end(),
@@ -319,7 +325,7 @@
 
 void JobStore::resolveNameConflict(PendingCreation Creation) {
   const std::string Key = nameKey(Jobs_.at(Creation.Job).Row);
-  Jobs_.erase(Creation.Job);
+  removeJob(Creation.Job);
   Table_.read(Key,
               [Key, Done = std::move(Creation.Done)](Result<TableRow> Row) {
                 // A job with this name exists, so "not run" would be wrong even
--- a/packages/daemon/tests/JobStoreTest.cpp
+++ b/packages/daemon/tests/JobStoreTest.cpp
@@ -51,9 +51,9 @@
   }
   ~Fixture() { Store->close(); }
 
-  void cancel() {
+  void cancel(const std::string &Job = "j") {
     Store->recordCancellation(
-        "j", [this](Result<void> Result) { Cancelled = std::move(Result); });
+        Job, [this](Result<void> Result) { Cancelled = std::move(Result); });
   }
 
   void create(const std::string &Job, const std::string &Name = "") {
@@ -171,3 +171,25 @@
   BOOST_REQUIRE(*Created);
   BOOST_CHECK_EQUAL(**Created, "existing");
 }
+
+// Guards against a daemon that ends by an exception: a job whose creation
+// failed was still to be written, since a caller had cancelled it meanwhile.
+BOOST_AUTO_TEST_CASE(cancellationOfAFailedCreationIsAnswered) {
+  const Result<CommitOutcome> Failures[] = {
+      failure(ErrorCode::PlatformUnavailable),
+      CommitOutcome{0, {"jobname/c/n"}}};
+  for (const Result<CommitOutcome> &Failure : Failures) {
+    Fixture Setup;
+    Setup.create("k", "n");
+    Setup.ControlLoop.runFor(milliseconds(1000));
+    BOOST_REQUIRE_EQUAL(Setup.Rows.Commits.size(), 2);
+    Setup.cancel("k");
+    Setup.Rows.Commits[1](Failure);
+    BOOST_REQUIRE(Setup.Created);
+    Setup.ControlLoop.runFor(milliseconds(3000));
+    BOOST_REQUIRE_EQUAL(Setup.Rows.Commits.size(), 3);
+    Setup.Rows.Commits[2](CommitOutcome{3, {}});
+    BOOST_REQUIRE(Setup.Cancelled);
+    BOOST_CHECK(*Setup.Cancelled);
+  }
+}
