--- a/tests/failure/lost_write_test.py
+++ b/tests/failure/lost_write_test.py
@@ -2,9 +2,14 @@
 refuses all calls from then on."""
 
 import functools
+import os
+import sys
 import unittest
 
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
 import fleet_faults
+import fleet_soak
 import fleet_trial
 
 SECONDS = 8
@@ -37,6 +42,11 @@
     def test_jobs_refused_through_a_peer_do_not_run(self):
         self.run_fault(fleet_faults.peers_fail_at_writes)
 
+    # Guards against the same beside restarts, cuts and other faults of the
+    # store.
+    def test_refused_jobs_do_not_run_beside_other_faults(self):
+        self.assertTrue(fleet_soak.run_seed(1, SECONDS))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/support/operator_store.py
+++ b/tests/support/operator_store.py
@@ -52,7 +52,7 @@
         key = object()
         self.refusals[key] = (daemon_name, 503)
         yield
-        del self.refusals[key]
+        self.refusals.pop(key, None)
 
     def put(self, table, key, value, part=""):
         """Writes a row on behalf of the operator or of a VM."""
