Repeat a transfer of shares whose write may have had no effect

Cause: made a domain wait for a newer version of the row after a write with an unknown outcome. If the write had no effect, and nobody else wrote the row, it waited forever with a lowered limit, and no domain could use the part.

Change: while the row has the version that the write was to replace, the write is repeated under the same check, so that only one can take effect. A conflict after an unknown outcome settles nothing until the newer row is read.

--- a/packages/daemon/src/ShareManager.cpp
+++ b/packages/daemon/src/ShareManager.cpp
@@ -223,10 +223,11 @@
   const bool NoLongerUsed =
       MaxUsage.Held.fitsIn(Left.Held) && MaxUsage.Requests <= Left.Requests;
   CachedRow &Cached = CachedRows_[Customer];
-  if (Pending.UnsettledSince && Cached.Version <= *Pending.UnsettledSince)
-    return;
-  if (Pending.UnsettledSince ||
-      !Cached.Row.TransferRequests.contains(Pending.To)) {
+  // While the row has the version that an earlier write was to replace, the
+  // write is repeated; only one of them can take effect.
+  const bool IsSettled =
+      Pending.UnsettledSince && Cached.Version > *Pending.UnsettledSince;
+  if (IsSettled || !Cached.Row.TransferRequests.contains(Pending.To)) {
     Transfers_.erase(Customer);
     if (OnChanged)
       OnChanged();
@@ -266,16 +267,20 @@
     if (Self->Closed_)
       return;
     Self->Writing_ = false;
-    if (Outcome && Outcome->committed())
+    const bool IsUnknown =
+        !Outcome && Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
+    const bool IsCommitted = Outcome && Outcome->committed();
+    if (IsCommitted)
       Self->CachedRows_[Customer] = CachedRow{Row, Outcome->Revision};
     else
       Self->HeadVersion_ = -1;
-    if (!Outcome && Outcome.error().Code == ErrorCode::WriteOutcomeUnknown) {
-      // The part may belong to the other domain already.
-      if (const auto Pending = Self->Transfers_.find(Customer);
-          Pending != Self->Transfers_.end())
+    const auto Pending = Self->Transfers_.find(Customer);
+    if (Pending != Self->Transfers_.end()) {
+      if (IsUnknown)
         Pending->second.UnsettledSince = Version;
-      return;
+      // The part may belong to the other domain already.
+      if (Pending->second.UnsettledSince && !IsCommitted)
+        return;
     }
     Done();
   });
--- a/packages/daemon/tests/ShareTest.cpp
+++ b/packages/daemon/tests/ShareTest.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <deque>
 #include <set>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -60,6 +61,10 @@
   explicit SlowTable(Loop &ControlLoop) : ControlLoop_(ControlLoop) {}
 
   void commit(Transaction Change, CommitDone Done) override {
+    const bool IsUnknown = UnknownEvery != 0 && ++Commits_ % UnknownEvery == 0;
+    if (IsUnknown && std::exchange(LosesNextUnknown_, !LosesNextUnknown_))
+      return ControlLoop_.post(
+          [Done] { Done(failure(ErrorCode::WriteOutcomeUnknown)); });
     CommitOutcome Out;
     for (const VersionCheck &Check : Change.Checks)
       if (Rows_[Check.Key].Version != Check.Version)
@@ -70,7 +75,6 @@
         Rows_[Write.Key] =
             TableRow{Write.Key, Revision_, Write.Value, Change.WriteId};
     }
-    const bool IsUnknown = UnknownEvery != 0 && ++Commits_ % UnknownEvery == 0;
     ControlLoop_.post([Done, Out, IsUnknown] {
       if (IsUnknown)
         Done(failure(ErrorCode::WriteOutcomeUnknown));
@@ -90,12 +94,13 @@
   }
 
   /// If not 0, the outcome of each transaction with a multiple of this number
-  /// is unknown to its writer.
+  /// is unknown to its writer. Every second one of them has no effect.
   int UnknownEvery = 0;
 
 private:
   Loop &ControlLoop_;
   int Commits_ = 0;
+  bool LosesNextUnknown_ = false;
   std::map<std::string, TableRow> Rows_;
   std::int64_t Revision_ = 0;
 };
@@ -288,3 +293,22 @@
   BOOST_CHECK(Back->Parts == Row.Parts);
   BOOST_CHECK(Back->TransferRequests == Row.TransferRequests);
 }
+
+// Guards against a part that no domain can use: its transfer had no effect, and
+// the domain waited for a change of the row that nobody else makes.
+BOOST_AUTO_TEST_CASE(transferThatHadNoEffectIsRepeated) {
+  for (std::uint32_t Seed = 1; Seed <= 50; ++Seed) {
+    Simulation Simulated;
+    Simulated.Rows.UnknownEvery = 2;
+    SimulatedDomain &Receiver = Simulated.SimulatedDomains["d1"];
+    Receiver.Demand.Held.MilliCores = 2500;
+    std::uint32_t Choice = Seed;
+    for (int Step = 0; Step < 20000 && Receiver.Used.Held.MilliCores < 2500;
+         ++Step) {
+      Choice = Choice * 1664525 + 1013904223;
+      Simulated.ControlLoop.step(Choice >> 8);
+      Receiver.useShare();
+    }
+    BOOST_CHECK_MESSAGE(Receiver.Used.Held.MilliCores == 2500, "seed " << Seed);
+  }
+}
