--- a/packages/daemon/tests/IdempotencyKeyStoreTest.cpp
+++ b/packages/daemon/tests/IdempotencyKeyStoreTest.cpp
@@ -1,11 +1,11 @@
 // Guards against a request that ran under its idempotency key while the caller
 // of another copy of it is told "not run".
 
-#include <map>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
 
+#include "ReadableTable.h"
 #include "cuminroad/daemon/IdempotencyKeyStore.h"
 #include "cuminroad/fakes/FakeLoop.h"
 
@@ -14,21 +14,10 @@
 namespace {
 
 /// Answers each commit with the outcome that the test has set.
-class SetTable final : public Table {
+class SetTable final : public ReadableTable {
 public:
   void commit(Transaction, CommitDone Done) override { Done(Answer); }
-  void read(std::string Key, RowDone Done) override {
-    if (ReadsFail)
-      return Done(failure(ErrorCode::PlatformUnavailable));
-    const auto Found = Rows.find(Key);
-    Done(Found == Rows.end() ? TableRow{Key, 0, {}, ""} : Found->second);
-  }
-  void scan(std::string, RowsDone Done) override {
-    Done(std::vector<TableRow>());
-  }
   Result<CommitOutcome> Answer = failure(ErrorCode::WriteOutcomeUnknown);
-  std::map<std::string, TableRow> Rows;
-  bool ReadsFail = false;
 };
 
 struct Fixture {
--- a/packages/daemon/tests/JobStoreTest.cpp
+++ b/packages/daemon/tests/JobStoreTest.cpp
@@ -4,11 +4,11 @@
 // cancellations. Creations and cancellations are refused only if they were
 // certainly not written.
 
-#include <map>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
 
+#include "ReadableTable.h"
 #include "cuminroad/daemon/JobStore.h"
 #include "cuminroad/fakes/FakeLoop.h"
 
@@ -17,23 +17,12 @@
 namespace {
 
 /// Keeps the callbacks of commits, for the test to answer.
-class HeldTable final : public Table {
+class HeldTable final : public ReadableTable {
 public:
   void commit(Transaction, CommitDone Done) override {
     Commits.push_back(std::move(Done));
   }
-  void read(std::string Key, RowDone Done) override {
-    if (ReadsFail)
-      return Done(failure(ErrorCode::PlatformUnavailable));
-    const auto Found = Rows.find(Key);
-    Done(Found == Rows.end() ? TableRow{Key, 0, {}, ""} : Found->second);
-  }
-  void scan(std::string, RowsDone Done) override {
-    Done(std::vector<TableRow>());
-  }
   std::vector<CommitDone> Commits;
-  std::map<std::string, TableRow> Rows;
-  bool ReadsFail = false;
 };
 
 /// A store with one job in the table.
--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -51,7 +51,7 @@
     milliseconds Timeout{0};
     std::vector<std::string> Peers;
     /// How the tries before failed, for the event log.
-    std::string EarlierFailures = "direct not tried";
+    std::string EarlierFailures;
   };
 
   /// Whether the next call goes to peers first.
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -56,17 +56,13 @@
   return Status == StatusBadRequest || Status == StatusNotFound;
 }
 
+/// The EarlierFailures of a call that goes to peers first.
+constexpr const char *DirectNotTried = "direct not tried";
+
 std::string directFailure(const Error &Failure) {
   return "direct " + Failure.Detail;
 }
 
-/// \returns how a peer failed to answer a call, for the event log.
-std::string failureDetail(const HttpResult &Response) {
-  if (!Response)
-    return std::string(errorInfo(Response.error().Code).Name);
-  return fmt::format("status {} sends {}", Response->Status, Response->Sends);
-}
-
 /// \returns how the store failed to answer a peer, which says so in \p
 /// Response.
 std::string reportedFailure(const HttpResponse &Response,
@@ -245,26 +241,21 @@
                      fmt::format("{}; peer {} {}", Call.EarlierFailures,
                                  Call.Peers.front(), Reason));
     };
-    const bool MayHaveTakenEffect =
-        Response ? Response->Status != StatusOk &&
-                       !isRejectedMessage(Response->Status)
-                 : !isNotSent(Response.error().Code);
-    if (MayHaveTakenEffect)
-      return Done(Unknown(failureDetail(Response)));
-    auto Decoded =
-        Response && Response->Status == StatusOk
-            ? decodeCommitResponse(Response->Body)
-            : failure(ErrorCode::PlatformUnavailable, failureDetail(Response));
-    const Error *Failure = !Decoded          ? &Decoded.error()
-                           : !Decoded->Value ? &Decoded->Value.error()
-                                             : nullptr;
-    if (Failure != nullptr && isUnavailable(*Failure)) {
-      skipPeer(Call, Decoded ? reportedFailure(*Response, *Failure)
-                             : Failure->Detail);
+    const bool NotPassedOn = Response ? isRejectedMessage(Response->Status)
+                                      : isNotSent(Response.error().Code);
+    if (NotPassedOn) {
+      skipPeer(Call, describeResult(Response));
       return relayCommit(std::move(Call), std::move(Done));
     }
+    if (!Response || Response->Status != StatusOk)
+      return Done(Unknown(describeResult(Response)));
+    auto Decoded = decodeCommitResponse(Response->Body);
     if (!Decoded)
       return Done(Unknown("unreadable response"));
+    if (!Decoded->Value && isUnavailable(Decoded->Value.error())) {
+      skipPeer(Call, reportedFailure(*Response, Decoded->Value.error()));
+      return relayCommit(std::move(Call), std::move(Done));
+    }
     if (Decoded->Value)
       recordRelayedContact(Decoded->StoreTime);
     Done(std::move(Decoded->Value));
@@ -281,7 +272,7 @@
     auto Decoded =
         Response && Response->Status == StatusOk
             ? decodePageResponse(Response->Body)
-            : failure(ErrorCode::PlatformUnavailable, failureDetail(Response));
+            : failure(ErrorCode::PlatformUnavailable, describeResult(Response));
     if (!Decoded ||
         (!Decoded->Value && isUnavailable(Decoded->Value.error()))) {
       skipPeer(Call, Decoded
@@ -300,71 +291,73 @@
   Done = recordingUnknownWrite(Change,
                                recordingOutcome("commit", std::move(Done)));
   const auto MakeRelayedCall = [this,
-                                Timeout](const RowTransaction &Transaction) {
+                                Timeout](const RowTransaction &Transaction,
+                                         std::string EarlierFailures) {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
     return RelayedCall{
         .Body = encode(StoreCall(CommitCall{Transaction, RelayTimeout})),
         .Timeout = RelayTimeout,
-        .Peers = selectPeers()};
+        .Peers = selectPeers(),
+        .EarlierFailures = std::move(EarlierFailures)};
   };
   if (shouldRelayFirst())
-    return relayCommit(MakeRelayedCall(Change), std::move(Done));
-  Direct_.commit(Change, Timeout,
-                 [this, Change, MakeRelayedCall,
-                  Done = std::move(Done)](Result<RowCommit> Outcome) mutable {
-                   const bool Failed = !Outcome;
-                   if (!recordDirectOutcome(Failed) ||
-                       !isUnavailable(Outcome.error()))
-                     return Done(std::move(Outcome));
-                   RelayedCall Call = MakeRelayedCall(Change);
-                   Call.EarlierFailures = directFailure(Outcome.error());
-                   relayCommit(std::move(Call), std::move(Done));
-                 });
+    return relayCommit(MakeRelayedCall(Change, DirectNotTried),
+                       std::move(Done));
+  Direct_.commit(
+      Change, Timeout,
+      [this, Change, MakeRelayedCall,
+       Done = std::move(Done)](Result<RowCommit> Outcome) mutable {
+        const bool Failed = !Outcome;
+        if (!recordDirectOutcome(Failed) || !isUnavailable(Outcome.error()))
+          return Done(std::move(Outcome));
+        relayCommit(MakeRelayedCall(Change, directFailure(Outcome.error())),
+                    std::move(Done));
+      });
 }
 
 void RelayedStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
   Done = recordingOutcome("read", std::move(Done));
-  const auto MakeRelayedCall = [this, Range, Timeout] {
+  const auto MakeRelayedCall = [this, Range,
+                                Timeout](std::string EarlierFailures) {
     const milliseconds RelayTimeout = std::min(Timeout, RelayTimeoutMax);
     return RelayedCall{.Body = encode(StoreCall(ReadCall{Range, RelayTimeout})),
                        .IsRead = true,
                        .Timeout = RelayTimeout,
-                       .Peers = selectPeers()};
+                       .Peers = selectPeers(),
+                       .EarlierFailures = std::move(EarlierFailures)};
   };
   if (shouldRelayFirst())
-    return relayPage(MakeRelayedCall(), std::move(Done));
+    return relayPage(MakeRelayedCall(DirectNotTried), std::move(Done));
   Direct_.read(Range, Timeout,
                [this, MakeRelayedCall,
                 Done = std::move(Done)](Result<RowPage> Page) mutable {
                  if (isTooSlow(Page) || !recordDirectOutcome(!Page))
                    return Done(std::move(Page));
-                 RelayedCall Call = MakeRelayedCall();
-                 Call.EarlierFailures = directFailure(Page.error());
-                 relayPage(std::move(Call), std::move(Done));
+                 relayPage(MakeRelayedCall(directFailure(Page.error())),
+                           std::move(Done));
                });
 }
 
 void RelayedStore::changes(ChangesQuery Request, PageDone Done) {
   Done = recordingOutcome("changes", std::move(Done));
-  const auto MakeRelayedCall = [this, Request] {
+  const auto MakeRelayedCall = [this, Request](std::string EarlierFailures) {
     ChangesQuery Relayed = Request;
     Relayed.Wait = std::min(Request.Wait, RelayedWaitMax);
     return RelayedCall{.Body = encode(StoreCall(ChangesCall{Relayed})),
                        .IsRead = true,
                        .Timeout = Relayed.Wait + ResponseAllowance,
-                       .Peers = selectPeers()};
+                       .Peers = selectPeers(),
+                       .EarlierFailures = std::move(EarlierFailures)};
   };
   if (shouldRelayFirst())
-    return relayPage(MakeRelayedCall(), std::move(Done));
+    return relayPage(MakeRelayedCall(DirectNotTried), std::move(Done));
   Direct_.changes(Request, [this, MakeRelayedCall, Done = std::move(Done)](
                                Result<RowPage> Page) mutable {
     const bool HistoryGone =
         !Page && Page.error().Code == ErrorCode::HistoryGone;
     if (HistoryGone || isTooSlow(Page) || !recordDirectOutcome(!Page))
       return Done(std::move(Page));
-    RelayedCall Call = MakeRelayedCall();
-    Call.EarlierFailures = directFailure(Page.error());
-    relayPage(std::move(Call), std::move(Done));
+    relayPage(MakeRelayedCall(directFailure(Page.error())), std::move(Done));
   });
 }
 
--- a/packages/net/include/cuminroad/net/HttpClient.h
+++ b/packages/net/include/cuminroad/net/HttpClient.h
@@ -39,6 +39,9 @@
 /// AnswerIncomplete and AnswerMismatched the server may have acted on the
 /// request.
 using HttpResult = Result<HttpResponse>;
+/// \returns the name of the error, or the status and how often the request was
+/// sent, for the event log.
+std::string describeResult(const HttpResult &Result);
 /// Called exactly once, on the client's thread, unless the client is destroyed
 /// before.
 using HttpCallback = std::function<void(HttpResult)>;
