Log the age of the contracts, and which version answered a 404

A daemon that waits for a change and one that waits on a dead connection logged the same: nothing. A request that got 404 left no line. Now config_stale and config_current say when the store last confirmed the contracts in force and how the last request for changes failed; route_unknown says which version answered a request without a route and how old it was; two gauges tell the same to scrapes.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -42,6 +42,8 @@
   ContractApplied = 1302,
   ContractConflict = 1303,
   ConfigApplied = 1310,
+  ConfigStale = 1311,
+  ConfigCurrent = 1312,
   JobAccepted = 1400,
   JobRefused = 1401,
   JobFinished = 1402,
@@ -74,6 +76,7 @@
   PoolCountFailed = 1441,
   RequestUnknown = 1500,
   RequestNotRun = 1501,
+  RouteUnknown = 1502,
   PeerMessageRejected = 1600,
   LinesDropped = 1700,
 };
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -91,6 +91,12 @@
               "another change."},
     EventInfo{EventId::ConfigApplied, Severity::Info, "config_applied",
               "This process applied a new version of the contracts."},
+    EventInfo{EventId::ConfigStale, Severity::Warning, "config_stale",
+              "The contracts in force were last confirmed by the store longer "
+              "ago than changes may take to apply; with their version, their "
+              "age and the last failure."},
+    EventInfo{EventId::ConfigCurrent, Severity::Info, "config_current",
+              "The store has confirmed the contracts in force again."},
     EventInfo{EventId::JobAccepted, Severity::Info, "job_accepted",
               "The job was accepted: its row is in the table."},
     EventInfo{EventId::JobRefused, Severity::Info, "job_refused",
@@ -173,6 +179,9 @@
               "It is unknown whether a request ran."},
     EventInfo{EventId::RequestNotRun, Severity::Info, "request_not_run",
               "A request was certainly not run."},
+    EventInfo{EventId::RouteUnknown, Severity::Info, "route_unknown",
+              "No route matches a request; with the version of the contracts "
+              "and the time since the store confirmed it."},
     EventInfo{EventId::PeerMessageRejected, Severity::Warning,
               "peer_message_rejected",
               "A message between daemons could not be parsed and was ignored."},
--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -39,6 +39,9 @@
   /// Sets the gauges of an owned pool. A default PoolLoad resets them once the
   /// pool is no longer owned.
   void setPoolLoad(const std::string &Service, const PoolLoad &Load);
+  /// Sets the gauges of the contracts in force. \p Age is the time since the
+  /// store confirmed them.
+  void setConfig(std::int64_t Version, milliseconds Age);
   /// Sets the counters of the HTTP client to its present \p Traffic.
   void setHttpTraffic(const HttpTraffic &Traffic);
   /// \returns all metrics in the Prometheus text format.
@@ -56,6 +59,8 @@
   prometheus::Family<prometheus::Counter> &VmCrashes_;
   prometheus::Family<prometheus::Counter> &AbandonedJobs_;
   prometheus::Family<prometheus::Counter> &HttpResends_;
+  prometheus::Family<prometheus::Gauge> &ConfigVersion_;
+  prometheus::Family<prometheus::Gauge> &ConfigAge_;
   prometheus::Family<prometheus::Gauge> &PoolTasks_;
   prometheus::Family<prometheus::Gauge> &PoolVms_;
   prometheus::Family<prometheus::Gauge> &PoolCores_;
--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -37,6 +37,8 @@
   milliseconds VmHeartbeatInterval{1500};
   /// How long a daemon that has lost contact may act on what it knew before.
   milliseconds ContactTime{3000};
+  /// How long changed contracts may take to come into force in each daemon.
+  milliseconds ConfigApplyTime{2000};
   /// Factor by which a task takes longer away from its data, or in a gang that
   /// spans racks.
   double RemoteFactor = 1.0;
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -58,6 +58,8 @@
 
   /// Takes note of changed contracts.
   void queuesChanged() { PendingJobs_.queuesChanged(); }
+  /// Logs that no route of the contracts in force matches a request.
+  void recordUnknownRoute(std::string_view Host, std::string_view Path);
   /// \param CallerTimeout how long the client waits for the answer.
   void submit(const QueueTerms &Queue, JobPlan Plan, milliseconds CallerTimeout,
               SubmitDone Done);
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cuminroad/base/Clock.h"
 #include "cuminroad/fleet/QueueConfig.h"
 
 namespace cuminroad {
@@ -14,6 +15,12 @@
 public:
   /// \returns whether \p Config is newer than the contracts in force.
   bool apply(QueueConfig Config);
+  /// Records that the store had no newer contracts at \p Now.
+  void confirm(TimePoint Now) { ConfirmedAt_ = Now; }
+  /// \returns how long ago the store had no newer contracts.
+  milliseconds age(TimePoint Now) const {
+    return std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt_);
+  }
   bool loaded() const { return Config_.Version > 0; }
   const QueueConfig &config() const { return Config_; }
   /// \returns the route with the longest prefix of \p Path on \p Host, or null.
@@ -27,6 +34,7 @@
 
 private:
   QueueConfig Config_;
+  TimePoint ConfirmedAt_{};
 };
 
 } // namespace cuminroad
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -54,8 +54,9 @@
 /// Keeps the values of a table's rows by key and calls back after each change.
 class RowMap final : public RowSink {
 public:
-  explicit RowMap(std::function<void()> Changed)
-      : Changed_(std::move(Changed)) {}
+  explicit RowMap(
+      std::function<void()> Changed, std::function<void()> Confirmed = [] {})
+      : Changed_(std::move(Changed)), Confirmed_(std::move(Confirmed)) {}
 
   void tableRead(std::vector<StoredRow> Rows) override {
     Rows_.clear();
@@ -70,10 +71,12 @@
     }
     Changed_();
   }
+  void confirmed() override { Confirmed_(); }
   const std::map<std::string, std::string> &rows() const { return Rows_; }
 
 private:
   std::function<void()> Changed_;
+  std::function<void()> Confirmed_;
   std::map<std::string, std::string> Rows_;
 };
 
@@ -95,7 +98,9 @@
                Dependencies_.Events, Metrics_,
                [this] { return otherDaemonAddresses(); }),
         Directory_(Dependencies_.Formats, Dependencies_.Events),
-        ConfigRows_([this] { configChanged(); }),
+        ConfigRows_(
+            [this] { configChanged(); },
+            [this] { Queues_.confirm(Dependencies_.MonotonicClock.now()); }),
         DaemonTableRows_([this] { daemonsChanged(); }),
         Context_{Dependencies_.Settings,
                  Self_,
@@ -141,6 +146,9 @@
   /// Starts the leases of all recorded pools, now and at intervals.
   void readPools();
   void checkStore();
+  /// Logs when the contracts in force become stale, and when they no longer
+  /// are.
+  void checkConfigAge();
   bool ready() const;
   void drain(DrainTimer Timer);
   void finishStop();
@@ -164,7 +172,8 @@
   std::unique_ptr<HttpServer> ReadinessServer_;
   std::unique_ptr<HttpServer> PeerServer_;
   std::unique_ptr<HttpServer> MetricsServer_;
-  std::vector<std::shared_ptr<TableFollower>> Followers_;
+  std::shared_ptr<TableFollower> ConfigFollower_;
+  std::shared_ptr<TableFollower> DaemonFollower_;
   /// Exists only while this daemon owns a pool; the directory is not needed
   /// otherwise.
   std::shared_ptr<TableFollower> VmFollower_;
@@ -174,6 +183,7 @@
   bool PoolsRead_ = false;
   bool Stopping_ = false;
   bool StoreUnreachable_ = false;
+  bool ConfigStale_ = false;
 };
 
 std::unique_ptr<HttpServer>
@@ -211,15 +221,18 @@
       Dependencies_.Settings.MetricsAddress,
       [this](const HttpRequest &, const HttpResponder &Respond) {
         Metrics_.setHttpTraffic(Dependencies_.Client.traffic());
+        Metrics_.setConfig(Queues_.config().Version,
+                           Queues_.age(Dependencies_.MonotonicClock.now()));
         Respond(HttpResponse{200, {}, Metrics_.render(), MetricsContentType});
       });
   FrontendServer_ = listen(Dependencies_.Settings.FrontendAddress,
                            MakeRequestHandler_(Queues_, Frontend_));
   Dependencies_.Events.record(EventId::DaemonStarted, Self_.Name,
                               Self_.Incarnation);
-  Followers_ = {followTable(Dependencies_.Formats.configTable(), ConfigRows_),
-                followTable(std::string(DaemonTable), DaemonTableRows_,
-                            DaemonBatchDelay)};
+  ConfigFollower_ =
+      followTable(Dependencies_.Formats.configTable(), ConfigRows_);
+  DaemonFollower_ =
+      followTable(std::string(DaemonTable), DaemonTableRows_, DaemonBatchDelay);
   registerSelf();
   checkStore();
 }
@@ -395,9 +408,25 @@
     Dependencies_.Events.record(
         Unreachable ? EventId::StoreLost : EventId::StoreBack, Self_.Name);
   StoreUnreachable_ = Unreachable;
+  checkConfigAge();
   Dependencies_.ControlLoop.after(CheckInterval, [this] { checkStore(); });
 }
 
+void FleetDaemonImpl::checkConfigAge() {
+  if (!Queues_.loaded())
+    return;
+  const milliseconds Age = Queues_.age(Dependencies_.MonotonicClock.now());
+  const bool Stale = Age > Dependencies_.Settings.ConfigApplyTime;
+  if (Stale != ConfigStale_)
+    Dependencies_.Events.record(
+        Stale ? EventId::ConfigStale : EventId::ConfigCurrent, Self_.Name,
+        Stale ? fmt::format("version {} age_ms {} last_failure {}",
+                            Queues_.config().Version, Age.count(),
+                            ConfigFollower_->lastFailure())
+              : fmt::format("version {}", Queues_.config().Version));
+  ConfigStale_ = Stale;
+}
+
 void FleetDaemonImpl::stop() {
   if (Stopping_)
     return;
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -57,6 +57,10 @@
       HttpResends_(counters(Registry_, "cuminroad_http_resends_total",
                             "Requests whose connection was lost without a "
                             "response, by whether they were sent again.")),
+      ConfigVersion_(gauges(Registry_, "cuminroad_config_version",
+                            "Version of the contracts in force.")),
+      ConfigAge_(gauges(Registry_, "cuminroad_config_age_seconds",
+                        "Time since the store confirmed the contracts.")),
       PoolTasks_(gauges(Registry_, "cuminroad_pool_tasks",
                         "Tasks of an owned pool, by state.")),
       PoolVms_(gauges(Registry_, "cuminroad_pool_vms",
@@ -123,6 +127,11 @@
       .Set(static_cast<double>(Load.TotalMilliCores) / ThousandthsPerUnit);
 }
 
+void FleetMetrics::setConfig(std::int64_t Version, milliseconds Age) {
+  ConfigVersion_.Add({}).Set(static_cast<double>(Version));
+  ConfigAge_.Add({}).Set(toSeconds(Age));
+}
+
 void FleetMetrics::setHttpTraffic(const HttpTraffic &Traffic) {
   const std::pair<const char *, std::uint64_t> Resends[] = {
       {"sent", Traffic.Resends}, {"prevented", Traffic.PreventedResends}};
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -34,6 +34,8 @@
 /// Outages last seconds, and so do the callers' timeouts.
 constexpr milliseconds StoreRetryAfter{1000};
 
+/// Bytes of a request's path that the log shows, at most.
+constexpr std::size_t MaxLoggedPath = 80;
 /// Failed writes of a job that the log shows, at most.
 constexpr int MaxLoggedWrites = 4;
 
@@ -87,6 +89,15 @@
       Deadline - Context_.MonotonicClock.now());
 }
 
+void JobFrontend::recordUnknownRoute(std::string_view Host,
+                                     std::string_view Path) {
+  Context_.Events.record(
+      EventId::RouteUnknown, Host,
+      fmt::format("path {} version {} age_ms {}", Path.substr(0, MaxLoggedPath),
+                  Context_.Queues.config().Version,
+                  Context_.Queues.age(Context_.MonotonicClock.now()).count()));
+}
+
 void JobFrontend::submit(const QueueTerms &Queue, JobPlan Plan,
                          milliseconds CallerTimeout, SubmitDone Done) {
   auto Pending = std::make_shared<Submission>();
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -223,3 +223,22 @@
     BOOST_CHECK(!Count);
   }
 }
+
+// Guards against a 404 of which the log doesn't tell whether the route is
+// unknown or the daemon is behind.
+BOOST_FIXTURE_TEST_CASE(unknownRoutesAreLoggedWithTheAgeOfTheContracts,
+                        FrontendFixture) {
+  QueueConfig Config;
+  Config.Version = 7;
+  Queues.apply(std::move(Config));
+  Queues.confirm(ControlLoop.MonotonicClock.now());
+  ControlLoop.runFor(milliseconds(1500));
+  Frontend.recordUnknownRoute("a.example", "/" + std::string(500, 'p'));
+  const auto Lines = Events.since(0);
+  BOOST_REQUIRE(!Lines.empty());
+  BOOST_CHECK(Lines.back().Id == EventId::RouteUnknown);
+  BOOST_CHECK_EQUAL(Lines.back().Subject, "a.example");
+  BOOST_CHECK_NE(Lines.back().Detail.find("version 7 age_ms 1500"),
+                 std::string::npos);
+  BOOST_CHECK_LT(Lines.back().Detail.size(), 150U);
+}
--- a/packages/store/include/cuminroad/store/TableFollower.h
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -32,6 +32,8 @@
   virtual void tableRead(std::vector<StoredRow> Rows) = 0;
   /// Rows that changed since the last call, in the order of their versions.
   virtual void rowsChanged(std::vector<StoredRow> Rows) = 0;
+  /// Called after each response of the store: there are no other changes.
+  virtual void confirmed() {}
 };
 
 /// Follows one table: reads it in full, then polls for changes. Failed calls
@@ -49,13 +51,15 @@
   /// \returns the number of pages of the current full read, or of the last one,
   /// that have arrived.
   std::size_t pagesRead() const { return Reader_ ? Reader_->pagesRead() : 0; }
+  /// \returns how the last request for changes that failed did so.
+  const std::string &lastFailure() const { return LastFailure_; }
 
 private:
   void readAll();
   void handleTable(TableReader::Contents Table);
   void waitForChanges();
   void handleChanges(Result<RowPage> Page);
-  void handleChangesFailure(ErrorCode Code);
+  void handleChangesFailure(const Error &Failure);
 
   RowStore &Store_;
   Loop &ControlLoop_;
@@ -68,6 +72,7 @@
   milliseconds RetryDelay_;
   /// Consecutive requests for changes whose response was too slow.
   int SlowResponses_ = 0;
+  std::string LastFailure_;
   bool Closed_ = false;
 };
 
--- a/packages/store/src/TableFollower.cpp
+++ b/packages/store/src/TableFollower.cpp
@@ -45,6 +45,8 @@
   SlowResponses_ = 0;
   KnownVersion_ = Table.Version;
   Sink_.tableRead(std::move(Table.Rows));
+  if (!Closed_)
+    Sink_.confirmed();
   if (!Closed_)
     waitForChanges();
 }
@@ -59,7 +61,7 @@
 
 void TableFollower::handleChanges(Result<RowPage> Page) {
   if (!Page)
-    return handleChangesFailure(Page.error().Code);
+    return handleChangesFailure(Page.error());
   RetryDelay_ = RetryDelayMin;
   SlowResponses_ = 0;
   KnownVersion_ = std::max(KnownVersion_, Page->Version);
@@ -69,6 +71,10 @@
     Sink_.rowsChanged(std::move(Page->Rows));
   if (Closed_)
     return;
+  if (!FullPage)
+    Sink_.confirmed();
+  if (Closed_)
+    return;
   const milliseconds Pause = FullPage ? milliseconds(0) : Options_.BatchDelay;
   ControlLoop_.after(Pause, [Self = shared_from_this()] {
     if (!Self->Closed_)
@@ -76,9 +82,11 @@
   });
 }
 
-void TableFollower::handleChangesFailure(ErrorCode Code) {
-  SlowResponses_ = Code == ErrorCode::AnswerTooSlow ? SlowResponses_ + 1 : 0;
-  if (Code == ErrorCode::HistoryGone ||
+void TableFollower::handleChangesFailure(const Error &Failure) {
+  LastFailure_ = Failure.text();
+  SlowResponses_ =
+      Failure.Code == ErrorCode::AnswerTooSlow ? SlowResponses_ + 1 : 0;
+  if (Failure.Code == ErrorCode::HistoryGone ||
       SlowResponses_ == SlowResponsesUntilFullRead)
     return readAll();
   ControlLoop_.after(RetryDelay_, [Self = shared_from_this()] {
