End connections that have become silent, in every HTTP client

Callers got 404 on a route more than two seconds after its version had been acknowledged. Cause: an open connection can become silent without a reset. Only the timeout of a call showed it, and closed this one connection; the next call took another one of the client's idle connections, as silent as the first. A request for changes lost 2.3 s on each. The evidence: config_stale with answer_too_slow (timeout) on the daemons that are behind, and lags at multiples of 2.3 s.

Now the kernel probes connections without traffic and ends those on which nothing is acknowledged for a second; calls that libcurl repeats by itself go out on a new connection. That holds for every call of both clients: to the store, to other daemons and to VMs.

--- a/packages/net/src/CurlTransfer.cpp
+++ b/packages/net/src/CurlTransfer.cpp
@@ -2,10 +2,22 @@
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace cuminroad {
 
 namespace {
 
+/// A connection without traffic for this long is probed.
+constexpr int KeepAliveIdleSeconds = 1;
+/// A probe that isn't acknowledged for this long ends the connection.
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 1;
+/// Data that isn't acknowledged for this long ends the connection. The kernel
+/// repeats lost packets several times before.
+constexpr milliseconds MaxUnacknowledgedTime{1000};
 /// Connections that were idle for longer are not reused, since the server may
 /// be about to close them.
 constexpr long MaxIdleSeconds = 30;
@@ -18,6 +30,23 @@
          Response.Status == 204;
 }
 
+/// Makes the kernel end a connection on which the peer acknowledges nothing.
+/// Otherwise only timeouts of calls would show it, one connection after
+/// another.
+int setKeepAlive(void *, curl_socket_t Socket, curlsocktype) {
+  const auto Set = [Socket](int Level, int Option, int Value) {
+    return setsockopt(Socket, Level, Option, &Value, sizeof(Value)) == 0;
+  };
+  const bool AllSet =
+      Set(SOL_SOCKET, SO_KEEPALIVE, 1) &&
+      Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds) &&
+      Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds) &&
+      Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes) &&
+      Set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+          static_cast<int>(MaxUnacknowledgedTime.count()));
+  return AllSet ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 bool mayResend(const HttpCall &Call) {
   return Call.AllowResend || Call.Method == "GET" || Call.Method == "HEAD";
 }
@@ -48,6 +77,9 @@
   ResendPrevented_ = IsResend && !mayResend(Call_);
   if (ResendPrevented_)
     return false;
+  // If libcurl sends the request again, the connections that it keeps may be as
+  // dead as this one.
+  curl_easy_setopt(Handle_, CURLOPT_FRESH_CONNECT, 1L);
   // libcurl also comes here again if it could not send a single byte before.
   Sends_ = IsResend ? Sends_ + 1 : 1;
   return true;
@@ -84,6 +116,7 @@
   curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, sendCallback);
   curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, setKeepAlive);
   curl_easy_setopt(Handle, CURLOPT_PROXY, "");
   // Without it libcurl looks for the variable no_proxy at each call.
   curl_easy_setopt(Handle, CURLOPT_NOPROXY, "*");
