Derive the waits of a follower from the time in which changes must be known

Callers of a daemon to which the store had fallen silent were answered by old contracts for 4 s. Cause: a request for changes waited 1.5 s plus 0.8 s for its response, was repeated with the same timeouts since one failure is no reason to relay, and only then went to another daemon; nobody had added them up. Now a table has a longest lag (for the contracts the platform's bound, 2 s by default), and the wait is what remains after the allowance for the response, the delay before the next try and a response through another daemon. After a failure the next request does not wait for a change, and goes to a daemon that is known to reach the store. It holds for every followed table: contracts, daemons, VMs, job requests.

fleet.ChangeLagTest, longest lag over all phases of a request: 4623 ms before, 1625 ms now (bound 2000); once the store is back 3062 ms before, 1562 ms now (bound 3000).

--- a/packages/fleet/include/cuminroad/fleet/RelayedStore.h
+++ b/packages/fleet/include/cuminroad/fleet/RelayedStore.h
@@ -56,6 +56,9 @@
 
   /// Whether the next call goes to peers first.
   bool shouldRelayFirst();
+  /// Whether the next request for changes does. It may after a single failure,
+  /// if a peer reaches the store: a second timeout would make the changes late.
+  bool shouldRelayChangesFirst();
   /// Records whether a direct call failed.
   /// \returns whether to try a peer.
   bool recordDirectOutcome(bool Failed);
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -130,8 +130,8 @@
 private:
   std::unique_ptr<HttpServer> listen(const ListenAddress &Endpoint,
                                      HttpHandler Handler);
-  std::shared_ptr<TableFollower> followTable(std::string Table, RowSink &Sink,
-                                             milliseconds Gather = {});
+  std::shared_ptr<TableFollower> followTable(FollowOptions Options,
+                                             RowSink &Sink);
   void configChanged();
   void daemonsChanged();
   void startLease(const std::string &Service);
@@ -196,13 +196,9 @@
 }
 
 std::shared_ptr<TableFollower>
-FleetDaemonImpl::followTable(std::string Table, RowSink &Sink,
-                             milliseconds Gather) {
-  auto Out = std::make_shared<TableFollower>(
-      Store_, Dependencies_.ControlLoop,
-      FollowOptions{
-          .Table = std::move(Table), .Partitions = {""}, .BatchDelay = Gather},
-      Sink);
+FleetDaemonImpl::followTable(FollowOptions Options, RowSink &Sink) {
+  auto Out = std::make_shared<TableFollower>(Store_, Dependencies_.ControlLoop,
+                                             std::move(Options), Sink);
   Out->start();
   return Out;
 }
@@ -230,9 +226,15 @@
   Dependencies_.Events.record(EventId::DaemonStarted, Self_.Name,
                               Self_.Incarnation);
   ConfigFollower_ =
-      followTable(Dependencies_.Formats.configTable(), ConfigRows_);
-  DaemonFollower_ =
-      followTable(std::string(DaemonTable), DaemonTableRows_, DaemonBatchDelay);
+      followTable({.Table = Dependencies_.Formats.configTable(),
+                   .Partitions = {""},
+                   .MaxLag = Dependencies_.Settings.ConfigApplyTime},
+                  ConfigRows_);
+  DaemonFollower_ = followTable({.Table = std::string(DaemonTable),
+                                 .Partitions = {""},
+                                 .BatchDelay = DaemonBatchDelay,
+                                 .MaxLag = Dependencies_.Settings.ContactTime},
+                                DaemonTableRows_);
   registerSelf();
   checkStore();
 }
@@ -349,8 +351,10 @@
   };
   Owners_[Term.Service] = Owner;
   if (!VmFollower_)
-    VmFollower_ =
-        followTable(Dependencies_.Formats.vmTable(), Directory_, VmBatchDelay);
+    VmFollower_ = followTable({.Table = Dependencies_.Formats.vmTable(),
+                               .Partitions = {""},
+                               .BatchDelay = VmBatchDelay},
+                              Directory_);
   Owner->start();
   Owner->setPeers(OtherDaemons_);
   registerPool(Term.Service);
--- a/packages/fleet/src/RelayedStore.cpp
+++ b/packages/fleet/src/RelayedStore.cpp
@@ -125,6 +125,12 @@
   return false;
 }
 
+bool RelayedStore::shouldRelayChangesFirst() {
+  if (DirectFailures_ > 0 && DirectFailures_ < FailuresBeforeRelay)
+    return !selectPeers().empty();
+  return shouldRelayFirst();
+}
+
 bool RelayedStore::recordDirectOutcome(bool Failed) {
   if (!Failed) {
     if (DirectFailures_ >= FailuresBeforeRelay)
@@ -349,8 +355,11 @@
                        .Peers = selectPeers(),
                        .EarlierFailures = std::move(EarlierFailures)};
   };
-  if (shouldRelayFirst())
+  if (shouldRelayChangesFirst())
     return relayPage(MakeRelayedCall(DirectNotTried), std::move(Done));
+  // A response that is due at once soon shows whether the store is back.
+  if (DirectFailures_ > 0)
+    Request.Wait = milliseconds(0);
   Direct_.changes(Request, [this, MakeRelayedCall, Done = std::move(Done)](
                                Result<RowPage> Page) mutable {
     const bool HistoryGone =
--- /dev/null
+++ b/packages/fleet/tests/ChangeLagTest.cpp
@@ -0,0 +1,136 @@
+// How long after a change of a table a daemon learns of it, while its own way
+// to the store fails.
+
+#include <algorithm>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "PoolTestSupport.h"
+#include "cuminroad/fakes/FakeRowStore.h"
+#include "cuminroad/fleet/FleetSettings.h"
+#include "cuminroad/fleet/PeerService.h"
+#include "cuminroad/fleet/RelayedStore.h"
+#include "cuminroad/store/TableFollower.h"
+
+using namespace cuminroad;
+
+namespace {
+
+constexpr milliseconds PeerLatency{10};
+constexpr milliseconds OffsetStep{50};
+/// Covers the phases of a request for changes.
+constexpr milliseconds MaxOffset{2500};
+
+/// Notes when a daemon learns of a row.
+class ChangeRecorder final : public RowSink {
+public:
+  explicit ChangeRecorder(const Clock &MonotonicClock)
+      : MonotonicClock_(MonotonicClock) {}
+  void tableRead(std::vector<StoredRow> Rows) override {
+    rowsChanged(std::move(Rows));
+  }
+  void rowsChanged(std::vector<StoredRow> Rows) override {
+    for (const StoredRow &Row : Rows)
+      if (Row.Name.Key == "new")
+        LearnedAt = MonotonicClock_.now();
+  }
+  std::optional<TimePoint> LearnedAt;
+
+private:
+  const Clock &MonotonicClock_;
+};
+
+/// A daemon that follows a table, and a peer that reaches the store.
+struct FollowingDaemon {
+  FollowingDaemon()
+      : Direct(Rows, ControlLoop), PeerStore(Rows, ControlLoop),
+        Events("t", 10, nullptr),
+        Http(makePeerHandler(Pools, Advisor, PeerStore,
+                             ControlLoop.MonotonicClock),
+             ControlLoop),
+        Store(Direct, Http, ControlLoop, ControlLoop.MonotonicClock, Events,
+              Metrics, [] { return std::vector<std::string>{"peer:1"}; }),
+        Changes(ControlLoop.MonotonicClock),
+        Follower(std::make_shared<TableFollower>(
+            Store, ControlLoop, FollowOptions{.Table = "t", .Partitions = {""}},
+            Changes)) {
+    Http.Latency = PeerLatency;
+    Follower->start();
+    readAsPeer();
+    ControlLoop.runFor(milliseconds(100));
+  }
+  ~FollowingDaemon() { Follower->close(); }
+
+  /// The peer calls the store often, as standbys do.
+  void readAsPeer() {
+    PeerStore.read(RowRange{"t", "", "", ""}, milliseconds(500),
+                   [](const Result<RowPage> &) {});
+    ControlLoop.after(milliseconds(300), [this] { readAsPeer(); });
+  }
+  void write() {
+    RowTransaction Change;
+    Change.Puts.push_back(RowPut{RowName{"t", "", "new"}, "1"});
+    Rows.apply(Change);
+  }
+  /// \returns how long after \p Begin the daemon learned of the write; a long
+  /// time if it didn't.
+  milliseconds lagSince(TimePoint Begin) const {
+    return Changes.LearnedAt ? std::chrono::duration_cast<milliseconds>(
+                                   *Changes.LearnedAt - Begin)
+                             : milliseconds::max();
+  }
+
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeRowStore Direct;
+  FakeRowStore PeerStore;
+  EventLog Events;
+  FleetMetrics Metrics;
+  NoOwnedPools Pools;
+  AllowAllAdvisor Advisor{ControlLoop};
+  PeerHttpClient Http;
+  RelayedStore Store;
+  ChangeRecorder Changes;
+  std::shared_ptr<TableFollower> Follower;
+};
+
+} // namespace
+
+// Guards against timeouts on the way to the store whose sum exceeds the time in
+// which changed contracts must be in force.
+BOOST_AUTO_TEST_CASE(changesArriveInTimeWhenTheStoreFallsSilent) {
+  const milliseconds Bound = FleetSettings().ConfigApplyTime;
+  milliseconds Longest{0};
+  for (milliseconds Offset{0}; Offset <= MaxOffset; Offset += OffsetStep) {
+    FollowingDaemon Daemon;
+    Daemon.ControlLoop.runFor(Offset);
+    Daemon.Direct.Silent = true;
+    const TimePoint Begin = Daemon.ControlLoop.MonotonicClock.now();
+    Daemon.write();
+    Daemon.ControlLoop.runFor(3 * Bound);
+    Longest = std::max(Longest, Daemon.lagSince(Begin));
+  }
+  BOOST_TEST_MESSAGE("longest lag: " << Longest.count() << " ms");
+  BOOST_CHECK_LE(Longest.count(), Bound.count());
+}
+
+// Guards against a request for changes that a daemon sends shortly before the
+// store is back, and that delays the next one.
+BOOST_AUTO_TEST_CASE(changesArriveInTimeOnceTheStoreIsBack) {
+  const milliseconds Bound = FleetSettings().ContactTime;
+  milliseconds Longest{0};
+  for (milliseconds Offset{0}; Offset <= MaxOffset; Offset += OffsetStep) {
+    FollowingDaemon Daemon;
+    Daemon.Direct.Silent = true;
+    Daemon.PeerStore.Silent = true;
+    Daemon.ControlLoop.runFor(milliseconds(5000) + Offset);
+    Daemon.write();
+    Daemon.Direct.Silent = false;
+    const TimePoint Begin = Daemon.ControlLoop.MonotonicClock.now();
+    Daemon.ControlLoop.runFor(3 * Bound);
+    Longest = std::max(Longest, Daemon.lagSince(Begin));
+  }
+  BOOST_TEST_MESSAGE("longest lag: " << Longest.count() << " ms");
+  BOOST_CHECK_LE(Longest.count(), Bound.count());
+}
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -48,8 +48,12 @@
     Request.Method = Call.Method;
     Request.Path = Call.Url.substr(Call.Url.find("/peer/"));
     Request.Body = Call.Body;
-    Peer_(Request,
-          [Done](HttpResponse Response) { Done(std::move(Response)); });
+    Peer_(Request, [this, Done](HttpResponse Response) {
+      if (Latency.count() == 0)
+        return Done(std::move(Response));
+      ControlLoop_.after(
+          Latency, [Done, Response = std::move(Response)] { Done(Response); });
+    });
   }
   HttpTraffic traffic() const override { return {}; }
   std::optional<ErrorCode> Failure;
@@ -57,6 +61,8 @@
   std::optional<int> Status;
   /// Calls get no response until they time out.
   bool Hang = false;
+  /// How long responses take to arrive.
+  milliseconds Latency{0};
   int CallCount = 0;
   std::vector<HttpCall> Posts;
 
--- a/packages/store/include/cuminroad/store/RowStore.h
+++ b/packages/store/include/cuminroad/store/RowStore.h
@@ -94,6 +94,10 @@
   milliseconds Wait{0};
 };
 
+/// How long after the end of its wait a request for changes may still get its
+/// response.
+inline constexpr milliseconds ChangesResponseAllowance{800};
+
 /// The platform's store of versioned rows. Callbacks run on the thread of the
 /// control loop.
 ///
--- a/packages/store/include/cuminroad/store/TableFollower.h
+++ b/packages/store/include/cuminroad/store/TableFollower.h
@@ -18,10 +18,14 @@
   /// store no longer retains the changes since the last read.
   std::vector<std::string> Partitions;
   /// How long the store delays its response while there is no change (long
-  /// poll). Short, because a dead connection is noticed only after this time.
+  /// poll), at most.
   milliseconds Wait{1500};
   /// Pause after a response, so that the next one carries several changes.
   milliseconds BatchDelay{0};
+  /// How long after a change it must be known if this daemon's way to the store
+  /// has just failed, while another daemon reaches the store. The store's delay
+  /// is shortened so that all timeouts on the way fit.
+  milliseconds MaxLag{2000};
 };
 
 /// Receives the rows of a followed table.
@@ -59,6 +63,8 @@
   void handleTable(TableReader::Contents Table);
   void waitForChanges();
   void handleChanges(Result<RowPage> Page);
+  /// \returns how long the store may delay its next response.
+  milliseconds nextWait() const;
   void handleChangesFailure(const Error &Failure);
 
   RowStore &Store_;
@@ -72,6 +78,8 @@
   milliseconds RetryDelay_;
   /// Consecutive requests for changes whose response was too slow.
   int SlowResponses_ = 0;
+  /// Whether the last request for changes failed.
+  bool LastFailed_ = false;
   std::string LastFailure_;
   bool Closed_ = false;
 };
--- a/packages/store/src/TableFollower.cpp
+++ b/packages/store/src/TableFollower.cpp
@@ -11,6 +11,8 @@
 /// short enough to notice within a second that it is back.
 constexpr milliseconds RetryDelayMin{50};
 constexpr milliseconds RetryDelayMax{800};
+/// Time for a response through another daemon.
+constexpr milliseconds RelayAllowance{350};
 /// Rows in a full page of changes.
 constexpr std::size_t FullPageRows = 500;
 /// Consecutive slow responses to requests for changes after which the table is
@@ -43,6 +45,7 @@
 void TableFollower::handleTable(TableReader::Contents Table) {
   RetryDelay_ = RetryDelayMin;
   SlowResponses_ = 0;
+  LastFailed_ = false;
   KnownVersion_ = Table.Version;
   Sink_.tableRead(std::move(Table.Rows));
   if (!Closed_)
@@ -51,8 +54,18 @@
     waitForChanges();
 }
 
+milliseconds TableFollower::nextWait() const {
+  // A response that is due at once soon shows whether the way works.
+  if (LastFailed_)
+    return milliseconds(0);
+  return std::clamp(Options_.MaxLag - Options_.BatchDelay -
+                        ChangesResponseAllowance - RetryDelayMin -
+                        RelayAllowance,
+                    milliseconds(0), Options_.Wait);
+}
+
 void TableFollower::waitForChanges() {
-  Store_.changes(ChangesQuery{Options_.Table, KnownVersion_, Options_.Wait},
+  Store_.changes(ChangesQuery{Options_.Table, KnownVersion_, nextWait()},
                  [Self = shared_from_this()](Result<RowPage> Page) {
                    if (!Self->Closed_)
                      Self->handleChanges(std::move(Page));
@@ -64,6 +77,7 @@
     return handleChangesFailure(Page.error());
   RetryDelay_ = RetryDelayMin;
   SlowResponses_ = 0;
+  LastFailed_ = false;
   KnownVersion_ = std::max(KnownVersion_, Page->Version);
   // More changes are waiting; a pause would let the known rows become old.
   const bool FullPage = Page->Rows.size() >= FullPageRows;
@@ -83,6 +97,7 @@
 }
 
 void TableFollower::handleChangesFailure(const Error &Failure) {
+  LastFailed_ = true;
   LastFailure_ = Failure.text();
   SlowResponses_ =
       Failure.Code == ErrorCode::AnswerTooSlow ? SlowResponses_ + 1 : 0;
--- a/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
@@ -81,6 +81,8 @@
   /// succeed. Reads and change feeds fail on any fault.
   std::function<StoreFault()> NextFault;
   milliseconds Latency{6};
+  /// Calls get no response until they time out, also those in progress.
+  bool Silent = false;
   /// Bandwidth of the daemon's link, on which the pages of reads arrive one
   /// after another; 0 for no limit.
   std::int64_t LinkBytesPerSecond = 0;
@@ -96,6 +98,8 @@
   /// Calls \p Done with the error after \p Delay.
   template <typename Callback>
   void failAfter(milliseconds Delay, ErrorCode Code, Callback Done);
+  /// Fails a change feed that is silent once it has timed out.
+  void failSilentPoll(TimePoint WaitEnd, PageDone Done);
   /// Answers a change feed (long poll) with new changes, or at \p Deadline.
   void poll(ChangesQuery Request, TimePoint Deadline, PageDone Done);
 
--- a/tests/fakes/src/FakeRowStore.cpp
+++ b/tests/fakes/src/FakeRowStore.cpp
@@ -109,6 +109,8 @@
   const auto ReportUnknownOutcome = [this, Timeout, Done] {
     failAfter(Timeout, ErrorCode::WriteOutcomeUnknown, Done);
   };
+  if (Silent)
+    return ReportUnknownOutcome();
   if (!Rows_.accepts(Transaction))
     return failAfter(Latency, ErrorCode::PlatformUnavailable, Done);
   switch (Fault.Kind) {
@@ -142,7 +144,7 @@
 
 void FakeRowStore::read(RowRange Range, milliseconds Timeout, PageDone Done) {
   ++ReadCalls;
-  if (injectedFault().Kind != StoreFault::None) {
+  if (Silent || injectedFault().Kind != StoreFault::None) {
     return failAfter(Timeout, ErrorCode::PlatformUnavailable, Done);
   }
   const TimePoint Deadline = ControlLoop_.MonotonicClock.now() + Timeout;
@@ -182,13 +184,24 @@
     return failAfter(Latency, ErrorCode::PlatformUnavailable, Done);
   }
   const TimePoint Deadline = ControlLoop_.MonotonicClock.now() + Request.Wait;
+  if (Silent)
+    return failSilentPoll(Deadline, std::move(Done));
   ControlLoop_.after(Latency, [this, Request, Deadline, Done] {
     poll(Request, Deadline, Done);
   });
 }
 
+void FakeRowStore::failSilentPoll(TimePoint WaitEnd, PageDone Done) {
+  failAfter(std::chrono::duration_cast<milliseconds>(
+                WaitEnd + ChangesResponseAllowance -
+                ControlLoop_.MonotonicClock.now()),
+            ErrorCode::PlatformUnavailable, std::move(Done));
+}
+
 void FakeRowStore::poll(ChangesQuery Request, TimePoint Deadline,
                         PageDone Done) {
+  if (Silent)
+    return failSilentPoll(Deadline, std::move(Done));
   if (Request.After < Rows_.CompactedVersion)
     return Done(failure(ErrorCode::HistoryGone));
   RowPage Page = Rows_.changesSince(Request.Table, Request.After);
