Keep the addresses of daemons that deregister to restart

Callers of daemons that the store turned away were answered by old contracts for 17 s, and some were answered 503 to their last try. Cause: a daemon that can't reach the store learns of the others from the store alone, through a peer. A daemon that stops deregisters; one that is turned away sees that through the last peer, and when this one restarts as well it has no address left to ask, though all are back at the same places. Now the addresses that deregistered last are kept and probed after the registered ones.

--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -9,6 +9,7 @@
 #include "DrainTimer.h"
 #include "cuminroad/base/Ids.h"
 #include "cuminroad/fleet/DaemonRow.h"
+#include "cuminroad/fleet/PeerAddresses.h"
 #include "cuminroad/fleet/PoolLease.h"
 #include "cuminroad/fleet/PoolOwner.h"
 #include "cuminroad/fleet/RelayedStore.h"
@@ -96,7 +97,7 @@
         Store_(Dependencies_.Store, Dependencies_.Client,
                Dependencies_.ControlLoop, Dependencies_.MonotonicClock,
                Dependencies_.Events, Metrics_,
-               [this] { return otherDaemonAddresses(); }),
+               [this] { return PeerAddresses_.all(); }),
         Directory_(Dependencies_.Formats, Dependencies_.Events),
         ConfigRows_(
             [this] { configChanged(); },
@@ -152,7 +153,6 @@
   bool ready() const;
   void drain(DrainTimer Timer);
   void finishStop();
-  std::vector<std::string> otherDaemonAddresses() const;
 
   FleetDependencies Dependencies_;
   RequestHandlerFactory MakeRequestHandler_;
@@ -166,6 +166,7 @@
   RowMap DaemonTableRows_;
   /// The other daemons that have registered.
   DaemonRows OtherDaemons_;
+  PeerAddresses PeerAddresses_;
   FleetContext Context_;
   JobFrontend Frontend_;
   std::unique_ptr<HttpServer> FrontendServer_;
@@ -308,13 +309,6 @@
     Owner->queuesChanged();
 }
 
-std::vector<std::string> FleetDaemonImpl::otherDaemonAddresses() const {
-  std::vector<std::string> Out;
-  for (const auto &[Name, Row] : OtherDaemons_)
-    Out.push_back(Row.PeerAddress);
-  return Out;
-}
-
 void FleetDaemonImpl::daemonsChanged() {
   OtherDaemons_.clear();
   for (const auto &[Name, Bytes] : DaemonTableRows_.rows()) {
@@ -325,6 +319,10 @@
     else if (Name != Self_.Name)
       OtherDaemons_[Name] = std::move(*Row);
   }
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Row] : OtherDaemons_)
+    Addresses.push_back(Row.PeerAddress);
+  PeerAddresses_.update(std::move(Addresses));
   for (const auto &[Service, Owner] : Owners_)
     Owner->setPeers(OtherDaemons_);
 }
--- a/packages/fleet/tests/ChangeLagTest.cpp
+++ b/packages/fleet/tests/ChangeLagTest.cpp
@@ -9,6 +9,7 @@
 #include "PoolTestSupport.h"
 #include "cuminroad/fakes/FakeRowStore.h"
 #include "cuminroad/fleet/FleetSettings.h"
+#include "cuminroad/fleet/PeerAddresses.h"
 #include "cuminroad/fleet/PeerService.h"
 #include "cuminroad/fleet/RelayedStore.h"
 #include "cuminroad/store/TableFollower.h"
@@ -41,6 +42,29 @@
   const Clock &MonotonicClock_;
 };
 
+constexpr const char *PeerAddress = "peer:1";
+
+/// Keeps the addresses of the daemons that have registered.
+class RegisteredDaemons final : public RowSink {
+public:
+  void tableRead(std::vector<StoredRow> Rows) override {
+    Registered_.clear();
+    rowsChanged(std::move(Rows));
+  }
+  void rowsChanged(std::vector<StoredRow> Rows) override {
+    for (const StoredRow &Row : Rows) {
+      std::erase(Registered_, Row.Name.Key);
+      if (!Row.Removed)
+        Registered_.push_back(Row.Name.Key);
+    }
+    Addresses.update(Registered_);
+  }
+  PeerAddresses Addresses;
+
+private:
+  std::vector<std::string> Registered_;
+};
+
 /// A daemon that follows a table, and a peer that reaches the store.
 struct FollowingDaemon {
   FollowingDaemon()
@@ -50,17 +74,36 @@
                              ControlLoop.MonotonicClock),
              ControlLoop),
         Store(Direct, Http, ControlLoop, ControlLoop.MonotonicClock, Events,
-              Metrics, [] { return std::vector<std::string>{"peer:1"}; }),
+              Metrics, [this] { return Daemons.Addresses.all(); }),
         Changes(ControlLoop.MonotonicClock),
         Follower(std::make_shared<TableFollower>(
             Store, ControlLoop, FollowOptions{.Table = "t", .Partitions = {""}},
-            Changes)) {
+            Changes)),
+        DaemonFollower(std::make_shared<TableFollower>(
+            Store, ControlLoop,
+            FollowOptions{.Table = "daemons", .Partitions = {""}}, Daemons)) {
     Http.Latency = PeerLatency;
+    registerPeer();
     Follower->start();
+    DaemonFollower->start();
     readAsPeer();
     ControlLoop.runFor(milliseconds(100));
   }
-  ~FollowingDaemon() { Follower->close(); }
+  ~FollowingDaemon() {
+    Follower->close();
+    DaemonFollower->close();
+  }
+
+  void registerPeer() {
+    RowTransaction Change;
+    Change.Puts.push_back(RowPut{RowName{"daemons", "", PeerAddress}, ""});
+    Rows.apply(Change);
+  }
+  void deregisterPeer() {
+    RowTransaction Change;
+    Change.Removals.push_back(RowName{"daemons", "", PeerAddress});
+    Rows.apply(Change);
+  }
 
   /// The peer calls the store often, as standbys do.
   void readAsPeer() {
@@ -91,8 +134,10 @@
   AllowAllAdvisor Advisor{ControlLoop};
   PeerHttpClient Http;
   RelayedStore Store;
+  RegisteredDaemons Daemons;
   ChangeRecorder Changes;
   std::shared_ptr<TableFollower> Follower;
+  std::shared_ptr<TableFollower> DaemonFollower;
 };
 
 } // namespace
@@ -134,3 +179,22 @@
   BOOST_TEST_MESSAGE("longest lag: " << Longest.count() << " ms");
   BOOST_CHECK_LE(Longest.count(), Bound.count());
 }
+
+// Guards against a daemon that forgets its last peer, which deregisters and
+// restarts while the store turns the daemon away.
+BOOST_AUTO_TEST_CASE(changesArriveInTimeOnceThePeerHasRestarted) {
+  const milliseconds Bound = FleetSettings().ContactTime;
+  FollowingDaemon Daemon;
+  Daemon.Direct.Silent = true;
+  Daemon.ControlLoop.runFor(2 * Bound);
+  Daemon.deregisterPeer();
+  Daemon.ControlLoop.runFor(Bound);
+  Daemon.Http.Hang = true;
+  Daemon.ControlLoop.runFor(Bound);
+  Daemon.write();
+  Daemon.Http.Hang = false;
+  Daemon.registerPeer();
+  const TimePoint Begin = Daemon.ControlLoop.MonotonicClock.now();
+  Daemon.ControlLoop.runFor(3 * Bound);
+  BOOST_CHECK_LE(Daemon.lagSince(Begin).count(), Bound.count());
+}
