Draw silent connections in the fleet soak

Links of the soak could be cut, delayed and reset, never silent while new connections work, so that it could not meet the fault of this incident. About half of the seeds now have open connections that go silent, three times in a row, or changes of the contracts, from a generator of their own, so that a seed keeps its other faults. The soak checks jobs, not the age of contracts: fleet.ChangeLagTest does that.

--- a/packages/net/tests/SilentConnectionTest.cpp
+++ b/packages/net/tests/SilentConnectionTest.cpp
@@ -147,6 +147,7 @@
 /// Lets the client keep some idle connections to the server.
 void openConnections(HttpClient &Client, const SilencedServer &Server) {
   std::vector<std::future<HttpResult>> Calls;
+  Calls.reserve(OpenConnections);
   for (int Number = 0; Number < OpenConnections; ++Number)
     Calls.push_back(send(Client, Server.url(), "GET"));
   for (std::future<HttpResult> &Each : Calls)
--- a/tests/failure/fleet_soak.py
+++ b/tests/failure/fleet_soak.py
@@ -39,6 +39,7 @@
         chosen.append((rng.uniform(0, seconds / 2),
                        fleet_faults.change_capacities, seconds / 2))
     chosen += fleet_faults.draw_write_faults(seed, seconds)
+    chosen += fleet_faults.draw_silent_connections(seed, seconds)
     if late_restarts:
         chosen += [(rng.uniform(0, seconds / 2), fault, seconds / 2)
                    for fault in fleet_faults.LATE_RESTARTS]
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -130,6 +130,17 @@
         time.sleep(seconds / 3)
 
 
+def silence_connections(trial, seconds):
+    """Makes the open connections of all or some links silent, in a series.
+
+    No reset arrives, and new connections work.
+    """
+    for _ in range(3):
+        source = random.choice((None, random_daemon(trial).name))
+        trial.network.silence(source, random.choice((None, "store")))
+        time.sleep(seconds / 3)
+
+
 def cut_advisor(trial, seconds):
     cut_links(trial, [(None, "advisor")], seconds)
 
@@ -349,7 +360,8 @@
 def draw_write_faults(seed, seconds):
     """Draws one or two faults at writes for about half of the seeds.
 
-    They have a generator of their own, so that a seed keeps its other faults.
+    They have a generator of their own, so that a seed keeps its other faults;
+    so do the silent connections below.
     """
     rng = random.Random("write faults of seed %d" % seed)
     faults = []
@@ -360,3 +372,12 @@
         faults.append((rng.uniform(0, seconds / 2), fault,
                        rng.uniform(2, seconds / 2)))
     return faults
+
+
+def draw_silent_connections(seed, seconds):
+    """Draws silent connections beside changes of the contracts for about half
+    of the seeds."""
+    rng = random.Random("silent connections of seed %d" % seed)
+    return [(rng.uniform(0, seconds / 2), fault, seconds / 2)
+            for fault in (silence_connections, change_config)
+            for _ in range(rng.choice((0, 1)))]
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -6,8 +6,25 @@
 """
 
 import asyncio
+import ctypes
+import socket
+import struct
 import threading
 
+# Linux: attaches a socket filter, here one that drops all packets.
+SO_ATTACH_FILTER = 26
+DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
+
+
+def drop_packets(connection):
+    """Lets the kernel drop all packets that arrive for a connection.
+
+    It acknowledges none, and new connections are not affected.
+    """
+    code = ctypes.create_string_buffer(DROP_ALL)
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                          struct.pack("HxxxxxxP", 1, ctypes.addressof(code)))
+
 
 class Link:
     """A relay that forwards connections to one port unless it is cut.
@@ -19,6 +36,7 @@
         self._loop = loop
         self._target_port = target_port
         self._writers = set()
+        self._silent = set()
         self._cut = {"forth": False, "back": False}
         self._delay_s = 0
         self.port = None
@@ -47,6 +65,7 @@
             for each in (writer, target_writer):
                 if each is not None:
                     self._writers.discard(each)
+                    self._silent.discard(each)
                     each.close()
 
     async def _forward(self, reader, writer, direction):
@@ -60,10 +79,23 @@
                 await asyncio.sleep(0.05)
                 if writer.is_closing():
                     return
+            if writer in self._silent:
+                continue
             writer.write(data)
             await writer.drain()
         writer.close()
 
+    def silence(self):
+        """Makes open connections silent; new ones work."""
+        self._loop.call_soon_threadsafe(self._silence)
+
+    def _silence(self):
+        for writer in self._writers - self._silent:
+            connection = writer.get_extra_info("socket")
+            if connection.fileno() >= 0:
+                drop_packets(connection)
+            self._silent.add(writer)
+
     def cut(self, directions=("forth", "back")):
         self._loop.call_soon_threadsafe(self._set_cut, directions, True)
 
@@ -112,6 +144,10 @@
         for link in self.links_between(source, target):
             link.delay(seconds)
 
+    def silence(self, source, target):
+        for link in self.links_between(source, target):
+            link.silence()
+
     def heal(self):
         for link in self.links_between(None, None):
             link.heal()
