Let the test server hold its answers until all connections are open

net.SilentConnectionTest relied on four calls being sent within 100 ms to get four connections; on a busy machine the first answer could come before the last call is sent. Now the server answers once all are open.

--- a/packages/net/tests/SilentConnectionTest.cpp
+++ b/packages/net/tests/SilentConnectionTest.cpp
@@ -28,7 +28,8 @@
 constexpr milliseconds ContactTime{3000};
 /// Longer than ContactTime: the caller's own timeout comes too late.
 constexpr milliseconds CallTimeout{8000};
-constexpr int OpenConnections = 4;
+constexpr std::size_t OpenConnections = 4;
+constexpr milliseconds PollInterval{5};
 
 /// Makes the kernel drop all packets that arrive for the connection, so that it
 /// acknowledges none.
@@ -40,7 +41,9 @@
                       0);
 }
 
-/// Answers each request. Clients must be destroyed before the server.
+/// Answers each request once OpenConnections connections are open, so that
+/// calls sent together use as many. Clients must be destroyed before the
+/// server.
 class SilencedServer {
 public:
   SilencedServer()
@@ -108,6 +111,8 @@
       if (IoError)
         return;
       Input.consume(Size);
+      while (accepted() < OpenConnections && !Stopping_)
+        std::this_thread::sleep_for(PollInterval);
       std::this_thread::sleep_for(AnswerDelay_.load());
       // The answer would pass: only packets to the server are dropped.
       if (isSilent(Number))
@@ -122,7 +127,7 @@
   asio::io_context Context_;
   tcp::acceptor Acceptor_;
   std::atomic<bool> Stopping_{false};
-  std::atomic<milliseconds> AnswerDelay_{milliseconds(100)};
+  std::atomic<milliseconds> AnswerDelay_{milliseconds(0)};
   mutable std::mutex Mutex_;
   std::list<tcp::socket> Connections_;
   /// The first this many connections are silent.
@@ -148,7 +153,7 @@
 void openConnections(HttpClient &Client, const SilencedServer &Server) {
   std::vector<std::future<HttpResult>> Calls;
   Calls.reserve(OpenConnections);
-  for (int Number = 0; Number < OpenConnections; ++Number)
+  for (std::size_t Number = 0; Number < OpenConnections; ++Number)
     Calls.push_back(send(Client, Server.url(), "GET"));
   for (std::future<HttpResult> &Each : Calls)
     BOOST_REQUIRE(Each.get());
