--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -5,8 +5,10 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,20 +26,26 @@
 HISTORY_S = 20
 
 
-def free_ports(count, adjacent=False):
-    """Returns loopback ports that nothing listens on."""
-    for first in range(12000 + (os.getpid() * 37) % 15000, 32000, count):
-        sockets = []
+def free_ports(count):
+    """Returns (ports, reservation): loopback ports that nothing listens on.
+    The reservation, a socket bound to the port before them, keeps other scripts
+    away while it is open."""
+    blocks = list(range(12000, 32000, count + 1))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        reservation = socket.socket()
+        probes = []
         try:
-            for port in range(first, first + count):
+            reservation.bind(("127.0.0.1", first))
+            for port in range(first + 1, first + 1 + count):
                 probe = socket.socket()
-                sockets.append(probe)
+                probes.append(probe)
                 probe.bind(("127.0.0.1", port))
-            return list(range(first, first + count))
+            return list(range(first + 1, first + 1 + count)), reservation
         except OSError:
-            continue
+            reservation.close()
         finally:
-            for each in sockets:
+            for each in probes:
                 each.close()
     raise OSError("no free ports")
 
@@ -186,9 +194,11 @@
         while True:
             if after < self.forgotten:
                 return 410, self.clock()
+            begin = bisect.bisect_right(self.history, after,
+                                        key=lambda change: change[0])
             rows = [self.encode(name, version, value)
-                    for version, _, name, value in self.history
-                    if version > after and name[0] == query["table"]]
+                    for version, _, name, value in self.history[begin:]
+                    if name[0] == query["table"]]
             left = deadline - time.monotonic()
             if rows or left <= 0:
                 return 200, {"rows": rows, "ver": self.version,
@@ -428,7 +438,7 @@
         self.file = open(os.path.join(folder, "record.txt"), "w")
         self.events = []
         self.store, self.workers, self.daemons = Store(), [], {}
-        self.ports = free_ports(60)
+        self.ports, self.reservation = free_ports(60)
         self.next_port = 0
         self.version = 0
         self.routes = []
@@ -592,6 +602,7 @@
             print("logs in", self.directory)
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
+        self.reservation.close()
         self.file.close()
 
 
@@ -605,6 +616,10 @@
 
     async def run():
         deployment = Deployment(folder)
+        # A script that is ended from outside ends its processes too.
+        running = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_event_loop().add_signal_handler(number, running.cancel)
         try:
             broken = await asyncio.wait_for(scenario(deployment, trouble),
                                             limit_s)
@@ -615,7 +630,7 @@
             deployment.close()
     try:
         broken = asyncio.run(run())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:
         print("could not run:", repr(error))
         return 2
     for line in broken[:10]:
