--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import bisect
+import heapq
 import json
 import os
 import random
@@ -94,7 +95,7 @@
         finally:
             writer.close()
     return await asyncio.start_server(connection, "127.0.0.1", port,
-                                      backlog=512, limit=1 << 20)
+                                      backlog=4096, limit=1 << 20)
 
 
 class Store:
@@ -237,6 +238,7 @@
         self.booted = time.monotonic()
         self.token, self.lease_ms, self.seq = 0, 0, 0
         self.running, self.highest = {}, {}
+        self.due = []  # (time, task, run) of the ends to come
         self.ends, self.next_end = [], 1
         self.ended = asyncio.Condition()
         self.up = True
@@ -276,14 +278,18 @@
         if not self.up:
             return False
         now, before = time.monotonic(), self.next_end
-        lapsed = self.clock() >= self.lease_ms
-        for run in list(self.running.values()):
-            if lapsed:
+        if self.clock() >= self.lease_ms:
+            for run in list(self.running.values()):
                 self.end(run, "lapsed")
-            elif run.stops_at is not None and now >= run.stops_at:
-                self.end(run, "stopped")
-            elif now >= run.ends_at and run.stops_at is None:
+        while self.due and self.due[0][0] <= now:
+            _, task, number = heapq.heappop(self.due)
+            run = self.running.get(task)
+            if run is None or run.number != number:
+                continue
+            if run.stops_at is None:
                 self.end(run, run.how)
+            elif now >= run.stops_at:
+                self.end(run, "stopped")
         return self.next_end != before
 
     def extend(self, body):
@@ -354,8 +360,9 @@
         if current or number <= self.highest.get(task, 0):
             return self.refusal("old")
         takes_s, how = self.plan(self, task, number, body["spec"])
-        self.running[task] = Run(task, number, time.monotonic() + takes_s, how,
-                                 body["spec"])
+        run = Run(task, number, time.monotonic() + takes_s, how, body["spec"])
+        self.running[task] = run
+        heapq.heappush(self.due, (run.ends_at, task, number))
         self.record("run", self.name, task, number, "start")
         return 200, {"clock_ms": self.clock()}
 
@@ -365,6 +372,7 @@
         self.highest[task] = max(self.highest.get(task, 0), number)
         if run and run.number <= number and run.stops_at is None:
             run.stops_at = time.monotonic() + STOP_S
+            heapq.heappush(self.due, (run.stops_at, task, run.number))
         return 200, {"clock_ms": self.clock()}
 
 
@@ -379,7 +387,7 @@
 
     async def start(self):
         await asyncio.start_server(self.connection, "127.0.0.1", self.port,
-                                   backlog=512)
+                                   backlog=4096)
 
     def cut(self):
         self.is_cut = True
