--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -25,6 +25,7 @@
 STOP_S = 0.1
 ENDS_PER_ANSWER = 500  # PROTOCOL.md: the others are returned 500 at a time.
 HISTORY_S = 20
+HEARTBEAT_S = 1.5
 
 
 def free_ports(count):
@@ -226,7 +227,8 @@
     def __init__(self, name, service, record, plan, cpu=16000, mem_mb=32768,
                  rack="r1-1"):
         self.name, self.service, self.record = name, service, record
-        self.plan, self.rack = plan, rack
+        self.plan, self.rack, self.kind = plan, rack, "a"
+        self.reachable = True     # reaches the store
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
         self.port = None          # where it listens
         self.listed_port = None   # where others reach it
@@ -243,7 +245,7 @@
         self.ended = asyncio.Condition()
         self.up = True
         self.server = await serve(self.port, self.handle)
-        self.record("worker", self.name, "up")
+        self.record("worker", self.name, "up", self.kind)
 
     def crash(self):
         """Everything that runs ends, and the address refuses channels."""
@@ -263,7 +265,7 @@
                 "address": "127.0.0.1:%d" % self.listed_port, "zone": "za",
                 "version": "v1", "slots": 8, "state": "ready",
                 "cold_remaining_ms": 0, "capacity": self.capacity,
-                "labels": ["a", self.rack], "clock_ms": self.clock(),
+                "labels": [self.kind, self.rack], "clock_ms": self.clock(),
                 "born": self.born, "seq": self.seq}
 
     def end(self, run, how):
@@ -479,21 +481,20 @@
                         worker.ended.notify_all()
             await asyncio.sleep(0.005)
 
-    async def entries(self):
-        """Workers write their entries; that of a silent one is removed after
+    async def entries(self, worker, offset_s):
+        """A worker writes its entry; that of a silent one is removed after
         three intervals."""
-        last = {}
+        await self.store.put("servers", worker.name, worker.entry())
+        await asyncio.sleep(offset_s)
+        last = time.monotonic()
         while True:
-            now = time.monotonic()
-            for worker in self.workers:
-                if worker.up:
-                    await self.store.put("servers", worker.name,
-                                         worker.entry())
-                    last[worker.name] = now
-                elif now - last.get(worker.name, now) > 4.5:
-                    last[worker.name] = float("inf")
-                    await self.store.remove("servers", worker.name)
-            await asyncio.sleep(1.5)
+            if worker.up and worker.reachable:
+                await self.store.put("servers", worker.name, worker.entry())
+                last = time.monotonic()
+            elif time.monotonic() - last > 3 * HEARTBEAT_S:
+                last = float("inf")
+                await self.store.remove("servers", worker.name)
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def write_config(self):
         self.version += 3
@@ -511,7 +512,10 @@
         await serve(self.store_port, self.store.handle)
         await self.write_config()
         self.tasks = [asyncio.ensure_future(self.ticks()),
-                      asyncio.ensure_future(self.entries())]
+                      *[asyncio.ensure_future(self.entries(
+                          worker, HEARTBEAT_S * (number + 1) /
+                          len(self.workers)))
+                        for number, worker in enumerate(self.workers)]]
         for number in range(1, daemons + 1):
             name = "front-za-%d" % number
             ports = [self.port() for _ in range(4)]
