--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -618,10 +618,9 @@
         self.file.close()
 
 
-def main(folder, scenario, limit_s=110):
+def main(folder, scenario, trouble, limit_s=110):
     """Runs the scenario; it returns what breaks the rule. Exits with 1 if the
     rule was broken, 0 if it held, 2 if the case couldn't run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     if not os.path.exists(os.path.join(REPOSITORY, PROGRAM[0])):
         print("not built:", PROGRAM[0])
         return 2
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -101,4 +101,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(FOLDER, scenario))
+    # TROUBLE=0 does the same without the disruption.
+    sys.exit(standins.main(FOLDER, scenario,
+                           os.environ.get("TROUBLE", "1") != "0"))
