Let no step that can't start keep others from starting

Cause: a scheduling pass ended after 150 blocked steps, whatever blocked them, and the order puts the same steps first each time. The limits on reserved VMs, ticket renewals and pending advice had the same fault.

A step that needs at least as much as one that no VM has room for is now blocked without a look at the VMs, and those beyond the limits take turns. Steps count their own tasks towards their limit per VM in forecasts and renewals, and requests for advice after a failure have a quarter of the pending ones.

--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -1,7 +1,8 @@
 // Measures the processor time of a scheduling pass of the pool scheduler for
-// several numbers of waiting jobs, and prints a Markdown table. The last column
-// is a checksum of all starts and advice requests: a change that only saves
-// time leaves it as it is.
+// several numbers of waiting jobs, and prints Markdown tables. The last column
+// of the first one is a checksum of all starts and advice requests: a change
+// that only saves time leaves it as it is. The second table is for steps that
+// can't start ahead of a job that can.
 //
 // usage: pool_benchmark [VMS] [JOBS]
 //
@@ -147,6 +148,83 @@
   std::uint64_t Checksum_ = 14695981039346656037U;
 };
 
+/// Steps that can't start, most urgent first.
+enum class BlockedKind { TooLarge, WaitingForRoom, AllDifferent };
+
+constexpr std::string_view BlockedKindNames[] = {
+    "too large for all VMs", "waiting for room", "too large, all different"};
+
+StepPlan makeBlockedStep(BlockedKind Kind, int Number) {
+  StepPlan Out;
+  Out.Estimate = milliseconds(700);
+  switch (Kind) {
+  case BlockedKind::TooLarge:
+    Out.PerTask = Capacity{64000, 2000, 0};
+    break;
+  case BlockedKind::WaitingForRoom:
+    Out.PerTask = Capacity{9000, 2000, 0};
+    break;
+  case BlockedKind::AllDifferent:
+    Out.PerTask = Capacity{20000 + Number, 60000 - Number, 0};
+    break;
+  }
+  return Out;
+}
+
+/// Prints the time of passes over \p Steps blocked steps on VMs that are half
+/// full, and the number of passes until a less urgent job starts.
+void measureBlockedSteps(int Vms, int Steps, BlockedKind Kind) {
+  constexpr int MaxPasses = 200;
+  ManualClock MonotonicClock;
+  SystemWallClock SystemClock;
+  const auto Scheduler = makePoolScheduler(MonotonicClock, SystemClock, {});
+  for (int Number = 0; Number < Vms; ++Number) {
+    PoolVm Vm;
+    Vm.Id = fmt::format("i-{:08x}", Number);
+    Vm.Total = Capacity{16000, 32768, 0};
+    Vm.Incarnation = 1;
+    Scheduler->vmListed(Vm);
+    Scheduler->vmReported(Vm.Id, 1, {}, MonotonicClock.now());
+  }
+  const auto Add = [&](std::string Id, StepPlan Step, int Copies,
+                       int Priority) {
+    JobPlan Plan;
+    Plan.Id = std::move(Id);
+    Plan.Steps.assign(static_cast<std::size_t>(Copies), Step);
+    QueueTerms Terms;
+    Terms.Name = fmt::format("q{}", Priority);
+    Terms.Priority = Priority;
+    Scheduler->addJob(Plan, Terms, MonotonicClock.now());
+  };
+  StepPlan Running;
+  Running.PerTask = Capacity{8000, 2000, 0};
+  Running.LongRunning = true;
+  Running.MaxPerVm = 1;
+  Running.Tasks = Vms;
+  Add("running", Running, 1, 0);
+  Scheduler->schedule();
+  (void)Scheduler->takeCommands();
+  for (int Number = 0; Number < Steps; ++Number)
+    Add(fmt::format("blocked-{}", Number), makeBlockedStep(Kind, Number), 1, 1);
+  StepPlan Small;
+  Small.PerTask = Capacity{1000, 1000, 0};
+  Add("less-urgent", Small, 1, 2);
+  int FirstStart = 0;
+  double TotalMs = 0;
+  for (int Pass = 1; Pass <= MaxPasses; ++Pass) {
+    MonotonicClock.advance(milliseconds(15));
+    const double Begin = threadCpuMs();
+    Scheduler->schedule();
+    TotalMs += threadCpuMs() - Begin;
+    if (!Scheduler->takeCommands().empty() && FirstStart == 0)
+      FirstStart = Pass;
+  }
+  fmt::print("| {} | {} | {:.3f} | {} |\n",
+             BlockedKindNames[static_cast<std::size_t>(Kind)], Steps,
+             TotalMs / MaxPasses,
+             FirstStart > 0 ? fmt::to_string(FirstStart) : "never");
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -177,5 +255,15 @@
         PerPass(Pool.adviceRequests()), PerPass(Pool.recordedBytes()),
         Pool.checksum());
   }
+  if (Argc > 2)
+    return 0;
+  fmt::print("\n| steps that can't start | number | ms per pass, mean | passes "
+             "until the other job starts |\n");
+  fmt::print("| --- | --- | --- | --- |\n");
+  for (const BlockedKind Kind :
+       {BlockedKind::TooLarge, BlockedKind::WaitingForRoom,
+        BlockedKind::AllDifferent})
+    for (const int Steps : {100, 1000, 10000})
+      measureBlockedSteps(Vms, Steps, Kind);
   return 0;
 }
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -25,15 +25,23 @@
   milliseconds MaxCapacityAge{3500};
   /// Most waiting steps whose tickets are kept valid.
   int MaxRenewedSteps = 16;
-  /// Most waiting steps examined for ticket renewal in a pass. Examining
+  /// Most waiting steps examined for ticket renewal in each pass. Examining
   /// hundreds of steps that no VM will have room for soon would delay the
   /// others.
   int MaxRenewalCandidates = 64;
-  /// A pass ends after this many blocked steps. The remaining steps are less
-  /// urgent, and examining thousands of them would delay the more urgent ones.
+  /// Further steps examined in a pass, in turn.
+  int MaxRenewalCandidatesInTurn = 16;
+  /// A pass examines this many steps that turn out to be blocked, in order of
+  /// urgency. Examining thousands of them would delay the more urgent ones.
+  /// Steps that need at least as much as one that no VM has room for are not
+  /// examined, and not counted.
   int MaxBlockedSteps = 150;
+  /// Further steps examined in a pass, in turn.
+  int MaxBlockedStepsInTurn = 50;
   /// Most steps with a pending advice request.
   int MaxPendingAdvice = 64;
+  /// Most of them whose last request failed.
+  int MaxPendingRetries = 16;
   /// VMs named in a step's first advice request; the latency objective allows
   /// for a call with about 30. Advice on further VMs is requested if these have
   /// no room.
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "ExaminationBudget.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -72,11 +73,17 @@
   // steps.
   int PendingAdvice = Waiting_.PendingAdvice;
   int RenewalsLeft = Options_.MaxRenewedSteps;
-  int CandidatesLeft = Options_.MaxRenewalCandidates;
+  int PendingRetries = Waiting_.PendingRetries;
+  ExaminationBudget Candidates(Options_.MaxRenewalCandidates,
+                               Options_.MaxRenewalCandidatesInTurn,
+                               Tables_.RenewalRound);
   for (StepRecord *Entry : Waiting_.Steps) {
     if (PendingAdvice >= Options_.MaxPendingAdvice)
       return;
     StepRecord &Step = *Entry;
+    const bool Retries = Step.AdviceRetryDelay > milliseconds(0);
+    if (Retries && PendingRetries >= Options_.MaxPendingRetries)
+      continue;
     // The scheduling pass may have placed all tasks of the step.
     if (Step.WaitingTasks == 0 || Step.AdvicePending ||
         Now_ < Step.NoAdviceBefore || !Step.Occurrence->Job->Terms.Advice)
@@ -86,10 +93,14 @@
       continue;
     requestAdviceOnNewVms(Step);
     if (Ready && !Step.AdvicePending && RenewalsLeft > 0 &&
-        CandidatesLeft-- > 0)
+        Candidates.admit(Step.RenewalRound)) {
+      Candidates.spend();
       RenewalsLeft -= renewTickets(Step);
+    }
     PendingAdvice += Step.AdvicePending;
+    PendingRetries += Retries && Step.AdvicePending;
   }
+  Candidates.finish();
 }
 
 bool AdvicePlanner::isReadySoon(const StepRecord &Step) const {
@@ -227,8 +238,11 @@
   for (const auto &[Vm, Ticket] : Step.AllowedVms) {
     if (!isUsable(Step, *Vm, Ticket))
       continue;
-    const int FittingTasks =
+    int FittingTasks =
         countFits(freeCapacityAt(*Vm, AnswerTime, Now_), TaskSize);
+    if (Step.Plan->MaxPerVm > 0)
+      FittingTasks =
+          std::min(FittingTasks, Step.Plan->MaxPerVm - tasksOnVm(Step, *Vm));
     if (FittingTasks > 0)
       Candidates.push_back(RankedVm{Vm->inQuarantine(Now_), FittingTasks, Vm});
   }
--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "PoolTables.h"
+
 namespace cuminroad {
 
 namespace {
@@ -11,6 +13,11 @@
 /// expected to take at least this much longer.
 constexpr milliseconds MinRemaining{50};
 
+TimePoint expectedEnd(const TaskRecord &Task, const VmRecord &Vm) {
+  return Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
+                             Task.Step->Plan->Estimate * Vm.Slowdown);
+}
+
 /// Counts how many tasks fit in one dimension of a capacity.
 std::int64_t fits(std::int64_t Free, std::int64_t Need) {
   // A VM whose capacity has shrunk below what is on it has no room at all.
@@ -36,9 +43,7 @@
     const StepPlan &Plan = *Task->Step->Plan;
     if (!Plan.LongRunning)
       Vm.ExpectedEnds.push_back(
-          ExpectedEnd{Task->PlacedAt + std::chrono::duration_cast<milliseconds>(
-                                           Plan.Estimate * Vm.Slowdown),
-                      Plan.reservedCapacity()});
+          ExpectedEnd{expectedEnd(*Task, Vm), Plan.reservedCapacity()});
   }
   std::sort(Vm.ExpectedEnds.begin(), Vm.ExpectedEnds.end(),
             [](const ExpectedEnd &Left, const ExpectedEnd &Right) {
@@ -51,6 +56,16 @@
   return Vm.ExpectedEnds;
 }
 
+int tasksOnVmAt(const StepRecord &Step, const VmRecord &Vm, TimePoint When,
+                TimePoint Now) {
+  if (When < earliestEnd(Now) || Step.Plan->LongRunning)
+    return tasksOnVm(Step, Vm);
+  return static_cast<int>(std::count_if(
+      Vm.Tasks.begin(), Vm.Tasks.end(), [&](const TaskRecord *Task) {
+        return Task->Step == &Step && expectedEnd(*Task, Vm) > When;
+      }));
+}
+
 TimePoint earliestEnd(TimePoint Now) { return Now + MinRemaining; }
 
 Capacity freeCapacityAt(const VmRecord &Vm, TimePoint When, TimePoint Now) {
--- a/packages/pool/src/Forecast.h
+++ b/packages/pool/src/Forecast.h
@@ -22,6 +22,11 @@
 /// \returns the free capacity that the VM is expected to have at \p When.
 Capacity freeCapacityAt(const VmRecord &Vm, TimePoint When, TimePoint Now);
 
+/// \returns how many of the step's present tasks on the VM are expected to be
+/// there at \p When.
+int tasksOnVmAt(const StepRecord &Step, const VmRecord &Vm, TimePoint When,
+                TimePoint Now);
+
 } // namespace cuminroad
 
 #endif
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -132,6 +132,9 @@
   /// VMs that the last pass reserved for the step, and from when on.
   std::vector<VmRecord *> ReservedVms;
   TimePoint ReservationStart{};
+  /// When the step was last examined; see ExaminationBudget.
+  std::int64_t PlacementRound = 0;
+  std::int64_t RenewalRound = 0;
   /// Whether the last pass left some tasks of the step unplaced for lack of
   /// VMs.
   bool Blocked = false;
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -184,6 +184,20 @@
   return TaskName{nameOf(*Task.Step), Task.Index};
 }
 
+int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
+  std::ptrdiff_t Count = 0;
+  if (Step.TasksOnVms > 0)
+    Count = std::count_if(
+        Vm.Tasks.begin(), Vm.Tasks.end(),
+        [&Step](const TaskRecord *Task) { return Task->Step == &Step; });
+  if (!Vm.UnknownRuns.empty())
+    Count += std::count_if(Vm.UnknownRuns.begin(), Vm.UnknownRuns.end(),
+                           [Name = nameOf(Step)](const auto &Entry) {
+                             return Entry.first.Task.Step == Name;
+                           });
+  return static_cast<int>(Count);
+}
+
 bool isReady(const StepRecord &Step) {
   const std::vector<StepRecord> &Steps = Step.Occurrence->Steps;
   return std::all_of(
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -65,6 +65,10 @@
   std::map<std::string, TimePoint, std::less<>> UnexplainedCrashes;
   /// Increases when a VM is added, changes or accepts work again.
   std::int64_t VmsVersion = 0;
+  /// Rounds of ExaminationBudget for the placement of steps and for the renewal
+  /// of their tickets.
+  std::int64_t PlacementRound = 1;
+  std::int64_t RenewalRound = 1;
   std::set<std::string> ChangedJobs;
   std::vector<PoolCommand> Commands;
   PoolDiagnostics Diagnostics;
@@ -81,6 +85,9 @@
 /// \returns the name that identifies the record in commands and messages.
 TaskName nameOf(const TaskRecord &Task);
 StepName nameOf(const StepRecord &Step);
+/// Counts the tasks of the step on the VM, including runs that are not current
+/// and still being stopped.
+int tasksOnVm(const StepRecord &Step, const VmRecord &Vm);
 /// \returns whether all dependencies of \p Step are done.
 bool isReady(const StepRecord &Step);
 /// \returns the estimated length of the critical path of \p Plan, including one
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ExaminationBudget.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -37,22 +38,6 @@
 /// capacity up to this part of the largest age.
 constexpr int MaxDelayDivisor = 4;
 
-/// Counts the tasks of the step on the VM, including runs that are not current
-/// and still being stopped.
-int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
-  std::ptrdiff_t Count = 0;
-  if (Step.TasksOnVms > 0)
-    Count = std::count_if(
-        Vm.Tasks.begin(), Vm.Tasks.end(),
-        [&Step](const TaskRecord *Task) { return Task->Step == &Step; });
-  if (!Vm.UnknownRuns.empty())
-    Count += std::count_if(Vm.UnknownRuns.begin(), Vm.UnknownRuns.end(),
-                           [Name = nameOf(Step)](const auto &Entry) {
-                             return Entry.first.Task.Step == Name;
-                           });
-  return static_cast<int>(Count);
-}
-
 /// \returns the runs that tasksOnVm() counts, and what is known of the VM.
 StepOnVm describeStepOnVm(const StepRecord &Step, const VmRecord &Vm,
                           TimePoint Now) {
@@ -70,6 +55,17 @@
   return Out;
 }
 
+/// \returns whether the step can start if there is room: no member of a gang is
+/// on a VM.
+bool isWhole(const StepRecord &Step) {
+  return !Step.Plan->Gang || Step.WaitingTasks == Step.Plan->Tasks;
+}
+
+/// \returns whether the step has no VM yet that it may use.
+bool awaitsAdvice(const StepRecord &Step) {
+  return Step.Occurrence->Job->Terms.Advice && Step.AllowedVms.empty();
+}
+
 /// \returns whether a waiting task of the step may have crashed a VM.
 bool hasWaitingSuspect(const StepRecord &Step) {
   return std::any_of(
@@ -105,15 +101,43 @@
     Step->Blocked = false;
     Step->ReservedVms.clear();
   }
-  int BlockedSteps = 0;
+  ExaminationBudget Budget(Options_.MaxBlockedSteps,
+                           Options_.MaxBlockedStepsInTurn,
+                           Tables_.PlacementRound);
   for (StepRecord *Step : Waiting_.Steps) {
     if (!isReady(*Step))
       continue;
-    placeStep(*Step);
-    BlockedSteps += Step->Blocked;
-    if (BlockedSteps >= Options_.MaxBlockedSteps)
-      return;
+    const PlacementNeed Need = needOf(*Step->Plan);
+    if (isWhole(*Step) && (awaitsAdvice(*Step) || isKnownBlocked(Need))) {
+      handleBlocked(*Step, Need);
+    } else if (Budget.admit(Step->PlacementRound)) {
+      placeStep(*Step);
+      if (Step->Blocked)
+        Budget.spend();
+    }
+  }
+  Budget.finish();
+}
+
+bool SchedulingPass::isKnownBlocked(const PlacementNeed &Need) {
+  return !Need.PerTask.fitsIn(largestFreeCapacity()) ||
+         NeedsWithoutRoom_.cover(Need);
+}
+
+bool SchedulingPass::hasRoomFor(const PlacementNeed &Need) const {
+  std::int64_t MissingTasks = Need.Tasks;
+  for (const VmRecord *Vm : AvailableVms_) {
+    if (!Vm->acceptsWork() || !hasValidCapacity(*Vm) ||
+        (!Need.RequiredLabel.empty() &&
+         !Vm->Description.hasLabel(Need.RequiredLabel)) ||
+        !reservationAllows(Need, *Vm))
+      continue;
+    MissingTasks -= std::min<std::int64_t>(
+        countFits(Vm->freeCapacity(), Need.PerTask), Need.MaxPerVm);
+    if (MissingTasks <= 0)
+      return true;
   }
+  return false;
 }
 
 void SchedulingPass::placeStep(StepRecord &Step) {
@@ -125,9 +149,22 @@
     Step.BlockedSince.reset();
     return;
   }
-  reportBlocked(Step);
-  if (ReservationCount_ < Options_.MaxReservedSteps)
-    reserveVms(Step);
+  const PlacementNeed Need = needOf(*Step.Plan);
+  if (!hasRoomFor(Need))
+    NeedsWithoutRoom_.add(Need);
+  handleBlocked(Step, Need);
+}
+
+void SchedulingPass::handleBlocked(StepRecord &Step,
+                                   const PlacementNeed &Need) {
+  Step.Blocked = true;
+  // Of the steps that can only wait for room, the most urgent ones suffice.
+  if (++BlockedSteps_ <= Options_.MaxBlockedSteps || !isKnownBlocked(Need))
+    reportBlocked(Step);
+  if (ReservationCount_ < Options_.MaxReservedSteps &&
+      ReservationAttempts_ < Options_.MaxBlockedSteps &&
+      !NeedsWithoutForecast_.cover(Need))
+    reserveVms(Step, Need);
 }
 
 void SchedulingPass::reportBlocked(StepRecord &Step) {
@@ -206,7 +243,7 @@
 bool SchedulingPass::canPlaceTask(const StepRecord &Step,
                                   const VmRecord &Vm) const {
   return Step.Plan->reservedCapacity().fitsIn(Vm.freeCapacity()) &&
-         hasValidCapacity(Vm) && reservationAllows(Step, Vm) &&
+         hasValidCapacity(Vm) && reservationAllows(needOf(*Step.Plan), Vm) &&
          (Step.Plan->MaxPerVm == 0 ||
           tasksOnVm(Step, Vm) < Step.Plan->MaxPerVm);
 }
@@ -280,10 +317,6 @@
 }
 
 void SchedulingPass::placeTasks(StepRecord &Step) {
-  if (!Step.Plan->reservedCapacity().fitsIn(largestFreeCapacity())) {
-    Step.Blocked = true;
-    return;
-  }
   placeCrashSuspects(Step);
   const JobRecord &Job = *Step.Occurrence->Job;
   std::vector<ScoredVm> FittingVms;
@@ -324,10 +357,6 @@
       return;
     LastRun = std::max(LastRun, Task.Run);
   }
-  if (!Step.Plan->reservedCapacity().fitsIn(largestFreeCapacity())) {
-    Step.Blocked = true;
-    return;
-  }
   std::vector<VmRecord *> ChosenVms;
   bool Placed = false;
   if (Step.Plan->SameRack) {
@@ -358,7 +387,7 @@
   std::vector<ScoredVm> UsableVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
     if (isEligible(Step, Vm) && hasValidCapacity(Vm) &&
-        reservationAllows(Step, Vm) &&
+        reservationAllows(needOf(*Step.Plan), Vm) &&
         (Rack.empty() || Vm.Description.hasLabel(Rack)))
       UsableVms.push_back(ScoredVm{score(Step, Vm), &Vm});
   });
@@ -403,16 +432,16 @@
          Options_.ProbeAfter * (LastAttempt ? 2 : 1);
 }
 
-bool SchedulingPass::reservationAllows(const StepRecord &Step,
+bool SchedulingPass::reservationAllows(const PlacementNeed &Need,
                                        const VmRecord &Vm) const {
   if (!Vm.ReservationStart)
     return true;
-  if (Step.Plan->reservedCapacity().fitsIn(Vm.BackfillRoom))
+  if (Need.PerTask.fitsIn(Vm.BackfillRoom))
     return true;
-  if (Step.Plan->LongRunning)
+  if (Need.RunTime == milliseconds::max())
     return false;
   const auto ExpectedRunTime = std::chrono::duration_cast<milliseconds>(
-      Step.Plan->Estimate * BackfillMargin * Vm.Slowdown);
+      Need.RunTime * BackfillMargin * Vm.Slowdown);
   return Now_ + ExpectedRunTime <= *Vm.ReservationStart;
 }
 
@@ -473,16 +502,25 @@
   int Out =
       countFits(freeCapacityAt(Vm, When, Now_), Step.Plan->reservedCapacity());
   if (Step.Plan->MaxPerVm > 0)
-    Out = std::min(Out, Step.Plan->MaxPerVm);
-  return Out;
+    Out =
+        std::min(Out, Step.Plan->MaxPerVm - tasksOnVmAt(Step, Vm, When, Now_));
+  return std::max(Out, 0);
 }
 
-void SchedulingPass::reserveVms(StepRecord &Step) {
+void SchedulingPass::reserveVms(StepRecord &Step, const PlacementNeed &Need) {
+  ++ReservationAttempts_;
   const bool NeedsAdvice = Step.Occurrence->Job->Terms.Advice.has_value();
   std::vector<VmRecord *> UsableVms;
+  // VMs are excluded that other steps with the same need could use.
+  bool AnyExcluded = NeedsAdvice;
   const auto AddIfUsable = [&](VmRecord *Vm) {
-    if (isEligible(Step, *Vm) && hasValidCapacity(*Vm) && !Vm->ReservationStart)
+    if (!canHost(*Step.Plan, *Vm) || !hasValidCapacity(*Vm) ||
+        Vm->ReservationStart)
+      return;
+    if (isEligible(Step, *Vm))
       UsableVms.push_back(Vm);
+    else
+      AnyExcluded = true;
   };
   if (NeedsAdvice) {
     for (const auto &[Vm, Ticket] : Step.AllowedVms)
@@ -498,8 +536,7 @@
   for (const VmRecord *Vm : UsableVms)
     for (const ExpectedEnd &End : expectedEnds(*Vm))
       CandidateTimes.push_back(std::max(End.At, earliestEnd(Now_)));
-  const int WantedTasks =
-      Step.Plan->Gang ? static_cast<int>(Step.Tasks.size()) : 1;
+  const auto WantedTasks = static_cast<int>(Need.Tasks);
   const auto EnoughRoom = [&](TimePoint When) {
     int FittingTasks = 0;
     for (const VmRecord *Vm : UsableVms) {
@@ -513,8 +550,11 @@
   const auto EarliestStart = std::partition_point(
       CandidateTimes.begin(), CandidateTimes.end(),
       [&EnoughRoom](TimePoint When) { return !EnoughRoom(When); });
-  if (EarliestStart == CandidateTimes.end())
+  if (EarliestStart == CandidateTimes.end()) {
+    if (!AnyExcluded)
+      NeedsWithoutForecast_.add(Need);
     return;
+  }
   ++ReservationCount_;
   std::vector<std::pair<int, VmRecord *>> VmsByRoom;
   VmsByRoom.reserve(UsableVms.size());
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <vector>
 
+#include "UnmetNeeds.h"
 #include "WaitingSteps.h"
 #include "cuminroad/pool/PoolOptions.h"
 
@@ -30,7 +31,17 @@
     VmRecord *Vm;
   };
 
+  /// Places what it can of a step, and handles it as blocked if there is no VM
+  /// for the rest.
   void placeStep(StepRecord &Step);
+  /// \returns whether it is known without a look at the VMs that none has room
+  /// for the step.
+  bool isKnownBlocked(const PlacementNeed &Need);
+  /// \returns whether the available VMs have room for \p Need, on trial or not.
+  bool hasRoomFor(const PlacementNeed &Need) const;
+  /// Records since when the step is blocked and reserves VMs for it, within the
+  /// limits of a pass.
+  void handleBlocked(StepRecord &Step, const PlacementNeed &Need);
   void placeTasks(StepRecord &Step);
   void placeGang(StepRecord &Step);
   /// Chooses a VM for each member of a gang, from VMs with the label \p Rack,
@@ -76,18 +87,18 @@
   bool mayProbe(const StepRecord &Step, const VmRecord &Vm) const;
   /// \returns whether a reservation of the VM, if any, admits a task of the
   /// step.
-  bool reservationAllows(const StepRecord &Step, const VmRecord &Vm) const;
+  bool reservationAllows(const PlacementNeed &Need, const VmRecord &Vm) const;
   /// \returns the score of placing a task of the step on the VM; lower is
   /// better.
   double score(const StepRecord &Step, const VmRecord &Vm) const;
   void startRun(TaskRecord &Task, VmRecord &Vm, std::int64_t Run);
   /// Reserves VMs for a blocked step from the earliest time at which they are
   /// expected to have room for it.
-  void reserveVms(StepRecord &Step);
+  void reserveVms(StepRecord &Step, const PlacementNeed &Need);
   /// Adds a blocked step to the diagnostics, at increasing intervals.
   void reportBlocked(StepRecord &Step);
-  /// \returns how many tasks of the step the VM is expected to have room for at
-  /// \p When.
+  /// \returns how many more tasks of the step the VM is expected to have room
+  /// for at \p When.
   int countFitsAt(const StepRecord &Step, const VmRecord &Vm,
                   TimePoint When) const;
 
@@ -104,6 +115,12 @@
   Capacity LargestFree_;
   bool LargestFreeKnown_ = false;
   int ReservationCount_ = 0;
+  int ReservationAttempts_ = 0;
+  int BlockedSteps_ = 0;
+  /// No available VMs have room for these.
+  UnmetNeeds NeedsWithoutRoom_;
+  /// No VMs that could be reserved are expected to have room for these.
+  UnmetNeeds NeedsWithoutForecast_;
 };
 
 } // namespace cuminroad
--- /dev/null
+++ b/packages/pool/src/UnmetNeeds.cpp
@@ -0,0 +1,24 @@
+#include "UnmetNeeds.h"
+
+#include <algorithm>
+
+namespace cuminroad {
+
+void UnmetNeeds::add(const PlacementNeed &Need) {
+  if (cover(Need))
+    return;
+  std::erase_if(Needs_, [&Need](const PlacementNeed &Each) {
+    return isAtLeastAsHard(Each, Need);
+  });
+  if (Needs_.size() < MaxNeeds)
+    Needs_.push_back(Need);
+}
+
+bool UnmetNeeds::cover(const PlacementNeed &Need) const {
+  return std::any_of(Needs_.begin(), Needs_.end(),
+                     [&Need](const PlacementNeed &Each) {
+                       return isAtLeastAsHard(Need, Each);
+                     });
+}
+
+} // namespace cuminroad
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -55,7 +55,10 @@
     for (const auto &[Number, Occurrence] : Job->Occurrences) {
       std::optional<Urgency> StepUrgency;
       for (StepRecord &Step : Occurrence->Steps) {
-        Out.PendingAdvice += Job->Terms.Advice && Step.AdvicePending;
+        if (Job->Terms.Advice && Step.AdvicePending) {
+          ++Out.PendingAdvice;
+          Out.PendingRetries += Step.AdviceRetryDelay > milliseconds(0);
+        }
         if (Step.WaitingTasks == 0)
           continue;
         // The next run might be one more than the unknown terms allow.
--- a/packages/pool/src/WaitingSteps.h
+++ b/packages/pool/src/WaitingSteps.h
@@ -15,6 +15,8 @@
   /// Number of steps with a pending advice request, including steps with
   /// nothing to place.
   int PendingAdvice = 0;
+  /// Those of them whose last request failed.
+  int PendingRetries = 0;
 };
 
 WaitingSteps collectWaitingSteps(const PoolTables &Tables,
