Keep records of tasks that are at work only

Cause: a record for each task and each due occurrence, whatever was at work. Now only tasks with a run that are not done have one, those that are done are ranges, and occurrences are opened as earlier ones are done. A gang that no row can hold is not planned.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 bench: all
 	$(BUILD)/benchmark/scheduling_benchmark
 	$(BUILD)/benchmark/pool_benchmark
+	$(BUILD)/benchmark/job_memory_benchmark
 	$(BUILD)/benchmark/http_client_benchmark
 	$(BUILD)/benchmark/start_cost_benchmark
 	$(BUILD)/benchmark/owner_benchmark
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -40,6 +40,8 @@
 constexpr milliseconds CleanupInterval{10000};
 /// Most bytes that a task with a run takes in the stored progress of its job.
 constexpr std::size_t MaxTaskRecordBytes = 96;
+/// Least such bytes.
+constexpr std::size_t MinTaskRecordBytes = 16;
 /// Finished jobs remain readable this much longer than the retention time.
 constexpr milliseconds RetentionMargin{60000};
 
@@ -56,6 +58,8 @@
   Out.MaxCapacityAge = maxCapacityAge(Settings);
   Out.MaxRecordedTasks =
       static_cast<int>(Settings.MaxRowBytes / MaxTaskRecordBytes);
+  Out.MaxGangTasks =
+      static_cast<int>(Settings.MaxRowBytes / MinTaskRecordBytes);
   return Out;
 }
 
--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -12,8 +12,9 @@
 
 namespace cuminroad {
 
-/// Persisted progress of one task.
+/// Persisted progress of one task, or of several ones that are done.
 struct TaskProgress {
+  /// Of the first one.
   int Index = 0;
   bool Done = false;
   int Failures = 0;
@@ -28,6 +29,8 @@
   int Crashes = 0;
   /// Those of them before which the VM had confirmed the start of the run.
   int ConfirmedCrashes = 0;
+  /// Number of consecutive tasks that are done; 1 unless Done.
+  int Count = 1;
 };
 
 /// Persisted progress of one step: the tasks whose state has changed since the
@@ -42,11 +45,15 @@
   std::int64_t GangFailedRun = 0;
 };
 
-/// Persisted progress of one occurrence of a job.
+/// Persisted progress of one occurrence of a job, or of several ones that are
+/// done.
 struct OccurrenceProgress {
+  /// Of the first one.
   int Number = 0;
   bool Done = false;
   std::vector<StepProgress> Steps;
+  /// Number of consecutive occurrences that are done; 1 unless Done.
+  int Count = 1;
 };
 
 /// Persisted progress of a job; its plan is stored separately.
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -81,6 +81,12 @@
   /// Most tasks of a job that have had a run and have not ended as done. The
   /// stored progress of the job contains each of them.
   int MaxRecordedTasks = 500;
+  /// Most members of a gang. All of them are in the stored progress of the job
+  /// at the same time.
+  int MaxGangTasks = 2000;
+  /// Most steps of unfinished occurrences of a job; at least one occurrence is
+  /// open. Later ones that are due begin when these are done.
+  std::size_t MaxOpenSteps = 500;
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
   /// Largest delay before a task whose start was invalid is placed again. The
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -26,7 +26,7 @@
   /// VMs whose lease is held.
   int LeasedVms = 0;
   int Jobs = 0;
-  int WaitingTasks = 0;
+  std::int64_t WaitingTasks = 0;
   int PlacedTasks = 0;
   int RunningTasks = 0;
   int StoppingTasks = 0;
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -40,13 +40,13 @@
 void keepTightest(std::vector<RankedVm> &Vms, int Tasks, std::size_t MaxVms) {
   sortByRoom(Vms);
   const std::size_t Size = std::min(Vms.size(), MaxVms);
-  int FittingTasks = 0;
+  std::int64_t FittingTasks = 0;
   for (std::size_t Index = 0; Index < Size; ++Index)
     FittingTasks += Vms[Index].FittingTasks;
   std::size_t First = 0;
   for (; First + Size < Vms.size(); ++First) {
     const RankedVm &Next = Vms[First + Size];
-    FittingTasks += Next.FittingTasks - Vms[First].FittingTasks;
+    FittingTasks += std::int64_t{Next.FittingTasks} - Vms[First].FittingTasks;
     if (FittingTasks < Tasks || Next.InQuarantine)
       break;
   }
@@ -113,7 +113,7 @@
     const StepRecord &Earlier = Steps[static_cast<std::size_t>(Dependency)];
     if (Earlier.WaitingTasks > 0)
       return false;
-    for (const TaskRecord &Task : Earlier.Tasks)
+    for (const auto &[Index, Task] : Earlier.Tasks.records())
       if (Task.isOnVm() && Task.PlacedAt + Earlier.Plan->Estimate > Now_ + Lead)
         return false;
   }
@@ -144,7 +144,9 @@
   const std::size_t MaxVms =
       BlockedLong
           ? MaxVmsPerCall
-          : std::clamp(Step.Plan->Gang ? 4 * Step.Tasks.size() : std::size_t{0},
+          : std::clamp(Step.Plan->Gang
+                           ? 4 * static_cast<std::size_t>(Step.Tasks.size())
+                           : std::size_t{0},
                        Options_.InitialAdviceVms, MaxVmsPerCall);
   const Capacity TaskSize = Step.Plan->reservedCapacity();
   const int MostFittingTasks =
@@ -256,6 +258,8 @@
 }
 
 bool AdvicePlanner::renewTickets(StepRecord &Step) {
+  if (!mayStartTasks(Step, Options_))
+    return false;
   const std::vector<VmRecord *> NextVms = vmsForNextTasks(Step);
   if (NextVms.empty())
     return false;
--- a/packages/pool/src/JobPlan.cpp
+++ b/packages/pool/src/JobPlan.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-/// Bounds that keep one job from exhausting a daemon's memory; far above the
-/// largest known jobs.
-constexpr int MaxTasksPerStep = 5000;
+/// Bounds the records of one job; each step has one.
 constexpr std::size_t MaxSteps = 500;
-constexpr int MaxOccurrences = 1'000'000;
+/// Far above the numbers that a pool can run, and sums of them fit in an int.
+constexpr int MaxTasksPerStep = 1'000'000'000;
+constexpr int MaxOccurrences = 1'000'000'000;
 /// Upper bound of sizes, and of times in milliseconds.
 constexpr std::int64_t MaxNumber = 1'000'000'000'000;
 
--- a/packages/pool/src/JobProgress.cpp
+++ b/packages/pool/src/JobProgress.cpp
@@ -18,15 +18,21 @@
     "", "attempts_used", "crashed_vms", "record_too_large"};
 
 // Rows of the store hold arrays without field names, and only the index of a
-// task, step or occurrence that is done, to keep them small.
+// task, step or occurrence that is done, or a range of them as its first index
+// and its length, to keep them small.
 
 using JsonArray = nlohmann::json::array_t;
 
+/// Members of the array that is a range of tasks that are done.
+constexpr std::size_t RangeSize = 2;
+
 // The functions below take strings out of their arguments.
 
 nlohmann::json taskToJson(TaskProgress &Task) {
-  if (Task.Done)
+  if (Task.Done && Task.Count == 1)
     return Task.Index;
+  if (Task.Done)
+    return JsonArray{Task.Index, Task.Count};
   const bool HasCrashes = Task.Crashes > 0;
   JsonArray Out;
   Out.reserve(HasCrashes ? 8 : 6);
@@ -51,6 +57,11 @@
     return Out;
   }
   Out.Index = Input.at(0).get<int>();
+  if (Input.size() == RangeSize) {
+    Out.Count = Input.at(1).get<int>();
+    Out.Done = true;
+    return Out;
+  }
   Out.Failures = Input.at(1).get<int>();
   Out.Run = Input.at(2).get<std::int64_t>();
   Out.Vm = Input.at(3).get<std::string>();
@@ -80,8 +91,10 @@
 }
 
 nlohmann::json occurrenceToJson(OccurrenceProgress &Occurrence) {
-  if (Occurrence.Done)
+  if (Occurrence.Done && Occurrence.Count == 1)
     return Occurrence.Number;
+  if (Occurrence.Done)
+    return JsonArray{Occurrence.Number, Occurrence.Count};
   JsonArray Steps;
   Steps.reserve(Occurrence.Steps.size());
   for (StepProgress &Step : Occurrence.Steps)
@@ -118,6 +131,11 @@
     return Out;
   }
   Out.Number = Input.at(0).get<int>();
+  if (Input.at(1).is_number()) {
+    Out.Count = Input.at(1).get<int>();
+    Out.Done = true;
+    return Out;
+  }
   for (const nlohmann::json &Step : Input.at(1))
     Out.Steps.push_back(stepFromJson(Step));
   return Out;
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "TaskTable.h"
 #include "cuminroad/pool/JobFailure.h"
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobStage.h"
@@ -18,8 +19,9 @@
 #include "cuminroad/pool/TaskName.h"
 
 // State of the pool scheduler. A job owns its occurrences, an occurrence owns
-// its steps, and a step owns its tasks. Pointers to owners and to VMs stay
-// valid because records are never moved.
+// its steps, and a step owns the records of its tasks. Pointers to records stay
+// valid because records are never moved; that of a task is removed when the
+// task is done.
 
 namespace cuminroad {
 
@@ -28,70 +30,6 @@
 struct StepRecord;
 struct VmRecord;
 
-/// Phase of a task.
-enum class TaskPhase {
-  Waiting,
-  /// A VM was chosen; the start command may have reached it.
-  Placed,
-  /// The VM has confirmed the run.
-  Running,
-  /// A stop of the run was requested.
-  Stopping,
-  Done,
-};
-
-/// The speed of a run that an earlier owner may have throttled.
-inline constexpr int UnknownSpeedPercent = -1;
-
-struct TaskRecord {
-  StepRecord *Step = nullptr;
-  int Index = 0;
-  TaskPhase Phase = TaskPhase::Waiting;
-  int Failures = 0;
-  /// Number of the last run that may have been started.
-  std::int64_t Run = 0;
-  /// Crashes of VMs that runs of the task may have caused.
-  int Crashes = 0;
-  /// Those of them before which the VM had confirmed the start of the run.
-  int ConfirmedCrashes = 0;
-  /// Set in the phases Placed, Running and Stopping.
-  VmRecord *Vm = nullptr;
-  /// The incarnation of the VM on which the run was placed, or which last
-  /// reported it.
-  std::int64_t VmIncarnation = 0;
-  std::string Checkpoint;
-  TimePoint PlacedAt{};
-  /// When the VM first confirmed that the run started or that it never will;
-  /// TimePoint::min() for a run that an earlier owner started.
-  std::optional<TimePoint> ConfirmedAt;
-  /// When ProgressPercent last changed.
-  TimePoint ProgressedAt{};
-  /// As last reported; -1 before the first report of the run.
-  int ProgressPercent = -1;
-  /// See RunningTask::Measurement.
-  double Measurement = 0;
-  /// As last commanded with ThrottleRun.
-  int SpeedPercent = 100;
-  /// The delay after the last start, if a VM could not interpret it.
-  milliseconds InvalidStartDelay{0};
-  /// The task must not be placed again before this time.
-  TimePoint NotPlacedBefore{};
-
-  /// The VM has confirmed that the current run started.
-  bool StartConfirmed = false;
-
-  bool isOnVm() const { return Vm != nullptr; }
-  /// \returns whether a run of the task may have crashed a VM.
-  bool isCrashSuspect() const { return Crashes > 0; }
-  /// \returns whether the current run started less than \p Duration before \p
-  /// When, or may only be about to start.
-  bool isNewRun(TimePoint When, milliseconds Duration) const {
-    if (!ConfirmedAt)
-      return true;
-    return *ConfirmedAt != TimePoint::min() && When - *ConfirmedAt < Duration;
-  }
-};
-
 /// The advisor's ticket for one VM.
 struct TicketRecord {
   std::string Ticket;
@@ -104,14 +42,14 @@
   OccurrenceRecord *Occurrence = nullptr;
   const StepPlan *Plan = nullptr;
   int Number = 0;
-  std::vector<TaskRecord> Tasks;
+  TaskTable Tasks;
   int DoneTasks = 0;
   /// Number of tasks in the phases Placed, Running and Stopping.
   int TasksOnVms = 0;
   int GangFailures = 0;
   /// Number of the last run of the gang that was counted as failed.
   std::int64_t GangFailedRun = 0;
-  /// Number of tasks in the phase Waiting, so that a pass need not count them.
+  /// Number of tasks in the phase Waiting and of tasks that have not begun.
   int WaitingTasks = 0;
   /// VMs that the advisor allows for the step, with their tickets.
   std::map<VmRecord *, TicketRecord> AllowedVms;
@@ -143,13 +81,11 @@
   std::optional<TimePoint> BlockedSince;
   milliseconds NextBlockedReport{0};
 
-  bool isComplete() const {
-    return DoneTasks == static_cast<int>(Tasks.size());
-  }
+  bool isComplete() const { return DoneTasks == Tasks.size(); }
   /// \returns the most failures that count against the attempts of one task.
   int failures() const {
     int Most = GangFailures;
-    for (const TaskRecord &Task : Tasks)
+    for (const auto &[Index, Task] : Tasks.records())
       Most = std::max(Most, Task.Failures);
     return Most;
   }
@@ -173,7 +109,7 @@
   JobStage Stage = JobStage::Queued;
   JobFailure Failure = JobFailure::None;
   std::map<int, std::unique_ptr<OccurrenceRecord>> Occurrences;
-  std::set<int> DoneOccurrences;
+  IndexSet DoneOccurrences;
   /// Unfinished tasks that have had a run, each of which takes room in the
   /// job's stored progress.
   int RecordedTasks = 0;
--- a/packages/pool/src/PoolSchedulerCrashes.cpp
+++ b/packages/pool/src/PoolSchedulerCrashes.cpp
@@ -33,7 +33,7 @@
                                          bool Conclusive) {
   for (const CrashSuspect &Suspect : Suspects) {
     const TaskRecord *Task = Tables_.task(Suspect.Task);
-    if (Task == nullptr || Task->Phase == TaskPhase::Done)
+    if (Task == nullptr)
       continue;
     const bool Proven =
         Conclusive && Task->ConfirmedCrashes >= Options_.ConclusiveCrashes;
@@ -57,7 +57,7 @@
   const int Change = Crashed ? 1 : -1;
   for (const CrashSuspect &Suspect : Loss.Suspects) {
     TaskRecord *Task = Tables_.task(Suspect.Task);
-    if (Task == nullptr || Task->Phase == TaskPhase::Done)
+    if (Task == nullptr)
       continue;
     Task->Crashes = std::max(Task->Crashes + Change, 0);
     if (Suspect.StartConfirmed)
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -51,12 +51,17 @@
 
 void PoolSchedulerImpl::restoreOccurrence(JobRecord &Job,
                                           const OccurrenceProgress &Progress) {
+  const int All = std::max(Job.Plan.Occurrences, 1);
+  if (Progress.Number < 0 || Progress.Number >= All)
+    return;
+  const int Count = std::clamp(Progress.Count, 1, All - Progress.Number);
   Job.CreatedOccurrences =
-      std::max(Job.CreatedOccurrences, Progress.Number + 1);
+      std::max(Job.CreatedOccurrences, Progress.Number + Count);
   if (Progress.Done) {
     Job.Started = true;
-    Job.DoneOccurrences.insert(Progress.Number);
-    Job.Occurrences.erase(Progress.Number);
+    Job.DoneOccurrences.addRange(Progress.Number, Count);
+    Job.Occurrences.erase(Job.Occurrences.lower_bound(Progress.Number),
+                          Job.Occurrences.lower_bound(Progress.Number + Count));
     return;
   }
   if (!Job.Occurrences.contains(Progress.Number))
@@ -70,8 +75,7 @@
     Step.GangFailedRun = Each.GangFailedRun;
     Job.Started = Job.Started || Each.Done || Each.GangFailures > 0;
     if (Each.Done)
-      for (TaskRecord &Task : Step.Tasks)
-        Tables_.setPhase(Task, TaskPhase::Done);
+      Tables_.finish(Step, 0, Step.Tasks.size());
     for (const TaskProgress &Task : Each.Tasks)
       restoreTask(Step, Task);
   }
@@ -79,16 +83,19 @@
 
 void PoolSchedulerImpl::restoreTask(StepRecord &Step,
                                     const TaskProgress &Progress) {
-  if (Progress.Index < 0 ||
-      Progress.Index >= static_cast<int>(Step.Tasks.size()))
+  if (Progress.Index < 0 || Progress.Index >= Step.Tasks.size())
     return;
-  TaskRecord &Task = Step.Tasks[static_cast<std::size_t>(Progress.Index)];
   // A run that is only recorded may not have been started.
   if (Progress.Done || Progress.Failures > 0 || Progress.Crashes > 0 ||
       !Progress.Checkpoint.empty())
     Step.Occurrence->Job->Started = true;
   if (Progress.Done)
-    return Tables_.setPhase(Task, TaskPhase::Done);
+    return Tables_.finish(
+        Step, Progress.Index,
+        std::clamp(Progress.Count, 1, Step.Tasks.size() - Progress.Index));
+  if (Step.Tasks.isDone(Progress.Index))
+    return;
+  TaskRecord &Task = Step.Tasks.begin(Progress.Index);
   Task.Failures = Progress.Failures;
   Step.Occurrence->Job->RecordedTasks += Progress.Run > 0;
   Task.Run = Progress.Run;
@@ -150,9 +157,9 @@
 
 void PoolSchedulerImpl::finishOccurrence(OccurrenceRecord &Occurrence) {
   JobRecord &Job = *Occurrence.Job;
-  Job.DoneOccurrences.insert(Occurrence.Number);
+  Job.DoneOccurrences.add(Occurrence.Number);
   const int All = std::max(Job.Plan.Occurrences, 1);
-  if (static_cast<int>(Job.DoneOccurrences.size()) == All)
+  if (Job.DoneOccurrences.size() == All)
     return finishJob(Job, JobStage::Completed);
   // No task is on a VM, since all of them are done.
   Job.Occurrences.erase(Occurrence.Number);
@@ -175,7 +182,7 @@
   Tables_.markChanged(Job);
   for (const auto &[Number, Occurrence] : Job.Occurrences)
     for (StepRecord &Step : Occurrence->Steps)
-      for (TaskRecord &Task : Step.Tasks)
+      for (auto &[Index, Task] : Step.Tasks.records())
         if (Task.isOnVm())
           stopTask(Task);
 }
@@ -196,7 +203,10 @@
   for (const auto &[Id, Job] : Tables_.Jobs) {
     if (Job->Plan.Occurrences == 0 || isFinal(Job->Stage))
       continue;
+    const std::size_t MaxOccurrences = std::max<std::size_t>(
+        Options_.MaxOpenSteps / Job->Plan.Steps.size(), 1);
     while (Job->CreatedOccurrences < Job->Plan.Occurrences &&
+           Job->Occurrences.size() < MaxOccurrences &&
            Job->Plan.FirstDue + Job->Plan.Interval * Job->CreatedOccurrences <=
                SinceEpoch) {
       Tables_.createOccurrence(*Job, Job->CreatedOccurrences,
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -65,12 +65,12 @@
 
 void PoolSchedulerImpl::earlierRunSucceeded(const TaskRun &Run) {
   TaskRecord *Task = Tables_.task(Run.Task);
-  if (Task == nullptr || Task->Phase == TaskPhase::Done ||
-      Run.Number > Task->Run || Task->Step->Plan->LongRunning ||
+  if (Task == nullptr || Run.Number > Task->Run ||
+      Task->Step->Plan->LongRunning ||
       isFinal(Task->Step->Occurrence->Job->Stage))
     return;
   if (Task->Step->Plan->Gang)
-    for (TaskRecord &Member : Task->Step->Tasks)
+    for (auto &[Index, Member] : Task->Step->Tasks.records())
       abandonRun(Member);
   else
     abandonRun(*Task);
@@ -145,12 +145,11 @@
 
 void PoolSchedulerImpl::finishTask(TaskRecord &Task) {
   StepRecord &Step = *Task.Step;
-  Tables_.finish(Task);
   // The members of a gang complete together, so one completion counts for all.
   if (Step.Plan->Gang)
-    for (TaskRecord &Member : Step.Tasks)
-      if (Member.Phase != TaskPhase::Done)
-        Tables_.finish(Member);
+    Tables_.finish(Step, 0, Step.Tasks.size());
+  else
+    Tables_.finish(Step, Task.Index, 1);
   OccurrenceRecord &Occurrence = *Step.Occurrence;
   const bool Complete =
       std::all_of(Occurrence.Steps.begin(), Occurrence.Steps.end(),
@@ -319,6 +318,8 @@
   Pass.run();
   AdvicePlanner(Tables_, Waiting, Options_, Now, Pass.largestFreeCapacity())
       .run();
+  for (const std::string &Job : std::exchange(Tables_.UnrecordableJobs, {}))
+    failJob(Job, JobFailure::RecordTooLarge);
 }
 
 std::vector<PoolCommand> PoolSchedulerImpl::takeCommands() {
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -89,7 +89,7 @@
 void PoolSchedulerImpl::withdrawStart(TaskRecord &Task) {
   stopTask(Task);
   if (Task.Step->Plan->Gang)
-    for (TaskRecord &Member : Task.Step->Tasks)
+    for (auto &[Index, Member] : Task.Step->Tasks.records())
       if (Member.isOnVm())
         stopTask(Member);
 }
@@ -282,7 +282,7 @@
   Task.Checkpoint = Checkpoint;
   // All members of a gang must start from the same checkpoint.
   if (Task.Step->Plan->Gang)
-    for (TaskRecord &Member : Task.Step->Tasks)
+    for (auto &[Index, Member] : Task.Step->Tasks.records())
       Member.Checkpoint = Checkpoint;
 }
 
@@ -424,7 +424,7 @@
   Tables_.release(Task);
   // The other members of the gang make no progress without it.
   if (Step.Plan->Gang && !isFinal(Job.Stage))
-    for (TaskRecord &Member : Step.Tasks)
+    for (auto &[Index, Member] : Step.Tasks.records())
       if (Member.isOnVm())
         stopTask(Member);
   archiveFinishedJob(Job);
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -8,6 +8,9 @@
 
 /// Number of VMs in a call to the advisor that the latency objective assumes.
 constexpr double ObjectiveAdviceVms = 30;
+/// Up to this number of tasks of a step, or of occurrences of a job, those that
+/// are done are stored one by one. Earlier versions accept no larger steps.
+constexpr int MaxSingleNumbers = 5000;
 
 template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
   const auto Found = In.find(Id);
@@ -85,10 +88,7 @@
 
 TaskRecord *PoolTables::task(const TaskName &Name) const {
   StepRecord *Step = step(Name.Step);
-  if (Step == nullptr || Name.Index < 0 ||
-      Name.Index >= static_cast<int>(Step->Tasks.size()))
-    return nullptr;
-  return &Step->Tasks[static_cast<std::size_t>(Name.Index)];
+  return Step == nullptr ? nullptr : Step->Tasks.find(Name.Index);
 }
 
 OccurrenceRecord &PoolTables::createOccurrence(JobRecord &Job, int Number,
@@ -103,12 +103,8 @@
     Step.Occurrence = New.get();
     Step.Plan = &Job.Plan.Steps[Index];
     Step.Number = static_cast<int>(Index);
-    Step.Tasks.resize(static_cast<std::size_t>(Step.Plan->Tasks));
+    Step.Tasks = TaskTable(Step, Step.Plan->Tasks);
     Step.WaitingTasks = Step.Plan->Tasks;
-    for (std::size_t Task = 0; Task < Step.Tasks.size(); ++Task) {
-      Step.Tasks[Task].Step = &Step;
-      Step.Tasks[Task].Index = static_cast<int>(Task);
-    }
   }
   OccurrenceRecord &Out = *New;
   Job.Occurrences[Number] = std::move(New);
@@ -118,10 +114,8 @@
 void PoolTables::setPhase(TaskRecord &Task, TaskPhase Phase) {
   StepRecord &Step = *Task.Step;
   Step.WaitingTasks -= Task.Phase == TaskPhase::Waiting;
-  Step.DoneTasks -= Task.Phase == TaskPhase::Done;
   Task.Phase = Phase;
   Step.WaitingTasks += Phase == TaskPhase::Waiting;
-  Step.DoneTasks += Phase == TaskPhase::Done;
 }
 
 void PoolTables::place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run,
@@ -162,17 +156,25 @@
 
 void PoolTables::release(TaskRecord &Task) {
   releaseCapacity(Task);
-  if (Task.Phase != TaskPhase::Done)
-    setPhase(Task, TaskPhase::Waiting);
+  setPhase(Task, TaskPhase::Waiting);
   markChanged(*Task.Step->Occurrence->Job);
 }
 
-void PoolTables::finish(TaskRecord &Task) {
-  releaseCapacity(Task);
-  if (Task.Run > 0 && Task.Phase != TaskPhase::Done)
-    --Task.Step->Occurrence->Job->RecordedTasks;
-  setPhase(Task, TaskPhase::Done);
-  markChanged(*Task.Step->Occurrence->Job);
+void PoolTables::finish(StepRecord &Step, int First, int Count) {
+  JobRecord &Job = *Step.Occurrence->Job;
+  TaskTable::Records &Records = Step.Tasks.records();
+  const auto End = Records.lower_bound(First + Count);
+  int AtWork = 0;
+  for (auto Entry = Records.lower_bound(First); Entry != End; ++Entry) {
+    TaskRecord &Task = Entry->second;
+    releaseCapacity(Task);
+    AtWork += Task.Phase != TaskPhase::Waiting;
+    Job.RecordedTasks -= Task.Run > 0;
+  }
+  const int Finished = Step.Tasks.finish(First, Count);
+  Step.DoneTasks += Finished;
+  Step.WaitingTasks -= Finished - AtWork;
+  markChanged(Job);
 }
 
 StepName nameOf(const StepRecord &Step) {
@@ -184,6 +186,11 @@
   return TaskName{nameOf(*Task.Step), Task.Index};
 }
 
+bool mayStartTasks(const StepRecord &Step, const PoolOptions &Options) {
+  return Step.WaitingTasks > Step.Tasks.unbegun() ||
+         Step.Occurrence->Job->RecordedTasks < Options.MaxRecordedTasks;
+}
+
 int tasksOnVm(const StepRecord &Step, const VmRecord &Vm) {
   std::ptrdiff_t Count = 0;
   if (Step.TasksOnVms > 0)
@@ -228,7 +235,6 @@
 static TaskProgress progressOf(const TaskRecord &Task) {
   TaskProgress Out;
   Out.Index = Task.Index;
-  Out.Done = Task.Phase == TaskPhase::Done;
   Out.Failures = Task.Failures;
   Out.Run = Task.Run;
   Out.Checkpoint = Task.Checkpoint;
@@ -241,6 +247,20 @@
   return Out;
 }
 
+/// Calls \p Add with the first number and the length of each range of \p Done,
+/// or with each number if \p Total, the highest possible number of them, is
+/// small: earlier versions read no ranges.
+template <typename F>
+static void forEachDoneRange(const IndexSet &Done, int Total, F Add) {
+  for (const auto &[First, Count] : Done.ranges()) {
+    if (Total > MaxSingleNumbers)
+      Add(First, Count);
+    else
+      for (int Number = First; Number < First + Count; ++Number)
+        Add(Number, 1);
+  }
+}
+
 static StepProgress progressOf(const StepRecord &Step) {
   StepProgress Out;
   Out.Step = Step.Number;
@@ -249,13 +269,17 @@
   Out.GangFailedRun = Step.GangFailedRun;
   if (Out.Done)
     return Out;
-  const auto IsRecorded = [](const TaskRecord &Task) {
-    return Task.Phase == TaskPhase::Done || Task.Run > 0;
-  };
-  Out.Tasks.reserve(static_cast<std::size_t>(
-      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), IsRecorded)));
-  for (const TaskRecord &Task : Step.Tasks)
-    if (IsRecorded(Task))
+  Out.Tasks.reserve(Step.Tasks.records().size());
+  forEachDoneRange(Step.Tasks.done(), Step.Tasks.size(),
+                   [&Out](int First, int Count) {
+                     TaskProgress Done;
+                     Done.Index = First;
+                     Done.Done = true;
+                     Done.Count = Count;
+                     Out.Tasks.push_back(std::move(Done));
+                   });
+  for (const auto &[Index, Task] : Step.Tasks.records())
+    if (Task.Run > 0)
       Out.Tasks.push_back(progressOf(Task));
   return Out;
 }
@@ -266,10 +290,12 @@
   Out.Failure = Job.Failure;
   if (isFinal(Job.Stage))
     return Out;
-  for (const int Number : Job.DoneOccurrences)
-    Out.Occurrences.push_back(OccurrenceProgress{Number, true, {}});
+  forEachDoneRange(
+      Job.DoneOccurrences, Job.Plan.Occurrences, [&Out](int First, int Count) {
+        Out.Occurrences.push_back(OccurrenceProgress{First, true, {}, Count});
+      });
   for (const auto &[Number, Entry] : Job.Occurrences) {
-    OccurrenceProgress Occurrence{Number, false, {}};
+    OccurrenceProgress Occurrence{Number, false, {}, 1};
     for (const StepRecord &Step : Entry->Steps) {
       StepProgress Each = progressOf(Step);
       if (Each.Done || Each.GangFailures > 0 || !Each.Tasks.empty())
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -14,6 +14,7 @@
 #include "PoolRecords.h"
 #include "cuminroad/pool/JobProgress.h"
 #include "cuminroad/pool/JobStatus.h"
+#include "cuminroad/pool/PoolOptions.h"
 #include "cuminroad/pool/PoolScheduler.h"
 
 namespace cuminroad {
@@ -25,7 +26,8 @@
   using JobMap = std::map<std::string, std::unique_ptr<JobRecord>, std::less<>>;
   using VmMap = std::map<std::string, std::unique_ptr<VmRecord>, std::less<>>;
 
-  // The lookups return nullptr if there is no such record.
+  // The lookups return nullptr if there is no such record. See TaskTable for
+  // which tasks have one.
   JobRecord *job(std::string_view Id) const;
   VmRecord *vm(std::string_view Id) const;
   VmRecord &findOrCreateVm(std::string_view Id);
@@ -42,10 +44,11 @@
   /// Assigns a task to a VM and accounts for its capacity.
   void assign(TaskRecord &Task, VmRecord &Vm, TaskPhase Phase);
   /// Releases the task's capacity after its run has certainly ended; the task
-  /// waits again unless it is done.
+  /// waits again.
   void release(TaskRecord &Task);
-  /// Marks the task as done and releases its capacity, if it holds any.
-  void finish(TaskRecord &Task);
+  /// Marks \p Count tasks from \p First on as done, releases the capacity that
+  /// they hold, and removes their records.
+  void finish(StepRecord &Step, int First, int Count);
   void setPhase(TaskRecord &Task, TaskPhase Phase);
 
   /// The job's progress must be persisted.
@@ -70,6 +73,8 @@
   std::int64_t PlacementRound = 1;
   std::int64_t RenewalRound = 1;
   std::set<std::string> ChangedJobs;
+  /// Jobs with a gang that could start but is too large to be recorded.
+  std::set<std::string> UnrecordableJobs;
   std::vector<PoolCommand> Commands;
   PoolDiagnostics Diagnostics;
 
@@ -85,6 +90,9 @@
 /// \returns the name that identifies the record in commands and messages.
 TaskName nameOf(const TaskRecord &Task);
 StepName nameOf(const StepRecord &Step);
+/// \returns whether the step may start a waiting task now: one that has had a
+/// run, or another one if the job's record has room for it.
+bool mayStartTasks(const StepRecord &Step, const PoolOptions &Options);
 /// Counts the tasks of the step on the VM, including runs that are not current
 /// and still being stopped.
 int tasksOnVm(const StepRecord &Step, const VmRecord &Vm);
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -68,10 +68,11 @@
 
 /// \returns whether a waiting task of the step may have crashed a VM.
 bool hasWaitingSuspect(const StepRecord &Step) {
-  return std::any_of(
-      Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
-        return Task.isCrashSuspect() && Task.Phase == TaskPhase::Waiting;
-      });
+  const TaskTable::Records &Records = Step.Tasks.records();
+  return std::any_of(Records.begin(), Records.end(), [](const auto &Entry) {
+    const TaskRecord &Task = Entry.second;
+    return Task.isCrashSuspect() && Task.Phase == TaskPhase::Waiting;
+  });
 }
 
 /// \returns whether the VM has best-effort tasks and the step is
@@ -284,9 +285,9 @@
 }
 
 void SchedulingPass::placeCrashSuspects(StepRecord &Step) {
-  for (TaskRecord &Task : Step.Tasks) {
+  for (auto &[Index, Task] : Step.Tasks.records()) {
     if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
-        Task.NotPlacedBefore > Now_ || hasOtherRun(Task))
+        Task.NotPlacedBefore > Now_ || hasOtherRun(nameOf(Task)))
       continue;
     // The VM with the fewest runs, since a crash takes them all.
     VmRecord *Best = nullptr;
@@ -324,39 +325,59 @@
     if (isEligible(Step, Vm) && canPlaceTask(Step, Vm))
       FittingVms.push_back(ScoredVm{score(Step, Vm), &Vm});
   });
-  for (TaskRecord &Task : Step.Tasks) {
-    if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
-        Task.isCrashSuspect() || hasOtherRun(Task))
-      continue;
+  const auto Place = [&](TaskRecord &Task) {
     const auto Best =
         std::min_element(FittingVms.begin(), FittingVms.end(),
                          [](const ScoredVm &Left, const ScoredVm &Right) {
                            return std::tie(Left.Score, Left.Vm->Position) <
                                   std::tie(Right.Score, Right.Vm->Position);
                          });
-    if (Best == FittingVms.end()) {
-      Step.Blocked = true;
-      return;
-    }
-    if (Task.Run == 0 && Job.RecordedTasks >= Options_.MaxRecordedTasks)
-      return;
     startRun(Task, *Best->Vm, Task.Run + 1);
     if (isEligible(Step, *Best->Vm) && canPlaceTask(Step, *Best->Vm))
       Best->Score = score(Step, *Best->Vm);
     else
       FittingVms.erase(Best);
+  };
+  for (auto &[Index, Task] : Step.Tasks.records()) {
+    if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
+        Task.isCrashSuspect() || hasOtherRun(nameOf(Task)))
+      continue;
+    if (FittingVms.empty()) {
+      Step.Blocked = true;
+      return;
+    }
+    Place(Task);
+  }
+  for (auto Index = Step.Tasks.nextUnbegun(0); Index;
+       Index = Step.Tasks.nextUnbegun(*Index + 1)) {
+    if (hasOtherRun(TaskName{nameOf(Step), *Index}))
+      continue;
+    if (FittingVms.empty()) {
+      Step.Blocked = true;
+      return;
+    }
+    if (Job.RecordedTasks >= Options_.MaxRecordedTasks)
+      return;
+    Place(Step.Tasks.begin(*Index));
   }
 }
 
 void SchedulingPass::placeGang(StepRecord &Step) {
+  // Members of an earlier run may still be on VMs.
+  if (!isWhole(Step) || hasOtherRunOf(Step))
+    return;
   std::int64_t LastRun = 0;
-  for (const TaskRecord &Task : Step.Tasks) {
-    // Members of an earlier run may still be on VMs.
-    if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
-        hasOtherRun(Task))
+  for (const auto &[Index, Task] : Step.Tasks.records()) {
+    if (Task.NotPlacedBefore > Now_)
       return;
     LastRun = std::max(LastRun, Task.Run);
   }
+  if (Step.Plan->Tasks > Options_.MaxGangTasks) {
+    Step.Blocked = true;
+    if (hasRoomFor(needOf(*Step.Plan)))
+      Tables_.UnrecordableJobs.insert(Step.Occurrence->Job->Plan.Id);
+    return;
+  }
   std::vector<VmRecord *> ChosenVms;
   bool Placed = false;
   if (Step.Plan->SameRack) {
@@ -374,11 +395,13 @@
   }
   if (hasWaitingSuspect(Step) && !reserveForTrial(Step, ChosenVms))
     return;
-  for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-    if (Step.Tasks[Index].isCrashSuspect())
-      ChosenVms[Index]->Trial = &Step.Tasks[Index];
-    ChosenVms[Index]->TrialReservedUntil = TimePoint{};
-    startRun(Step.Tasks[Index], *ChosenVms[Index], LastRun + 1);
+  for (int Index = 0; Index < Step.Tasks.size(); ++Index) {
+    TaskRecord &Task = Step.Tasks.begin(Index);
+    VmRecord &Vm = *ChosenVms[static_cast<std::size_t>(Index)];
+    if (Task.isCrashSuspect())
+      Vm.Trial = &Task;
+    Vm.TrialReservedUntil = TimePoint{};
+    startRun(Task, Vm, LastRun + 1);
   }
 }
 
@@ -397,7 +420,7 @@
                      std::tie(Right.Score, Right.Vm->Position);
             });
   ChosenVms.clear();
-  const std::size_t WantedTasks = Step.Tasks.size();
+  const auto WantedTasks = static_cast<std::size_t>(Step.Tasks.size());
   for (const auto &[Score, Vm] : UsableVms) {
     int FittingTasks =
         countFits(Vm->freeCapacity(), Step.Plan->reservedCapacity());
@@ -410,6 +433,12 @@
   return ChosenVms.size() == WantedTasks;
 }
 
+bool SchedulingPass::hasOtherRunOf(const StepRecord &Step) const {
+  const StepName Name = nameOf(Step);
+  const auto First = TasksWithOtherRuns_.lower_bound(TaskName{Name, 0});
+  return First != TasksWithOtherRuns_.end() && First->Step == Name;
+}
+
 bool SchedulingPass::isEligible(const StepRecord &Step,
                                 const VmRecord &Vm) const {
   return Vm.acceptsWork() && canHost(*Step.Plan, Vm) && !isOnTrial(Step, Vm) &&
@@ -420,14 +449,9 @@
                               const VmRecord &Vm) const {
   if (!Step.BlockedSince || Now_ < Vm.NextProbe)
     return false;
-  const int MaxAttempts = Step.Occurrence->Job->Terms.MaxAttempts;
   const bool LastAttempt =
       !Step.Plan->LongRunning &&
-      (Step.GangFailures + 1 >= MaxAttempts ||
-       std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
-                   [MaxAttempts](const TaskRecord &Task) {
-                     return Task.Failures + 1 >= MaxAttempts;
-                   }));
+      Step.failures() + 1 >= Step.Occurrence->Job->Terms.MaxAttempts;
   return Now_ - *Step.BlockedSince >=
          Options_.ProbeAfter * (LastAttempt ? 2 : 1);
 }
@@ -538,7 +562,7 @@
       CandidateTimes.push_back(std::max(End.At, earliestEnd(Now_)));
   const auto WantedTasks = static_cast<int>(Need.Tasks);
   const auto EnoughRoom = [&](TimePoint When) {
-    int FittingTasks = 0;
+    std::int64_t FittingTasks = 0;
     for (const VmRecord *Vm : UsableVms) {
       FittingTasks += std::min(countFitsAt(Step, *Vm, When), WantedTasks);
       if (FittingTasks >= WantedTasks)
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -64,10 +64,11 @@
   /// listed capacity is recent enough.
   bool hasValidCapacity(const VmRecord &Vm) const;
   /// \returns whether an earlier run of the task is on a VM and being stopped.
-  bool hasOtherRun(const TaskRecord &Task) const {
-    return !TasksWithOtherRuns_.empty() &&
-           TasksWithOtherRuns_.contains(nameOf(Task));
+  bool hasOtherRun(const TaskName &Task) const {
+    return TasksWithOtherRuns_.contains(Task);
   }
+  /// \returns whether that holds for any task of the step.
+  bool hasOtherRunOf(const StepRecord &Step) const;
   /// \returns whether the VM may run tasks of the step, regardless of room.
   bool isEligible(const StepRecord &Step, const VmRecord &Vm) const;
   /// Places the step's tasks that may have crashed a VM, each on a VM without
--- a/packages/pool/tests/ForecastTest.cpp
+++ b/packages/pool/tests/ForecastTest.cpp
@@ -51,14 +51,17 @@
     OccurrenceRecord &Occurrence = Tables.createOccurrence(Job, 0, TimePoint{});
     ManualClock Clock;
     for (int Round = 0; Round < 300; ++Round) {
-      TaskRecord &Task = Occurrence.Steps[Random() % 30].Tasks.front();
+      StepRecord &Step = Occurrence.Steps[Random() % 30];
       const TimePoint Now = Clock.now();
-      if (Task.Phase == TaskPhase::Waiting)
-        Tables.place(Task, Vm, Round + 1, Now);
-      else if (Random() % 5 != 0)
-        Tables.release(Task);
-      else
-        Tables.finish(Task);
+      if (!Step.Tasks.isDone(0)) {
+        TaskRecord &Task = Step.Tasks.begin(0);
+        if (Task.Phase == TaskPhase::Waiting)
+          Tables.place(Task, Vm, Round + 1, Now);
+        else if (Random() % 5 != 0)
+          Tables.release(Task);
+        else
+          Tables.finish(Step, 0, 1);
+      }
       for (int Each = 0; Each < 5; ++Each) {
         const TimePoint When =
             Now + milliseconds(static_cast<int>(Random() % 1500) - 200);
