Reserve nothing for steps whose job's progress is full

A step of more than 512 tasks that last can start nothing more, but was blocked like others, so that it reserved VMs for good and others with room waited. pool.BlockedStepsTest, jobsWithFullProgressReserveNothing, fails without the check.

--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -187,7 +187,7 @@
 }
 
 bool mayStartTasks(const StepRecord &Step, const PoolOptions &Options) {
-  return Step.WaitingTasks > Step.Tasks.unbegun() ||
+  return Step.Plan->Gang || Step.WaitingTasks > Step.Tasks.unbegun() ||
          Step.Occurrence->Job->RecordedTasks < Options.MaxRecordedTasks;
 }
 
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -90,8 +90,9 @@
 /// \returns the name that identifies the record in commands and messages.
 TaskName nameOf(const TaskRecord &Task);
 StepName nameOf(const StepRecord &Step);
-/// \returns whether the step may start a waiting task now: one that has had a
-/// run, or another one if the job's record has room for it.
+/// \returns whether the stored progress of the job has room for the start of a
+/// waiting task, that is, whether one has had a run or few others have. A gang
+/// is checked as a whole when it is placed.
 bool mayStartTasks(const StepRecord &Step, const PoolOptions &Options);
 /// Counts the tasks of the step on the VM, including runs that are not current
 /// and still being stopped.
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -106,7 +106,7 @@
                            Options_.MaxBlockedStepsInTurn,
                            Tables_.PlacementRound);
   for (StepRecord *Step : Waiting_.Steps) {
-    if (!isReady(*Step))
+    if (!isReady(*Step) || !mayStartTasks(*Step, Options_))
       continue;
     const PlacementNeed Need = needOf(*Step->Plan);
     if (isWhole(*Step) && (awaitsAdvice(*Step) || isKnownBlocked(Need))) {
@@ -287,7 +287,7 @@
 void SchedulingPass::placeCrashSuspects(StepRecord &Step) {
   for (auto &[Index, Task] : Step.Tasks.records()) {
     if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
-        Task.NotPlacedBefore > Now_ || hasOtherRun(nameOf(Task)))
+        Task.NotPlacedBefore > Now_ || hasOtherRun(Step, Index))
       continue;
     // The VM with the fewest runs, since a crash takes them all.
     VmRecord *Best = nullptr;
@@ -340,7 +340,7 @@
   };
   for (auto &[Index, Task] : Step.Tasks.records()) {
     if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
-        Task.isCrashSuspect() || hasOtherRun(nameOf(Task)))
+        Task.isCrashSuspect() || hasOtherRun(Step, Index))
       continue;
     if (FittingVms.empty()) {
       Step.Blocked = true;
@@ -350,7 +350,7 @@
   }
   for (auto Index = Step.Tasks.nextUnbegun(0); Index;
        Index = Step.Tasks.nextUnbegun(*Index + 1)) {
-    if (hasOtherRun(TaskName{nameOf(Step), *Index}))
+    if (hasOtherRun(Step, *Index))
       continue;
     if (FittingVms.empty()) {
       Step.Blocked = true;
@@ -434,6 +434,8 @@
 }
 
 bool SchedulingPass::hasOtherRunOf(const StepRecord &Step) const {
+  if (TasksWithOtherRuns_.empty())
+    return false;
   const StepName Name = nameOf(Step);
   const auto First = TasksWithOtherRuns_.lower_bound(TaskName{Name, 0});
   return First != TasksWithOtherRuns_.end() && First->Step == Name;
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -64,8 +64,9 @@
   /// listed capacity is recent enough.
   bool hasValidCapacity(const VmRecord &Vm) const;
   /// \returns whether an earlier run of the task is on a VM and being stopped.
-  bool hasOtherRun(const TaskName &Task) const {
-    return TasksWithOtherRuns_.contains(Task);
+  bool hasOtherRun(const StepRecord &Step, int Index) const {
+    return !TasksWithOtherRuns_.empty() &&
+           TasksWithOtherRuns_.contains(TaskName{nameOf(Step), Index});
   }
   /// \returns whether that holds for any task of the step.
   bool hasOtherRunOf(const StepRecord &Step) const;
@@ -86,8 +87,7 @@
   bool isOnTrial(const StepRecord &Step, const VmRecord &Vm) const;
   /// \returns whether the step may probe a VM in quarantine.
   bool mayProbe(const StepRecord &Step, const VmRecord &Vm) const;
-  /// \returns whether a reservation of the VM, if any, admits a task of the
-  /// step.
+  /// \returns whether a reservation of the VM, if any, admits one of the tasks.
   bool reservationAllows(const PlacementNeed &Need, const VmRecord &Vm) const;
   /// \returns the score of placing a task of the step on the VM; lower is
   /// better.
@@ -115,8 +115,10 @@
   /// largest free capacity invalidates it.
   Capacity LargestFree_;
   bool LargestFreeKnown_ = false;
+  /// Steps with reserved VMs, and steps for which VMs were looked for.
   int ReservationCount_ = 0;
   int ReservationAttempts_ = 0;
+  /// Blocked steps until now.
   int BlockedSteps_ = 0;
   /// No available VMs have room for these.
   UnmetNeeds NeedsWithoutRoom_;
--- a/packages/pool/tests/BlockedStepsTest.cpp
+++ b/packages/pool/tests/BlockedStepsTest.cpp
@@ -20,6 +20,12 @@
 /// Interval of passes without an event.
 constexpr milliseconds PassInterval{150};
 
+QueueTerms makeAdvisedQueue(int Priority) {
+  QueueTerms Out = makeQueue(Priority);
+  Out.Advice = AdviceTerms{milliseconds(10), 0.1, milliseconds(2000)};
+  return Out;
+}
+
 struct BlockedStepsFixture : SchedulerFixture {
   /// Adds \p Steps steps like \p Step, as one job of the most urgent queue.
   void addUrgentSteps(const StepPlan &Step, int Steps = ManySteps) {
@@ -52,6 +58,23 @@
     }
     return false;
   }
+  /// Checks that a less urgent job gets new tickets: its first ones expire
+  /// while a task of size \p LongSize fills the VM.
+  void checkTicketsAreRenewedAfter(const Capacity &LongSize) {
+    Scheduler->addJob(makeJob("long", {makeStep(1, LongSize, 100000)}),
+                      makeQueue(0), MonotonicClock.now());
+    runPass();
+    BOOST_REQUIRE_EQUAL(Starts.size(), 1);
+    const StartRun Long = Starts[0];
+    acceptStart(Long);
+    for (const RequestAdvice &Request : AdviceRequests)
+      answerAdvice(Request);
+    Scheduler->addJob(makeJob("less-urgent", {makeStep(1, SmallSize)}),
+                      makeAdvisedQueue(2), MonotonicClock.now());
+    BOOST_CHECK(!startsWithin("less-urgent", milliseconds(5000)));
+    endRun(Long, RunOutcome::Done);
+    BOOST_CHECK(startsWithin("less-urgent", LongestWait));
+  }
   void answerAdvice(const RequestAdvice &Request) {
     std::vector<AdviceTicket> Tickets;
     for (const std::string &Vm : Request.Vms)
@@ -61,12 +84,6 @@
   }
 };
 
-QueueTerms makeAdvisedQueue(int Priority) {
-  QueueTerms Out = makeQueue(Priority);
-  Out.Advice = AdviceTerms{milliseconds(10), 0.1, milliseconds(2000)};
-  return Out;
-}
-
 } // namespace
 
 // Guards against one submission of steps that are larger than any VM hiding all
@@ -174,20 +191,7 @@
   Scheduler->addJob(
       makeJob("urgent", std::vector<StepPlan>(ManySteps / 4, Gang)),
       makeAdvisedQueue(0), MonotonicClock.now());
-  // Its first tickets expire while the VM is full.
-  Scheduler->addJob(makeJob("long", {makeStep(1, BigSize, 10000)}),
-                    makeQueue(0), MonotonicClock.now());
-  runPass();
-  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
-  const StartRun Long = Starts[0];
-  acceptStart(Long);
-  for (const RequestAdvice &Request : AdviceRequests)
-    answerAdvice(Request);
-  Scheduler->addJob(makeJob("less-urgent", {makeStep(1, SmallSize)}),
-                    makeAdvisedQueue(2), MonotonicClock.now());
-  BOOST_CHECK(!startsWithin("less-urgent", milliseconds(5000)));
-  endRun(Long, RunOutcome::Done);
-  BOOST_CHECK(startsWithin("less-urgent", LongestWait));
+  checkTicketsAreRenewedAfter(BigSize);
 }
 
 // Guards against steps that are at their limit per VM using up the renewals of
@@ -200,17 +204,7 @@
   Scheduler->addJob(makeJob("urgent", std::vector<StepPlan>(40, Step)),
                     makeAdvisedQueue(0), MonotonicClock.now());
   startsWithin("none", milliseconds(5000));
-  Scheduler->addJob(makeJob("long", {makeStep(1, {60000, 100, 0}, 100000)}),
-                    makeQueue(0), MonotonicClock.now());
-  runPass();
-  BOOST_REQUIRE_EQUAL(Starts.size(), 1);
-  const StartRun Long = Starts[0];
-  acceptStart(Long);
-  Scheduler->addJob(makeJob("less-urgent", {makeStep(1, SmallSize)}),
-                    makeAdvisedQueue(2), MonotonicClock.now());
-  BOOST_CHECK(!startsWithin("less-urgent", milliseconds(5000)));
-  endRun(Long, RunOutcome::Done);
-  BOOST_CHECK(startsWithin("less-urgent", LongestWait));
+  checkTicketsAreRenewedAfter({60000, 100, 0});
 }
 
 // Guards against steps whose advice always fails using up the requests that may
@@ -274,3 +268,27 @@
   }
   BOOST_CHECK(LargeStarted);
 }
+
+// Guards against steps whose job has as many runs as its stored progress can
+// hold: they can start nothing, but reserved VMs and kept tickets valid.
+BOOST_FIXTURE_TEST_CASE(jobsWithFullProgressReserveNothing,
+                        BlockedStepsFixture) {
+  const int RunCount = Options.MaxRecordedTasks;
+  const Capacity DoubleSize = SmallSize * 2;
+  addVm(makeVm("a", DoubleSize * (RunCount + 1)));
+  StepPlan Step = makeStep(RunCount + 10, DoubleSize);
+  Step.LongRunning = true;
+  Scheduler->addJob(makeJob("full", {Step}), makeQueue(0),
+                    MonotonicClock.now());
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), RunCount);
+  Scheduler->addJob(makeJob("other", {makeStep(2, SmallSize, 2000)}),
+                    makeQueue(1), MonotonicClock.now());
+  runPass();
+  BOOST_REQUIRE_EQUAL(Starts.size(), 2);
+  // Now there is room for a task of half the size.
+  endRun(Starts[0], RunOutcome::Done);
+  Scheduler->addJob(makeJob("less-urgent", {makeStep(1, SmallSize, 100000)}),
+                    makeQueue(2), MonotonicClock.now());
+  BOOST_CHECK(startsWithin("less-urgent", milliseconds(0)));
+}
--- a/packages/pool/tests/LargeJobsTest.cpp
+++ b/packages/pool/tests/LargeJobsTest.cpp
@@ -4,6 +4,8 @@
 #include <malloc.h>
 
 #include <map>
+#include <span>
+#include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -66,6 +68,27 @@
     return {};
   }
 
+  /// A new owner reads the stored progress of the job, whose current runs are
+  /// \p Running, and completes it in at most \p Runs runs, which are added to
+  /// Counts.
+  void completeByNewOwner(const JobPlan &Plan,
+                          std::span<const StartRun> Running, int Runs) {
+    const std::string Stored = encodeProgress(Scheduler->progress("j"));
+    BOOST_CHECK_LE(Stored.size(), RowBytes);
+    const auto Progress = decodeProgress(Stored);
+    BOOST_REQUIRE(Progress);
+    LargeJobFixture Next;
+    Next.addVm(makeVm("a", {20'000, 10'000, 0}));
+    Next.Scheduler->restoreJob(Plan, makeQueue(), Next.MonotonicClock.now(),
+                               *Progress);
+    for (const StartRun &Start : Running)
+      Next.endRun(Start, RunOutcome::Done);
+    Next.runTasks(Runs);
+    BOOST_CHECK(Next.Scheduler->stage("j") == JobStage::Completed);
+    for (const auto &[Task, Count] : Next.Counts)
+      Counts[Task] += Count;
+  }
+
   std::map<TaskName, int> Counts;
 };
 
@@ -123,22 +146,11 @@
   BOOST_REQUIRE(!Running.empty());
   endRun(Running[1], RunOutcome::Done);
   endRun(Running[3], RunOutcome::Failed);
-  const std::string Stored = encodeProgress(Scheduler->progress("j"));
-  BOOST_CHECK_LE(Stored.size(), RowBytes);
-  const auto Progress = decodeProgress(Stored);
-  BOOST_REQUIRE(Progress);
-
-  LargeJobFixture Next;
-  Next.addVm(makeVm("a", {20'000, 10'000, 0}));
-  Next.Scheduler->restoreJob(Plan, makeQueue(), Next.MonotonicClock.now(),
-                             *Progress);
+  std::vector<StartRun> StillRunning;
   for (std::size_t Index = 0; Index < Running.size(); ++Index)
     if (Index != 1 && Index != 3)
-      Next.endRun(Running[Index], RunOutcome::Done);
-  Next.runTasks(Tasks);
-  BOOST_CHECK(Next.Scheduler->stage("j") == JobStage::Completed);
-  for (const auto &[Task, Count] : Next.Counts)
-    Counts[Task] += Count;
+      StillRunning.push_back(Running[Index]);
+  completeByNewOwner(Plan, StillRunning, Tasks);
   BOOST_CHECK_EQUAL(Counts.size(), Tasks);
   for (const auto &[Task, Count] : Counts)
     BOOST_CHECK_EQUAL(Count, Task == Running[3].Run.Task ? 2 : 1);
@@ -154,21 +166,7 @@
   addVm(makeVm("a", {20'000, 10'000, 0}));
   Scheduler->addJob(Plan, makeQueue(), MonotonicClock.now());
   const std::vector<StartRun> Running = runTasks(Occurrences / 2 + 50);
-  const std::string Stored = encodeProgress(Scheduler->progress("j"));
-  BOOST_CHECK_LE(Stored.size(), RowBytes);
-  const auto Progress = decodeProgress(Stored);
-  BOOST_REQUIRE(Progress);
-
-  LargeJobFixture Next;
-  Next.addVm(makeVm("a", {20'000, 10'000, 0}));
-  Next.Scheduler->restoreJob(Plan, makeQueue(), Next.MonotonicClock.now(),
-                             *Progress);
-  for (const StartRun &Start : Running)
-    Next.endRun(Start, RunOutcome::Done);
-  Next.runTasks(Occurrences);
-  BOOST_CHECK(Next.Scheduler->stage("j") == JobStage::Completed);
-  for (const auto &[Task, Count] : Next.Counts)
-    Counts[Task] += Count;
+  completeByNewOwner(Plan, Running, Occurrences);
   BOOST_CHECK_EQUAL(Counts.size(), Occurrences);
   for (const auto &[Task, Count] : Counts)
     BOOST_CHECK_EQUAL(Count, 1);
