Bound the stored progress of jobs with many steps, and lift the limit on steps

A job whose steps are done in part stored each task that is done, up to 5,000 a step, so that 40 steps of 1,000 tasks did not fit into a row and the job failed (record_too_large). Ranges are now stored from 5,000 such tasks and occurrences of the whole job on.

The log shows 20 steps of a job at most.

pool.LargeJobsTest, manyStepsInPartFitIntoARow: 77,066 bytes for a row of 49,152 on, passes now; planWithLargeNumbersIsAccepted failed on.

--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -1,6 +1,7 @@
 #include "cuminroad/fleet/JobFrontend.h"
 
 #include <algorithm>
+#include <span>
 
 #include <fmt/format.h>
 
@@ -36,18 +37,24 @@
 
 /// Bytes of a request's path that the log shows, at most.
 constexpr std::size_t MaxLoggedPath = 80;
+/// Steps of a job that the log shows, at most.
+constexpr std::size_t MaxLoggedSteps = 20;
 /// Failed writes of a job that the log shows, at most.
 constexpr int MaxLoggedWrites = 4;
 
 /// Summarizes a job's queue and steps for the event log.
 std::string describe(const JobRequest &Request) {
   std::string Out = Request.Queue;
-  for (const StepPlan &Step : Request.Plan.Steps)
+  const std::span<const StepPlan> Steps = Request.Plan.Steps;
+  for (const StepPlan &Step :
+       Steps.first(std::min(Steps.size(), MaxLoggedSteps)))
     Out += fmt::format(" {}x{}m/{}MB/{}g{}{}{}", Step.Tasks,
                        Step.PerTask.MilliCores, Step.PerTask.MemoryMb,
                        Step.PerTask.Accelerators, Step.Gang ? " gang" : "",
                        Step.LongRunning ? " long-running" : "",
                        Step.BestEffort ? " best-effort" : "");
+  if (Steps.size() > MaxLoggedSteps)
+    Out += fmt::format(" steps {}", Steps.size());
   return Out;
 }
 
--- a/packages/pool/src/JobPlan.cpp
+++ b/packages/pool/src/JobPlan.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Bounds the records of one job; each step has one.
-constexpr std::size_t MaxSteps = 500;
 /// Far above the numbers that a pool can run, and sums of them fit in an int.
 constexpr int MaxTasksPerStep = 1'000'000'000;
 constexpr int MaxOccurrences = 1'000'000'000;
@@ -30,8 +28,6 @@
 Result<void> checkPlan(const JobPlan &Plan) {
   if (Plan.Steps.empty())
     return failure(ErrorCode::MissingField, "steps");
-  if (Plan.Steps.size() > MaxSteps)
-    return failure(ErrorCode::ValueOutOfRange, "steps");
   for (std::size_t Index = 0; Index < Plan.Steps.size(); ++Index) {
     const StepPlan &Step = Plan.Steps[Index];
     if (Step.Tasks < 1 || Step.Tasks > MaxTasksPerStep)
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -8,9 +8,9 @@
 
 /// Number of VMs in a call to the advisor that the latency objective assumes.
 constexpr double ObjectiveAdviceVms = 30;
-/// Up to this number of tasks of a step, or of occurrences of a job, those that
-/// are done are stored one by one. Earlier versions accept no larger steps.
-constexpr int MaxSingleNumbers = 5000;
+/// Up to this number of tasks and occurrences of a job that are done, they are
+/// stored one by one, as earlier versions read them; more are stored as ranges.
+constexpr std::int64_t MaxSingleNumbers = 5000;
 
 template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
   const auto Found = In.find(Id);
@@ -247,13 +247,25 @@
   return Out;
 }
 
+/// How tasks and occurrences that are done are stored.
+enum class DoneFormat { Numbers, Ranges };
+
+/// \returns the format that keeps the stored progress of the job small.
+static DoneFormat doneFormat(const JobRecord &Job) {
+  std::int64_t Numbers = Job.DoneOccurrences.size();
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (const StepRecord &Step : Occurrence->Steps)
+      if (!Step.isComplete())
+        Numbers += Step.DoneTasks;
+  return Numbers > MaxSingleNumbers ? DoneFormat::Ranges : DoneFormat::Numbers;
+}
+
 /// Calls \p Add with the first number and the length of each range of \p Done,
-/// or with each number if \p Total, the highest possible number of them, is
-/// small: earlier versions read no ranges.
+/// or of each number.
 template <typename F>
-static void forEachDoneRange(const IndexSet &Done, int Total, F Add) {
+static void forEachDone(const IndexSet &Done, DoneFormat Format, F Add) {
   for (const auto &[First, Count] : Done.ranges()) {
-    if (Total > MaxSingleNumbers)
+    if (Format == DoneFormat::Ranges)
       Add(First, Count);
     else
       for (int Number = First; Number < First + Count; ++Number)
@@ -261,7 +273,7 @@
   }
 }
 
-static StepProgress progressOf(const StepRecord &Step) {
+static StepProgress progressOf(const StepRecord &Step, DoneFormat Format) {
   StepProgress Out;
   Out.Step = Step.Number;
   Out.Done = Step.isComplete();
@@ -270,14 +282,13 @@
   if (Out.Done)
     return Out;
   Out.Tasks.reserve(Step.Tasks.records().size());
-  forEachDoneRange(Step.Tasks.done(), Step.Tasks.size(),
-                   [&Out](int First, int Count) {
-                     TaskProgress Done;
-                     Done.Index = First;
-                     Done.Done = true;
-                     Done.Count = Count;
-                     Out.Tasks.push_back(std::move(Done));
-                   });
+  forEachDone(Step.Tasks.done(), Format, [&Out](int First, int Count) {
+    TaskProgress Done;
+    Done.Index = First;
+    Done.Done = true;
+    Done.Count = Count;
+    Out.Tasks.push_back(std::move(Done));
+  });
   for (const auto &[Index, Task] : Step.Tasks.records())
     if (Task.Run > 0)
       Out.Tasks.push_back(progressOf(Task));
@@ -290,14 +301,14 @@
   Out.Failure = Job.Failure;
   if (isFinal(Job.Stage))
     return Out;
-  forEachDoneRange(
-      Job.DoneOccurrences, Job.Plan.Occurrences, [&Out](int First, int Count) {
-        Out.Occurrences.push_back(OccurrenceProgress{First, true, {}, Count});
-      });
+  const DoneFormat Format = doneFormat(Job);
+  forEachDone(Job.DoneOccurrences, Format, [&Out](int First, int Count) {
+    Out.Occurrences.push_back(OccurrenceProgress{First, true, {}, Count});
+  });
   for (const auto &[Number, Entry] : Job.Occurrences) {
     OccurrenceProgress Occurrence{Number, false, {}, 1};
     for (const StepRecord &Step : Entry->Steps) {
-      StepProgress Each = progressOf(Step);
+      StepProgress Each = progressOf(Step, Format);
       if (Each.Done || Each.GangFailures > 0 || !Each.Tasks.empty())
         Occurrence.Steps.push_back(std::move(Each));
     }
