--- a/tests/failure/fleet_soak.py
+++ b/tests/failure/fleet_soak.py
@@ -40,6 +40,7 @@
                        fleet_faults.change_capacities, seconds / 2))
     chosen += fleet_faults.draw_write_faults(seed, seconds)
     chosen += fleet_faults.draw_silent_connections(seed, seconds)
+    chosen += fleet_faults.draw_hopeless_jobs(seed, seconds)
     if late_restarts:
         chosen += [(rng.uniform(0, seconds / 2), fault, seconds / 2)
                    for fault in fleet_faults.LATE_RESTARTS]
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -351,6 +351,18 @@
     trial.write_config()
 
 
+def submit_hopeless_job(trial, _):
+    """Submits a job of many tasks that no VM can host, in the most urgent
+    queue. It stays queued and must not affect the other jobs."""
+    step = {"count": 5000, "cpu": 64000, "mem_mb": 200, "estimate_ms": 100}
+    call = {"job": "%016x" % random.getrandbits(64), "queue": "urgent",
+            "open": {}}
+    trial.load.send_request("POST", call,
+                            {"spec": "{}", "steps": [step] * 300})
+    for connection in call["open"].values():
+        connection.close()
+
+
 def draw_faults(rng, count, seconds):
     """Draws faults that may overlap, as (start, function, duration) in s."""
     return [(rng.uniform(1, seconds), rng.choice(ALL), rng.uniform(0.5, 5))
@@ -381,3 +393,10 @@
     return [(rng.uniform(0, seconds / 2), fault, seconds / 2)
             for fault in (silence_connections, change_config)
             for _ in range(rng.choice((0, 1)))]
+
+
+def draw_hopeless_jobs(seed, seconds):
+    """Draws up to four jobs that can never be done."""
+    rng = random.Random("hopeless jobs of seed %d" % seed)
+    return [(rng.uniform(0, seconds / 2), submit_hopeless_job, 0)
+            for _ in range(rng.choice((0, 1, 4)))]
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -28,6 +28,8 @@
 VM_PUBLISH_INTERVAL_S = 1
 # For how long a daemon that has lost contact may act on what it knew before.
 CONTACT_S = 3
+# The platform kills a daemon that takes more.
+DAEMON_MEMORY_MB = 160
 
 
 class Daemon:
@@ -264,7 +266,20 @@
                 fleet_checker.check_vm_labels(history, jobs, self.vms) +
                 fleet_checker.check_tasks_per_vm(history, jobs) +
                 fleet_checker.check_reported_outcomes(
-                    history, self.load.calls, jobs))
+                    history, self.load.calls, jobs) +
+                self.check_memory())
+
+    def check_memory(self):
+        """Returns the daemons that took more memory than the platform gives
+        them, which would kill them."""
+        violations = []
+        for daemon in self.daemons:
+            with open("/proc/%d/status" % daemon.process.pid) as file:
+                peak_kb = next(int(line.split()[1]) for line in file
+                               if line.startswith("VmHWM:"))
+            if peak_kb > DAEMON_MEMORY_MB * 1024:
+                violations.append("%s took %d KB" % (daemon.name, peak_kb))
+        return violations
 
     def close(self):
         self.simulation.closed = True
