Leave most of the pending advice to requests after a failure

With 16 of 64, an advisor that failed for a while would be asked less than it can answer once it is back, on deployments with more daemons than that.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -40,8 +40,9 @@
   int MaxBlockedStepsInTurn = 50;
   /// Most steps with a pending advice request.
   int MaxPendingAdvice = 64;
-  /// Most of them whose last request failed.
-  int MaxPendingRetries = 16;
+  /// Most of them whose last request failed. The others are left to steps whose
+  /// requests succeed.
+  int MaxPendingRetries = 48;
   /// VMs named in a step's first advice request; the latency objective allows
   /// for a call with about 30. Advice on further VMs is requested if these have
   /// no room.
