--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -271,9 +271,12 @@
 
     def check_memory(self):
         """Returns the daemons that took more memory than the platform gives
-        them, which would kill them."""
+        them, which would kill them, and those that ended by themselves."""
         violations = []
         for daemon in self.daemons:
+            if not daemon.alive():
+                violations.append("%s has ended" % daemon.name)
+                continue
             with open("/proc/%d/status" % daemon.process.pid) as file:
                 peak_kb = next(int(line.split()[1]) for line in file
                                if line.startswith("VmHWM:"))
