Examine steps beyond the limits once a second, so that large ones aren't overtaken

Small tasks beyond the first 150 blocked steps took each hole at once.

Steps that wait for room count again towards the 150, those that the pool could not hold if it was empty don't.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -31,13 +31,16 @@
   int MaxRenewalCandidates = 64;
   /// Further steps examined in a pass, in turn.
   int MaxRenewalCandidatesInTurn = 16;
-  /// A pass examines this many steps that turn out to be blocked, in order of
-  /// urgency. Examining thousands of them would delay the more urgent ones.
-  /// Steps that need at least as much as one that no VM has room for are not
-  /// examined, and not counted.
+  /// A pass examines steps in order of urgency until this many are blocked, not
+  /// counting those that the pool could not hold if it was empty. Examining
+  /// thousands of them would delay the more urgent ones.
   int MaxBlockedSteps = 150;
   /// Further steps examined in a pass, in turn.
   int MaxBlockedStepsInTurn = 50;
+  /// Steps beyond these limits are examined once in this time, or, if there are
+  /// many, as often as the limits allow. It is below the 3 s within which a
+  /// task that could run must start.
+  milliseconds ExaminationRoundTime{1000};
   /// Most steps with a pending advice request.
   int MaxPendingAdvice = 64;
   /// Most of them whose last request failed. The others are left to steps whose
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -4,7 +4,6 @@
 #include <tuple>
 #include <utility>
 
-#include "ExaminationBudget.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -74,9 +73,10 @@
   int PendingAdvice = Waiting_.PendingAdvice;
   int RenewalsLeft = Options_.MaxRenewedSteps;
   int PendingRetries = Waiting_.PendingRetries;
-  ExaminationBudget Candidates(Options_.MaxRenewalCandidates,
-                               Options_.MaxRenewalCandidatesInTurn,
-                               Tables_.RenewalRound);
+  ExaminationBudget Candidates({.MostUrgent = Options_.MaxRenewalCandidates,
+                                .InTurn = Options_.MaxRenewalCandidatesInTurn,
+                                .RoundTime = Options_.ExaminationRoundTime},
+                               Tables_.RenewalRound, Now_);
   for (StepRecord *Entry : Waiting_.Steps) {
     if (PendingAdvice >= Options_.MaxPendingAdvice)
       return;
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "ExaminationBudget.h"
 #include "PoolRecords.h"
 #include "cuminroad/pool/JobProgress.h"
 #include "cuminroad/pool/JobStatus.h"
@@ -68,10 +69,9 @@
   std::map<std::string, TimePoint, std::less<>> UnexplainedCrashes;
   /// Increases when a VM is added, changes or accepts work again.
   std::int64_t VmsVersion = 0;
-  /// Rounds of ExaminationBudget for the placement of steps and for the renewal
-  /// of their tickets.
-  std::int64_t PlacementRound = 1;
-  std::int64_t RenewalRound = 1;
+  /// For the placement of steps, and for the renewal of their tickets.
+  ExaminationRound PlacementRound;
+  ExaminationRound RenewalRound;
   std::set<std::string> ChangedJobs;
   /// Jobs with a gang that could start but is too large to be recorded.
   std::set<std::string> UnrecordableJobs;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "ExaminationBudget.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -102,18 +101,21 @@
     Step->Blocked = false;
     Step->ReservedVms.clear();
   }
-  ExaminationBudget Budget(Options_.MaxBlockedSteps,
-                           Options_.MaxBlockedStepsInTurn,
-                           Tables_.PlacementRound);
+  ExaminationBudget Budget({.MostUrgent = Options_.MaxBlockedSteps,
+                            .InTurn = Options_.MaxBlockedStepsInTurn,
+                            .RoundTime = Options_.ExaminationRoundTime},
+                           Tables_.PlacementRound, Now_);
   for (StepRecord *Step : Waiting_.Steps) {
     if (!isReady(*Step) || !mayStartTasks(*Step, Options_))
       continue;
     const PlacementNeed Need = needOf(*Step->Plan);
     if (isWhole(*Step) && (awaitsAdvice(*Step) || isKnownBlocked(Need))) {
       handleBlocked(*Step, Need);
+      if (Budget.isMostUrgent() && !isBeyondPool(Need))
+        Budget.spend();
     } else if (Budget.admit(Step->PlacementRound)) {
       placeStep(*Step);
-      if (Step->Blocked)
+      if (Step->Blocked && !(Budget.isMostUrgent() && isBeyondPool(Need)))
         Budget.spend();
     }
   }
@@ -141,6 +143,22 @@
   return false;
 }
 
+bool SchedulingPass::isBeyondPool(const PlacementNeed &Need) {
+  if (NeedsBeyondPool_.cover(Need))
+    return true;
+  std::int64_t MissingTasks = Need.Tasks;
+  for (const VmRecord *Vm : AvailableVms_) {
+    if (!Need.RequiredLabel.empty() &&
+        !Vm->Description.hasLabel(Need.RequiredLabel))
+      continue;
+    MissingTasks -= std::min<std::int64_t>(
+        countFits(Vm->Description.Total, Need.PerTask), Need.MaxPerVm);
+    if (MissingTasks <= 0)
+      return false;
+  }
+  return NeedsBeyondPool_.add(Need);
+}
+
 void SchedulingPass::placeStep(StepRecord &Step) {
   if (Step.Plan->Gang)
     placeGang(Step);
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -39,6 +39,9 @@
   bool isKnownBlocked(const PlacementNeed &Need);
   /// \returns whether the available VMs have room for \p Need, on trial or not.
   bool hasRoomFor(const PlacementNeed &Need) const;
+  /// \returns whether they would have no room for it if they were empty; false
+  /// too if more such needs were found than can be remembered.
+  bool isBeyondPool(const PlacementNeed &Need);
   /// Records since when the step is blocked and reserves VMs for it, within the
   /// limits of a pass.
   void handleBlocked(StepRecord &Step, const PlacementNeed &Need);
@@ -122,6 +125,8 @@
   int BlockedSteps_ = 0;
   /// No available VMs have room for these.
   UnmetNeeds NeedsWithoutRoom_;
+  /// They would not have if they were empty.
+  UnmetNeeds NeedsBeyondPool_;
   /// No VMs that could be reserved are expected to have room for these.
   UnmetNeeds NeedsWithoutForecast_;
 };
--- a/packages/pool/src/UnmetNeeds.cpp
+++ b/packages/pool/src/UnmetNeeds.cpp
@@ -4,14 +4,16 @@
 
 namespace cuminroad {
 
-void UnmetNeeds::add(const PlacementNeed &Need) {
+bool UnmetNeeds::add(const PlacementNeed &Need) {
   if (cover(Need))
-    return;
+    return true;
   std::erase_if(Needs_, [&Need](const PlacementNeed &Each) {
     return isAtLeastAsHard(Each, Need);
   });
-  if (Needs_.size() < MaxNeeds)
-    Needs_.push_back(Need);
+  if (Needs_.size() == MaxNeeds)
+    return false;
+  Needs_.push_back(Need);
+  return true;
 }
 
 bool UnmetNeeds::cover(const PlacementNeed &Need) const {
--- a/packages/pool/src/UnmetNeeds.h
+++ b/packages/pool/src/UnmetNeeds.h
@@ -13,7 +13,8 @@
 class UnmetNeeds {
 public:
   /// \p Need is unmet. Ignored once MaxNeeds needs are held.
-  void add(const PlacementNeed &Need);
+  /// \returns whether the set covers it now.
+  bool add(const PlacementNeed &Need);
   /// \returns whether \p Need is known to be unmet.
   bool cover(const PlacementNeed &Need) const;
 
