Share the loops over VMs of two checks of a pass, and of three benchmarks

Whether VMs have room for a step now, and whether they had if they were empty, walked over the VMs in the same way; so did the set-ups of pool_benchmark and job_memory_benchmark. Each pair is one piece now.

--- a/benchmark/JobMemoryBenchmark.cpp
+++ b/benchmark/JobMemoryBenchmark.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "PoolVms.h"
 #include "cuminroad/base/ManualClock.h"
 #include "cuminroad/pool/PoolScheduler.h"
 #include "cuminroad/pool/SystemWallClock.h"
@@ -35,15 +36,7 @@
   ManualClock MonotonicClock;
   SystemWallClock SystemClock;
   const auto Scheduler = makePoolScheduler(MonotonicClock, SystemClock, {});
-  for (int Number = 0; Number < Vms; ++Number) {
-    PoolVm Vm;
-    Vm.Id = fmt::format("i-{:08x}", Number);
-    Vm.Total = Capacity{16000, 32768, 0};
-    Vm.Incarnation = 1;
-    Scheduler->vmListed(Vm);
-    Scheduler->vmReported(Vm.Id, 1, RunReport::complete({}),
-                          MonotonicClock.now());
-  }
+  addPoolVms(*Scheduler, Vms, MonotonicClock.now());
   Scheduler->schedule();
   JobPlan Plan;
   Plan.Id = "5c0e7a21d94b36f8";
--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -14,6 +14,7 @@
 
 #include <fmt/format.h>
 
+#include "PoolVms.h"
 #include "cuminroad/base/ManualClock.h"
 #include "cuminroad/pool/PoolScheduler.h"
 #include "cuminroad/pool/SystemWallClock.h"
@@ -34,15 +35,7 @@
 public:
   OverloadedPool(int Vms, int Jobs)
       : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, {})) {
-    for (int Number = 0; Number < Vms; ++Number) {
-      PoolVm Vm;
-      Vm.Id = fmt::format("i-{:08x}", Number);
-      Vm.Total = Capacity{16000, 32768, 0};
-      Vm.Incarnation = 1;
-      Scheduler_->vmListed(Vm);
-      Scheduler_->vmReported(Vm.Id, 1, RunReport::complete({}),
-                             MonotonicClock_.now());
-    }
+    addPoolVms(*Scheduler_, Vms, MonotonicClock_.now());
     for (int Number = 0; Number < Jobs; ++Number)
       addJob(Number);
   }
@@ -179,15 +172,7 @@
   ManualClock MonotonicClock;
   SystemWallClock SystemClock;
   const auto Scheduler = makePoolScheduler(MonotonicClock, SystemClock, {});
-  for (int Number = 0; Number < Vms; ++Number) {
-    PoolVm Vm;
-    Vm.Id = fmt::format("i-{:08x}", Number);
-    Vm.Total = Capacity{16000, 32768, 0};
-    Vm.Incarnation = 1;
-    Scheduler->vmListed(Vm);
-    Scheduler->vmReported(Vm.Id, 1, RunReport::complete({}),
-                          MonotonicClock.now());
-  }
+  addPoolVms(*Scheduler, Vms, MonotonicClock.now());
   const auto Add = [&](std::string Id, StepPlan Step, int Copies,
                        int Priority) {
     JobPlan Plan;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -1,6 +1,7 @@
 #include "SchedulingPass.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "Forecast.h"
 
@@ -127,36 +128,39 @@
          NeedsWithoutRoom_.cover(Need);
 }
 
-bool SchedulingPass::hasRoomFor(const PlacementNeed &Need) const {
+template <typename F>
+bool SchedulingPass::isMet(const PlacementNeed &Need, F CapacityOf) const {
   std::int64_t MissingTasks = Need.Tasks;
   for (const VmRecord *Vm : AvailableVms_) {
-    if (!Vm->acceptsWork() || !hasValidCapacity(*Vm) ||
-        (!Need.RequiredLabel.empty() &&
-         !Vm->Description.hasLabel(Need.RequiredLabel)) ||
-        !reservationAllows(Need, *Vm))
+    if (!Need.RequiredLabel.empty() &&
+        !Vm->Description.hasLabel(Need.RequiredLabel))
       continue;
-    MissingTasks -= std::min<std::int64_t>(
-        countFits(Vm->freeCapacity(), Need.PerTask), Need.MaxPerVm);
+    if (const std::optional<Capacity> Room = CapacityOf(*Vm))
+      MissingTasks -=
+          std::min<std::int64_t>(countFits(*Room, Need.PerTask), Need.MaxPerVm);
     if (MissingTasks <= 0)
       return true;
   }
   return false;
 }
 
+bool SchedulingPass::hasRoomFor(const PlacementNeed &Need) const {
+  return isMet(Need, [&](const VmRecord &Vm) -> std::optional<Capacity> {
+    if (!Vm.acceptsWork() || !hasValidCapacity(Vm) ||
+        !reservationAllows(Need, Vm))
+      return std::nullopt;
+    return Vm.freeCapacity();
+  });
+}
+
 bool SchedulingPass::isBeyondPool(const PlacementNeed &Need) {
   if (NeedsBeyondPool_.cover(Need))
     return true;
-  std::int64_t MissingTasks = Need.Tasks;
-  for (const VmRecord *Vm : AvailableVms_) {
-    if (!Need.RequiredLabel.empty() &&
-        !Vm->Description.hasLabel(Need.RequiredLabel))
-      continue;
-    MissingTasks -= std::min<std::int64_t>(
-        countFits(Vm->Description.Total, Need.PerTask), Need.MaxPerVm);
-    if (MissingTasks <= 0)
-      return false;
-  }
-  return NeedsBeyondPool_.add(Need);
+  const bool FitsEmptyPool =
+      isMet(Need, [](const VmRecord &Vm) -> std::optional<Capacity> {
+        return Vm.Description.Total;
+      });
+  return !FitsEmptyPool && NeedsBeyondPool_.add(Need);
 }
 
 void SchedulingPass::placeStep(StepRecord &Step) {
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -37,6 +37,10 @@
   /// \returns whether it is known without a look at the VMs that none has room
   /// for the step.
   bool isKnownBlocked(const PlacementNeed &Need);
+  /// \returns whether \p Need is met by the available VMs with the capacities
+  /// that \p CapacityOf returns, nothing for a VM that can't be used.
+  template <typename F>
+  bool isMet(const PlacementNeed &Need, F CapacityOf) const;
   /// \returns whether the available VMs have room for \p Need, on trial or not.
   bool hasRoomFor(const PlacementNeed &Need) const;
   /// \returns whether they would have no room for it if they were empty; false
