--- a/packages/fleet/include/cuminroad/fleet/QueueConfig.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueConfig.h
@@ -2,9 +2,11 @@
 #define CUMINROAD_FLEET_QUEUECONFIG_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/QueueTerms.h"
 
 namespace cuminroad {
@@ -16,6 +18,14 @@
   /// Longest time that a client may have to wait for an answer.
   milliseconds Timeout{3000};
   QueueTerms Terms;
+  /// Whether requests need no key of a client account.
+  bool AllowAnonymous = false;
+};
+
+/// A client account and the keys with which its requests are authenticated.
+struct AccountEntry {
+  ClientAccount Account;
+  std::vector<std::string> Keys;
 };
 
 /// All contracts in force, as operators last wrote them.
@@ -23,6 +33,8 @@
   std::int64_t Version = 0;
   std::vector<QueueRoute> Routes;
   std::vector<std::string> Services;
+  /// Absent where the contracts know no accounts: requests then need no keys.
+  std::optional<std::vector<AccountEntry>> Accounts;
   std::size_t MaxBodyBytes = 1 << 20;
 };
 
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -31,6 +31,8 @@
   const QueueTerms *terms(std::string_view Queue) const;
   /// \returns the terms of all queues.
   std::vector<QueueTerms> allTerms() const;
+  /// \returns all client accounts, without their keys.
+  std::vector<ClientAccount> allAccounts() const;
 
 private:
   QueueConfig Config_;
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -211,6 +211,7 @@
   Scheduler_ = makePoolScheduler(Context_.MonotonicClock, Context_.SystemClock,
                                  poolOptions(Context_.Settings));
   Scheduler_->setQueues(Context_.Queues.allTerms());
+  Scheduler_->setAccounts(Context_.Queues.allAccounts());
   for (auto &[Job, Request] : LoadedRequests_)
     applyRequest(std::move(Request));
   for (const std::string &Job : LoadedCancels_)
@@ -232,6 +233,7 @@
     return;
   AdviceDispatcher_->setQueues(Context_.Queues.config().Routes);
   Scheduler_->setQueues(Context_.Queues.allTerms());
+  Scheduler_->setAccounts(Context_.Queues.allAccounts());
   schedulePass();
 }
 
--- a/packages/fleet/src/QueueRegistry.cpp
+++ b/packages/fleet/src/QueueRegistry.cpp
@@ -35,4 +35,14 @@
   return Out;
 }
 
+std::vector<ClientAccount> QueueRegistry::allAccounts() const {
+  std::vector<ClientAccount> Out;
+  if (!Config_.Accounts)
+    return Out;
+  Out.reserve(Config_.Accounts->size());
+  for (const AccountEntry &Entry : *Config_.Accounts)
+    Out.push_back(Entry.Account);
+  return Out;
+}
+
 } // namespace cuminroad
--- a/packages/pool/include/cuminroad/pool/JobPlan.h
+++ b/packages/pool/include/cuminroad/pool/JobPlan.h
@@ -15,6 +15,8 @@
 /// A job as a client submits it to a queue.
 struct JobPlan {
   std::string Id;
+  /// The client account whose key the job was submitted with; "" if none.
+  std::string Account;
   /// Opaque to the scheduler; passed to the VMs unchanged.
   std::string Spec;
   std::vector<StepPlan> Steps;
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobProgress.h"
 #include "cuminroad/pool/PoolCommand.h"
@@ -79,6 +80,14 @@
   /// Their terms apply to all of their jobs; jobs of other queues have the
   /// terms under which they were accepted.
   virtual void setQueues(std::span<const QueueTerms> Queues) = 0;
+  /// Sets the client accounts of the contracts in force, in place of all
+  /// earlier ones. An account that is no longer among them keeps its last
+  /// terms for its unfinished jobs.
+  virtual void setAccounts(std::span<const ClientAccount> Accounts) = 0;
+  /// Sets the most capacity that the account's runs may occupy in this pool.
+  /// Until the first call for an account it is the account's MaxRunning.
+  virtual void setAccountLimit(std::string_view Account,
+                               const Capacity &Limit) = 0;
   virtual void cancelJob(std::string_view Job) = 0;
   /// Fails an unfinished job.
   virtual void failJob(std::string_view Job, JobFailure Reason) = 0;
@@ -132,6 +141,9 @@
   virtual std::vector<std::string> occupiedVms() const = 0;
   /// \returns the current load of the pool.
   virtual PoolLoad load() const = 0;
+  /// \returns what each account has in the pool, by name; accounts that have
+  /// nothing there are included while they are in force.
+  virtual std::vector<AccountLoad> accountLoads() const = 0;
   /// \returns the plan of an unfinished job, or nullptr.
   virtual const JobPlan *plan(std::string_view Job) const = 0;
   /// \returns the terms that apply to an unfinished job, or nullptr.
--- a/packages/pool/src/JobPlan.cpp
+++ b/packages/pool/src/JobPlan.cpp
@@ -121,6 +121,8 @@
     Out["first"] = Plan.FirstDue.count();
     Out["every"] = Plan.Interval.count();
   }
+  if (!Plan.Account.empty())
+    Out["account"] = Plan.Account;
   return Out;
 }
 
@@ -128,6 +130,7 @@
   try {
     JobPlan Out;
     Out.Spec = Input.at("spec").get<std::string>();
+    Out.Account = Input.value("account", std::string());
     for (const nlohmann::json &Step : Input.at("steps"))
       Out.Steps.push_back(stepFromJson(Step));
     Out.Occurrences = Input.value("times", 0);
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "TaskTable.h"
+#include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/JobFailure.h"
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobStage.h"
@@ -25,11 +26,26 @@
 
 namespace cuminroad {
 
+struct AccountRecord;
 struct JobRecord;
 struct OccurrenceRecord;
 struct StepRecord;
 struct VmRecord;
 
+/// A client account with jobs in the pool, or in the contracts in force.
+struct AccountRecord {
+  /// The terms in force, or the last ones that were.
+  ClientAccount Terms;
+  bool InForce = false;
+  /// Most capacity that its runs may occupy in this pool.
+  Capacity Limit = UnlimitedCapacity;
+  /// Whether Limit was set by PoolScheduler::setAccountLimit().
+  bool LimitSet = false;
+  /// Capacity of its runs that may be on VMs: tasks in the phases Placed,
+  /// Running and Stopping, and unknown runs.
+  Capacity Used;
+};
+
 /// The advisor's ticket for one VM.
 struct TicketRecord {
   std::string Ticket;
@@ -100,6 +116,8 @@
 
 struct JobRecord {
   JobPlan Plan;
+  /// The account that submitted the job, or nullptr.
+  AccountRecord *Account = nullptr;
   /// The terms that apply now, and those under which the job was accepted.
   QueueTerms Terms;
   QueueTerms AcceptedTerms;
@@ -149,6 +167,10 @@
   /// When the VM confirmed that the run started or that it never will; empty
   /// while its start may still be carried out.
   std::optional<TimePoint> SettledAt;
+  /// The account against which the run counts, or nullptr if it isn't known,
+  /// and how much it counts there.
+  AccountRecord *Account = nullptr;
+  Capacity AccountSize;
 };
 
 /// When a task on a VM is expected to end, regardless of the current time, and
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -27,6 +27,9 @@
   void restoreJob(JobPlan Plan, QueueTerms Accepted, TimePoint AcceptedAt,
                   const JobProgress &Progress) override;
   void setQueues(std::span<const QueueTerms> Queues) override;
+  void setAccounts(std::span<const ClientAccount> Accounts) override;
+  void setAccountLimit(std::string_view Account,
+                       const Capacity &Limit) override;
   void failJob(std::string_view Job, JobFailure Reason) override;
   void cancelJob(std::string_view Job) override;
   void forgetJob(std::string_view Job) override;
@@ -56,6 +59,7 @@
   std::vector<std::string> pendingQueues() const override;
   std::vector<std::string> occupiedVms() const override;
   PoolLoad load() const override;
+  std::vector<AccountLoad> accountLoads() const override;
   const JobPlan *plan(std::string_view Job) const override;
   const QueueTerms *terms(std::string_view Job) const override;
 
@@ -128,10 +132,13 @@
   void earlierRunSucceeded(const TaskRun &Run);
   /// Turns the task's current run, if any, into an unknown run and stops it.
   void abandonRun(TaskRecord &Task);
-  /// Stops a run that belongs to no unfinished task; it occupies \p Size of the
-  /// VM's capacity until it has ended. \p SettledAt as in UnknownRun.
-  void stopUnknownRun(VmRecord &Vm, const TaskRun &Run, const Capacity &Size,
-                      std::optional<TimePoint> SettledAt);
+  /// \returns the record of a run of the step that is not a task's current one.
+  static UnknownRun unknownRunOf(const StepRecord &Step,
+                                 std::optional<TimePoint> SettledAt);
+  /// Stops a run that belongs to no unfinished task. It occupies the VM's
+  /// capacity until it has ended.
+  void stopUnknownRun(VmRecord &Vm, const TaskRun &Run,
+                      const UnknownRun &Unknown);
   /// The VM has answered the start or the stop of a run, if it is unknown.
   void settleUnknownRun(VmRecord *Vm, const TaskRun &Run) const;
   void finishTask(TaskRecord &Task);
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -9,6 +9,8 @@
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
+  if (!New->Plan.Account.empty())
+    New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
   applyTerms(*New);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -52,11 +52,7 @@
   VmRecord *Vm = Tables_.vm(Id);
   if (Vm == nullptr)
     return;
-  const auto UnknownRun = Vm->UnknownRuns.find(End.Run);
-  if (UnknownRun != Vm->UnknownRuns.end()) {
-    Vm->Used -= UnknownRun->second.Size;
-    Vm->UnknownRuns.erase(UnknownRun);
-  }
+  PoolTables::removeUnknownRun(*Vm, End.Run);
   if (TaskRecord *Task = findCurrentTask(Vm, End.Run))
     runEnded(*Task, End, *Vm);
   else if (End.Outcome == RunOutcome::Done)
@@ -85,7 +81,7 @@
   const std::optional<TimePoint> SettledAt = Task.ConfirmedAt;
   Tables_.release(Task);
   Vm.SeenUnknownRuns.insert(Run);
-  stopUnknownRun(Vm, Run, Task.Step->Plan->reservedCapacity(), SettledAt);
+  stopUnknownRun(Vm, Run, unknownRunOf(*Task.Step, SettledAt));
 }
 
 void PoolSchedulerImpl::runEnded(TaskRecord &Task, const TaskEnd &End,
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -27,9 +27,8 @@
 constexpr std::size_t MaxRecordedLosses = 256;
 
 void forgetUnknownRuns(VmRecord &Vm) {
-  for (const auto &[Run, Unknown] : Vm.UnknownRuns)
-    Vm.Used -= Unknown.Size;
-  Vm.UnknownRuns.clear();
+  PoolTables::removeUnknownRuns(
+      Vm, [](const TaskRun &, const UnknownRun &) { return true; });
   Vm.SeenUnknownRuns.clear();
 }
 
@@ -47,13 +46,10 @@
 /// Forgets the unknown runs of which a report requested at \p RequestedAt tells
 /// whether they are still there.
 void forgetSettledRuns(VmRecord &Vm, TimePoint RequestedAt) {
-  std::erase_if(Vm.UnknownRuns, [&](const auto &Entry) {
-    const UnknownRun &Unknown = Entry.second;
-    if (!Unknown.SettledAt || *Unknown.SettledAt >= RequestedAt)
-      return false;
-    Vm.Used -= Unknown.Size;
-    return true;
-  });
+  PoolTables::removeUnknownRuns(
+      Vm, [&](const TaskRun &, const UnknownRun &Unknown) {
+        return Unknown.SettledAt && *Unknown.SettledAt < RequestedAt;
+      });
 }
 
 } // namespace
@@ -205,10 +201,11 @@
     // The run is not current, for example because its job was cancelled under
     // an earlier owner. It occupies capacity until it has ended.
     const StepRecord *Step = Tables_.step(Report.Run.Task.Step);
-    stopUnknownRun(Vm, Report.Run,
-                   Step != nullptr ? Step->Plan->reservedCapacity()
-                                   : Vm.Description.Total,
-                   MonotonicClock_.now());
+    UnknownRun Unknown{Vm.Description.Total, MonotonicClock_.now(), nullptr,
+                       Capacity{}};
+    if (Step != nullptr)
+      Unknown = unknownRunOf(*Step, MonotonicClock_.now());
+    stopUnknownRun(Vm, Report.Run, Unknown);
     // A start that the VM has not confirmed may not have reached it yet.
     if (TaskRecord *Current = Tables_.task(Report.Run.Task);
         Current != nullptr && Current->Phase == TaskPhase::Placed &&
@@ -263,15 +260,17 @@
   return Task;
 }
 
+UnknownRun PoolSchedulerImpl::unknownRunOf(const StepRecord &Step,
+                                           std::optional<TimePoint> SettledAt) {
+  return UnknownRun{Step.Plan->reservedCapacity(), SettledAt,
+                    Step.Occurrence->Job->Account, Step.Plan->PerTask};
+}
+
 void PoolSchedulerImpl::stopUnknownRun(VmRecord &Vm, const TaskRun &Run,
-                                       const Capacity &Size,
-                                       std::optional<TimePoint> SettledAt) {
-  const auto [Entry, IsNew] =
-      Vm.UnknownRuns.emplace(Run, UnknownRun{Size, SettledAt});
-  if (IsNew)
-    Vm.Used += Size;
-  else if (!Entry->second.SettledAt)
-    Entry->second.SettledAt = SettledAt;
+                                       const UnknownRun &Unknown) {
+  const auto [Entry, IsNew] = Tables_.addUnknownRun(Vm, Run, Unknown);
+  if (!IsNew && !Entry->SettledAt)
+    Entry->SettledAt = Unknown.SettledAt;
   Tables_.Commands.push_back(StopRun{Vm.Description.Id, Run});
 }
 
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -68,6 +68,41 @@
   Jobs.erase(Entry);
 }
 
+AccountRecord &PoolTables::findOrCreateAccount(std::string_view Name) {
+  const auto Found = Accounts.find(Name);
+  if (Found != Accounts.end())
+    return *Found->second;
+  auto New = std::make_unique<AccountRecord>();
+  New->Terms.Name = Name;
+  return *Accounts.emplace(std::string(Name), std::move(New)).first->second;
+}
+
+std::pair<UnknownRun *, bool> PoolTables::addUnknownRun(VmRecord &Vm,
+                                                        const TaskRun &Run,
+                                                        const UnknownRun &New) {
+  const auto [Entry, IsNew] = Vm.UnknownRuns.emplace(Run, New);
+  if (IsNew) {
+    Vm.Used += New.Size;
+    if (New.Account != nullptr)
+      New.Account->Used += New.AccountSize;
+  }
+  return {&Entry->second, IsNew};
+}
+
+void PoolTables::removeUnknownRun(VmRecord &Vm, const TaskRun &Run) {
+  const auto Found = Vm.UnknownRuns.find(Run);
+  if (Found == Vm.UnknownRuns.end())
+    return;
+  releaseUnknownRun(Vm, Found->second);
+  Vm.UnknownRuns.erase(Found);
+}
+
+void PoolTables::releaseUnknownRun(VmRecord &Vm, const UnknownRun &Run) {
+  Vm.Used -= Run.Size;
+  if (Run.Account != nullptr)
+    Run.Account->Used -= Run.AccountSize;
+}
+
 void PoolTables::renumberVms(std::size_t First) {
   for (std::size_t Index = First; Index < OrderedVms.size(); ++Index)
     OrderedVms[Index]->Position = Index;
@@ -139,6 +174,8 @@
   Vm.Tasks.insert(&Task);
   Vm.ExpectedEndsKnown = false;
   Vm.Used += Task.Step->Plan->reservedCapacity();
+  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
+    Account->Used += Task.Step->Plan->PerTask;
   ++Task.Step->TasksOnVms;
 }
 
@@ -146,6 +183,8 @@
   if (Task.Vm == nullptr)
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
+  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
+    Account->Used -= Task.Step->Plan->PerTask;
   Task.Vm->Tasks.erase(&Task);
   Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -40,6 +40,24 @@
   /// Creates the records of an occurrence, with all tasks waiting.
   OccurrenceRecord &createOccurrence(JobRecord &Job, int Number, TimePoint Due);
 
+  /// \returns the record of an account, which is created if there is none.
+  AccountRecord &findOrCreateAccount(std::string_view Name);
+
+  /// Adds a run that belongs to no unfinished task. \returns its record and
+  /// whether it is new.
+  std::pair<UnknownRun *, bool> addUnknownRun(VmRecord &Vm, const TaskRun &Run,
+                                              const UnknownRun &New);
+  static void removeUnknownRun(VmRecord &Vm, const TaskRun &Run);
+  /// Removes the unknown runs for which \p Ended returns true.
+  template <typename F> static void removeUnknownRuns(VmRecord &Vm, F Ended) {
+    std::erase_if(Vm.UnknownRuns, [&](const auto &Entry) {
+      if (!Ended(Entry.first, Entry.second))
+        return false;
+      releaseUnknownRun(Vm, Entry.second);
+      return true;
+    });
+  }
+
   /// Places a waiting task on a VM under a new run number.
   void place(TaskRecord &Task, VmRecord &Vm, std::int64_t Run, TimePoint Now);
   /// Assigns a task to a VM and accounts for its capacity.
@@ -61,6 +79,7 @@
   /// Final statuses of the other finished jobs.
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
+  std::map<std::string, std::unique_ptr<AccountRecord>, std::less<>> Accounts;
   /// The same VMs in the same order, each at its Position.
   std::vector<VmRecord *> OrderedVms;
   /// When VMs became unreachable, most recent last.
@@ -79,6 +98,7 @@
   PoolDiagnostics Diagnostics;
 
 private:
+  static void releaseUnknownRun(VmRecord &Vm, const UnknownRun &Run);
   /// Updates the positions of the VMs from \p First on.
   void renumberVms(std::size_t First);
 
