Split SchedulingPass.cpp into order, placement, gangs and reservations

The file had 631 lines and mixed the order of a pass with the choice of VMs. The functions are moved unchanged; forEachPermittedVm() is now in the header, isWhole() and hasWaitingSuspect() are private members because two files use them.

All checksums of pool_benchmark at 252 VMs are the same before and after.

--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -31,6 +31,13 @@
     VmRecord *Vm;
   };
 
+  /// \returns whether the step can start if there is room: no member of a gang
+  /// is on a VM.
+  static bool isWhole(const StepRecord &Step) {
+    return !Step.Plan->Gang || Step.WaitingTasks == Step.Plan->Tasks;
+  }
+  /// \returns whether a waiting task of the step may have crashed a VM.
+  static bool hasWaitingSuspect(const StepRecord &Step);
   /// Places what it can of a step, and handles it as blocked if there is no VM
   /// for the rest.
   void placeStep(StepRecord &Step);
@@ -135,6 +142,19 @@
   UnmetNeeds NeedsWithoutForecast_;
 };
 
+template <typename F>
+void SchedulingPass::forEachPermittedVm(const StepRecord &Step, F Visit) const {
+  if (!Step.Occurrence->Job->Terms.Advice) {
+    for (VmRecord *Vm : AvailableVms_)
+      Visit(*Vm);
+    return;
+  }
+  for (const auto &[Vm, Ticket] : Step.AllowedVms)
+    if (Ticket.VmIncarnation == Vm->Description.Incarnation &&
+        Ticket.ValidUntil > Now_ + Options_.TicketMargin + Options_.StartDelay)
+      Visit(*Vm);
+}
+
 } // namespace cuminroad
 
 #endif
