Start tasks of an account only within its limit in the pool

An account's limit was stored and its use counted, but starts ignored both, so that an account had more running than its quota allows.

A task or a whole gang now starts only if what the account uses plus its size stays within the limit in each component that the task uses. A step that waits for its quota reserves no VMs, requests no advice, spends nothing of the examination budget, and is reported as blocked by its quota, one step of an account in a pass.

--- a/packages/pool/include/cuminroad/pool/ClientAccount.h
+++ b/packages/pool/include/cuminroad/pool/ClientAccount.h
@@ -29,6 +29,16 @@
   bool operator==(const ClientAccount &) const = default;
 };
 
+/// \returns one of \p Parts equal parts of a quota; a component that never
+/// binds is not divided.
+inline Capacity quotaPart(const Capacity &Quota, std::int64_t Parts) {
+  const auto Divide = [Parts](std::int64_t Amount) {
+    return Amount >= UnlimitedAmount ? UnlimitedAmount : Amount / Parts;
+  };
+  return Capacity{Divide(Quota.MilliCores), Divide(Quota.MemoryMb),
+                  Divide(Quota.Accelerators)};
+}
+
 /// What an account has in one pool, for logs, metrics and the division of its
 /// quota among pools.
 struct AccountLoad {
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/contract/Capacity.h"
 #include "cuminroad/pool/TaskName.h"
 
 namespace cuminroad {
@@ -33,7 +34,7 @@
 };
 
 /// Why a step could not be placed for some time. The counts show which
-/// condition excludes the VMs.
+/// condition excludes the VMs, unless its account's quota does.
 struct BlockedStep {
   StepName Step;
   milliseconds Waited{0};
@@ -49,6 +50,12 @@
   int VmsWithTicket = 0;
   /// Allowed VMs with enough free capacity for a task.
   int VmsWithRoom = 0;
+  /// The account whose quota keeps the step from starting; "" if it waits for
+  /// capacity. The VMs are not counted then.
+  std::string QuotaAccount;
+  /// What the account uses in the pool, and the most that it may use.
+  Capacity QuotaUsed;
+  Capacity QuotaLimit;
 };
 
 /// A VM that gets no new tasks for some time because its starts and runs fail.
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "AccountQuota.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -91,6 +92,8 @@
     const bool Ready = isReady(Step);
     if (!Ready && !isReadySoon(Step))
       continue;
+    if (Ready ? isBlockedByQuota(Step) : isBlockedByQuotaWhenReady(Step))
+      continue;
     requestAdviceOnNewVms(Step);
     if (Ready && !Step.AdvicePending && RenewalsLeft > 0 &&
         Candidates.admit(Step.RenewalRound)) {
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -44,6 +44,8 @@
   /// Capacity of its runs that may be on VMs: tasks in the phases Placed,
   /// Running and Stopping, and unknown runs.
   Capacity Used;
+  /// The pass that last reported a step of the account as blocked by its quota.
+  TimePoint QuotaReportedAt{};
 };
 
 /// The advisor's ticket for one VM.
@@ -95,6 +97,9 @@
   /// Since when the step has been blocked, and for how long it must have been
   /// blocked for the next log entry.
   std::optional<TimePoint> BlockedSince;
+  /// Since when the quota of the job's account has kept the step from starting
+  /// anything.
+  std::optional<TimePoint> QuotaBlockedSince;
   milliseconds NextBlockedReport{0};
 
   bool isComplete() const { return DoneTasks == Tasks.size(); }
--- a/packages/pool/src/PoolSchedulerAccounts.cpp
+++ b/packages/pool/src/PoolSchedulerAccounts.cpp
@@ -5,6 +5,23 @@
 
 namespace cuminroad {
 
+namespace {
+
+/// Adds the capacity of the step's waiting tasks, up to UnlimitedAmount.
+void addWaiting(Capacity &Sum, const StepRecord &Step) {
+  const auto Add = [&Step](std::int64_t &To, std::int64_t Each) {
+    const std::int64_t Room = UnlimitedAmount - To;
+    To += Each > 0 && Step.WaitingTasks > Room / Each
+              ? Room
+              : Each * Step.WaitingTasks;
+  };
+  Add(Sum.MilliCores, Step.Plan->PerTask.MilliCores);
+  Add(Sum.MemoryMb, Step.Plan->PerTask.MemoryMb);
+  Add(Sum.Accelerators, Step.Plan->PerTask.Accelerators);
+}
+
+} // namespace
+
 void PoolSchedulerImpl::setAccounts(std::span<const ClientAccount> Accounts) {
   for (const auto &[Name, Account] : Tables_.Accounts)
     Account->InForce = false;
@@ -33,7 +50,7 @@
       for (const auto &[Number, Occurrence] : Job->Occurrences)
         for (const StepRecord &Step : Occurrence->Steps)
           if (Step.WaitingTasks > 0 && isReady(Step))
-            Waiting[Job->Account] += Step.Plan->PerTask * Step.WaitingTasks;
+            addWaiting(Waiting[Job->Account], Step);
     }
   std::vector<AccountLoad> Out;
   for (const auto &[Name, Account] : Tables_.Accounts) {
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
+#include "AccountQuota.h"
 #include "Forecast.h"
 
 namespace cuminroad {
@@ -109,6 +111,11 @@
   for (StepRecord *Step : Waiting_.Steps) {
     if (!isReady(*Step) || !mayStartTasks(*Step, Options_))
       continue;
+    if (isBlockedByQuota(*Step)) {
+      handleBlockedByQuota(*Step);
+      continue;
+    }
+    Step->QuotaBlockedSince.reset();
     const PlacementNeed Need = needOf(*Step->Plan);
     if (isWhole(*Step) && (awaitsAdvice(*Step) || isKnownBlocked(Need))) {
       handleBlocked(*Step, Need);
@@ -190,6 +197,38 @@
     reserveVms(Step, Need);
 }
 
+void SchedulingPass::handleBlockedByQuota(StepRecord &Step) {
+  Step.BlockedSince.reset();
+  AccountRecord &Account = *Step.Occurrence->Job->Account;
+  // An account may have thousands of steps that wait for its quota; its most
+  // urgent one suffices.
+  if (std::exchange(Account.QuotaReportedAt, Now_) == Now_)
+    return;
+  if (!Step.QuotaBlockedSince) {
+    Step.QuotaBlockedSince = Now_;
+    Step.NextBlockedReport = FirstBlockedReport;
+  }
+  const auto Waited =
+      std::chrono::duration_cast<milliseconds>(Now_ - *Step.QuotaBlockedSince);
+  if (!isReportDue(Step, Waited))
+    return;
+  BlockedStep Report;
+  Report.Step = nameOf(Step);
+  Report.Waited = Waited;
+  Report.WaitingTasks = Step.WaitingTasks;
+  Report.QuotaAccount = Account.Terms.Name;
+  Report.QuotaUsed = Account.Used;
+  Report.QuotaLimit = Account.Limit;
+  Tables_.Diagnostics.BlockedSteps.push_back(std::move(Report));
+}
+
+bool SchedulingPass::isReportDue(StepRecord &Step, milliseconds Waited) {
+  if (Waited < Step.NextBlockedReport)
+    return false;
+  Step.NextBlockedReport *= 2;
+  return true;
+}
+
 void SchedulingPass::reportBlocked(StepRecord &Step) {
   if (!Step.BlockedSince) {
     Step.BlockedSince = Now_;
@@ -197,9 +236,8 @@
   }
   const auto Waited =
       std::chrono::duration_cast<milliseconds>(Now_ - *Step.BlockedSince);
-  if (Waited < Step.NextBlockedReport)
+  if (!isReportDue(Step, Waited))
     return;
-  Step.NextBlockedReport *= 2;
   BlockedStep Report;
   Report.Step = nameOf(Step);
   Report.Waited = Waited;
@@ -311,6 +349,8 @@
     if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
         Task.NotPlacedBefore > Now_ || hasOtherRun(Step, Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     // The VM with the fewest runs, since a crash takes them all.
     VmRecord *Best = nullptr;
     VmRecord *BestBusy = nullptr;
@@ -364,6 +404,8 @@
     if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
         Task.isCrashSuspect() || hasOtherRun(Step, Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     if (FittingVms.empty()) {
       Step.Blocked = true;
       return;
@@ -374,6 +416,8 @@
        Index = Step.Tasks.nextUnbegun(*Index + 1)) {
     if (hasOtherRun(Step, *Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     if (FittingVms.empty()) {
       Step.Blocked = true;
       return;
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -49,6 +49,8 @@
   /// Records since when the step is blocked and reserves VMs for it, within the
   /// limits of a pass.
   void handleBlocked(StepRecord &Step, const PlacementNeed &Need);
+  /// Records that the quota of the step's account keeps it from starting.
+  void handleBlockedByQuota(StepRecord &Step);
   void placeTasks(StepRecord &Step);
   void placeGang(StepRecord &Step);
   /// Chooses a VM for each member of a gang, from VMs with the label \p Rack,
@@ -105,6 +107,9 @@
   void reserveVms(StepRecord &Step, const PlacementNeed &Need);
   /// Adds a blocked step to the diagnostics, at increasing intervals.
   void reportBlocked(StepRecord &Step);
+  /// \returns whether the next log entry for a step that has been blocked for
+  /// \p Waited is due.
+  static bool isReportDue(StepRecord &Step, milliseconds Waited);
   /// \returns how many more tasks of the step the VM is expected to have room
   /// for at \p When.
   int countFitsAt(const StepRecord &Step, const VmRecord &Vm,
