Divide the quota of an account equally among the pools

Each pool's owner let an account use its whole quota, so that two pools together started up to twice the quota.

Until pools exchange parts of quotas, each pool's limit is the quota divided by the number of pools of the configuration. step_blocked names the account, what it uses and its limit in the pool if a step waits for its quota.

--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -140,9 +140,10 @@
     EventInfo{EventId::TaskThrottled, Severity::Warning, "task_throttled",
               "The task uses more than its declared capacity and is throttled "
               "to it."},
-    EventInfo{
-        EventId::StepBlocked, Severity::Info, "step_blocked",
-        "A step waits for capacity; logged after 1 s, 2 s, 4 s and so on."},
+    EventInfo{EventId::StepBlocked, Severity::Info, "step_blocked",
+              "A step waits for capacity or for its account's quota; logged "
+              "after 1 s, 2 s, 4 s and so on. Of the steps that wait for one "
+              "quota, the most urgent one is logged."},
     EventInfo{EventId::RunStarted, Severity::Info, "run_started",
               "A VM accepted the start of a run; with the listed capacity that "
               "the start was decided by, and its age."},
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -93,6 +93,8 @@
   bool shouldHandOver() const;
   void handOver(std::string_view Reason);
   void loadJobsWhenRead();
+  /// Passes the client accounts and their limits to the scheduler.
+  void applyAccounts();
   void applyRow(const StoredRow &Row);
   void applyRequest(JobRequest Request);
   void applyCancel(const std::string &Job);
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -211,7 +211,7 @@
   Scheduler_ = makePoolScheduler(Context_.MonotonicClock, Context_.SystemClock,
                                  poolOptions(Context_.Settings));
   Scheduler_->setQueues(Context_.Queues.allTerms());
-  Scheduler_->setAccounts(Context_.Queues.allAccounts());
+  applyAccounts();
   for (auto &[Job, Request] : LoadedRequests_)
     applyRequest(std::move(Request));
   for (const std::string &Job : LoadedCancels_)
@@ -228,12 +228,21 @@
   schedulePass();
 }
 
+void PoolOwner::applyAccounts() {
+  const std::vector<ClientAccount> Accounts = Context_.Queues.allAccounts();
+  Scheduler_->setAccounts(Accounts);
+  const auto Pools = static_cast<std::int64_t>(
+      std::max<std::size_t>(Context_.Queues.config().Services.size(), 1));
+  for (const ClientAccount &Each : Accounts)
+    Scheduler_->setAccountLimit(Each.Name, quotaPart(Each.MaxRunning, Pools));
+}
+
 void PoolOwner::queuesChanged() {
   if (!Scheduler_)
     return;
   AdviceDispatcher_->setQueues(Context_.Queues.config().Routes);
   Scheduler_->setQueues(Context_.Queues.allTerms());
-  Scheduler_->setAccounts(Context_.Queues.allAccounts());
+  applyAccounts();
   schedulePass();
 }
 
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -23,6 +23,23 @@
   return Out;
 }
 
+std::string formatBlockedStep(const BlockedStep &Step) {
+  std::string Out =
+      fmt::format("{}.{} waited_ms {} tasks {}", Step.Step.Occurrence,
+                  Step.Step.Step, Step.Waited.count(), Step.WaitingTasks);
+  if (Step.QuotaAccount.empty())
+    return Out +
+           fmt::format(" vms allowed {} held {} usable {} ticket {} room {}",
+                       Step.AllowedVms, Step.AvailableVms, Step.UsableVms,
+                       Step.VmsWithTicket, Step.VmsWithRoom);
+  const auto Format = [](const Capacity &Amount) {
+    return fmt::format("{},{},{}", Amount.MilliCores, Amount.MemoryMb,
+                       Amount.Accelerators);
+  };
+  return Out + fmt::format(" quota of {} used {} limit {}", Step.QuotaAccount,
+                           Format(Step.QuotaUsed), Format(Step.QuotaLimit));
+}
+
 } // namespace
 
 void PoolOwner::logDiagnostics() {
@@ -49,14 +66,8 @@
     Context_.Events.record(EventId::VmQuarantined, Each.Vm,
                            fmt::format("for_ms {}", Each.Duration.count()));
   for (const BlockedStep &Each : Diagnostics.BlockedSteps)
-    Context_.Events.record(
-        EventId::StepBlocked, Each.Step.Job,
-        fmt::format(
-            "{}.{} waited_ms {} tasks {} vms allowed {} held {} usable {} "
-            "ticket {} room {}",
-            Each.Step.Occurrence, Each.Step.Step, Each.Waited.count(),
-            Each.WaitingTasks, Each.AllowedVms, Each.AvailableVms,
-            Each.UsableVms, Each.VmsWithTicket, Each.VmsWithRoom));
+    Context_.Events.record(EventId::StepBlocked, Each.Step.Job,
+                           formatBlockedStep(Each));
 }
 
 void PoolOwner::logCrash(const VmCrash &Crash) {
