--- a/packages/pool/src/SchedulingPassPlacement.cpp
+++ b/packages/pool/src/SchedulingPassPlacement.cpp
@@ -1,6 +1,7 @@
 // Choice of a VM for a single task, and the start of its run.
 #include "SchedulingPass.h"
 
+#include "AccountQuota.h"
 #include <algorithm>
 #include <optional>
 #include <tuple>
@@ -112,6 +113,8 @@
     if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
         Task.NotPlacedBefore > Now_ || hasOtherRun(Step, Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     // The VM with the fewest runs, since a crash takes them all.
     VmRecord *Best = nullptr;
     VmRecord *BestBusy = nullptr;
@@ -165,6 +168,8 @@
     if (Task.Phase != TaskPhase::Waiting || Task.NotPlacedBefore > Now_ ||
         Task.isCrashSuspect() || hasOtherRun(Step, Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     if (FittingVms.empty()) {
       Step.Blocked = true;
       return;
@@ -175,6 +180,8 @@
        Index = Step.Tasks.nextUnbegun(*Index + 1)) {
     if (hasOtherRun(Step, *Index))
       continue;
+    if (isBlockedByQuota(Step))
+      return;
     if (FittingVms.empty()) {
       Step.Blocked = true;
       return;
