Read client accounts, their keys and open routes from the contracts

Cause: `tenants` and `allow_anonymous` of the configuration were ignored, so that neither keys nor quotas could be applied. An account list that is invalid (no name, duplicate name or key, negative or overflowing number, over 100,000 accounts) makes the whole configuration invalid: the last one stays in force, and the log line names the field, never the key.

--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -39,6 +39,10 @@
   milliseconds ContactTime{3000};
   /// How long changed contracts may take to come into force in each daemon.
   milliseconds ConfigApplyTime{2000};
+  /// How much longer than ConfigApplyTime the contracts may be unconfirmed
+  /// before a daemon accepts no more jobs. Applies if they have client
+  /// accounts.
+  milliseconds ConfigStaleTolerance{6000};
   /// Factor by which a task takes longer away from its data, or in a gang that
   /// spans racks.
   double RemoteFactor = 1.0;
--- a/packages/fleet/include/cuminroad/fleet/QueueConfig.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueConfig.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
+#include "cuminroad/base/Error.h"
 #include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/QueueTerms.h"
 
@@ -38,6 +40,17 @@
   std::size_t MaxBodyBytes = 1 << 20;
 };
 
+inline constexpr std::size_t MaxAccounts = 100'000;
+/// Largest limit of an account that isn't UnlimitedAmount. A share of it in
+/// millionths fits an integer, and so do sums over all accounts.
+inline constexpr std::int64_t MaxAccountAmount = 1'000'000'000'000;
+/// Sums over all accounts are exact to the unit.
+inline constexpr double MaxAccountWeight = 1e9;
+
+/// Checks names, numbers and keys. The error names the field, and never repeats
+/// a key.
+Result<void> checkAccounts(std::span<const AccountEntry> Accounts);
+
 } // namespace cuminroad
 
 #endif
