Check the keys of client accounts, and accept no job by stale contracts

Change: a call for a job gets 401 without a key of an account in force, unless its route is open, after 503 (no contracts) and 404 (no route). POST gets 503 with Retry-After once the contracts are older than config_apply_ms + max_stretch_ms, or 504 if an earlier copy may have been written. Keys are found by an index of salted 128-bit hashes, which are compared in fixed time. Refusals are counted by cause; key_unknown is logged without the key. Without accounts nothing changes.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -78,6 +78,7 @@
   RequestUnknown = 1500,
   RequestNotRun = 1501,
   RouteUnknown = 1502,
+  KeyUnknown = 1503,
   PeerMessageRejected = 1600,
   LinesDropped = 1700,
 };
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -185,6 +185,10 @@
     EventInfo{EventId::RouteUnknown, Severity::Info, "route_unknown",
               "No route matches a request; with the version of the contracts "
               "and the time since the store confirmed it."},
+    EventInfo{EventId::KeyUnknown, Severity::Info, "key_unknown",
+              "A request of the queue was refused, because it has no key of an "
+              "account in force; with the version of the contracts and the "
+              "time since the store confirmed it."},
     EventInfo{EventId::PeerMessageRejected, Severity::Warning,
               "peer_message_rejected",
               "A message between daemons could not be parsed and was ignored."},
--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -26,6 +26,8 @@
   /// Counts a client's submission that was answered.
   void recordSubmission(const std::string &Queue, std::string_view Outcome,
                         milliseconds Duration);
+  /// Counts a client's request that was refused.
+  void recordRefusal(std::string_view Cause);
   /// Counts a call of the store that ended.
   void recordStoreCall(std::string_view Kind, std::string_view Outcome,
                        milliseconds Duration);
@@ -51,6 +53,7 @@
   prometheus::Registry Registry_;
   prometheus::Family<prometheus::Counter> &Submissions_;
   prometheus::Family<prometheus::Histogram> &SubmissionSeconds_;
+  prometheus::Family<prometheus::Counter> &Refusals_;
   prometheus::Family<prometheus::Counter> &StoreCalls_;
   prometheus::Family<prometheus::Histogram> &StoreSeconds_;
   prometheus::Family<prometheus::Counter> &Starts_;
--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -60,6 +60,12 @@
   void queuesChanged() { PendingJobs_.queuesChanged(); }
   /// Logs that no route of the contracts in force matches a request.
   void recordUnknownRoute(std::string_view Host, std::string_view Path);
+  /// Logs and counts that a request was refused, because no key of an account
+  /// in force came with it.
+  void recordUnknownKey(const QueueTerms &Queue, std::string_view Method,
+                        bool HasKey);
+  /// While the contracts have accounts and are stale, no job is accepted.
+  ///
   /// \param CallerTimeout how long the client waits for the answer.
   void submit(const QueueTerms &Queue, JobPlan Plan, milliseconds CallerTimeout,
               SubmitDone Done);
@@ -101,6 +107,15 @@
   void readProgress(std::string_view Service, const std::string &Job,
                     TimePoint Deadline, StatusDone Done);
   milliseconds remaining(TimePoint Deadline) const;
+  /// \returns whether the contracts are too old to accept jobs by the keys that
+  /// they have.
+  bool areKeysStale() const;
+  /// \returns the version of the contracts in force, and the time since the
+  /// store confirmed it.
+  std::string describeContracts() const;
+  /// Answers a submission without a further write, because the contracts are
+  /// stale.
+  void refuseAsStale(const Submission &Pending);
 
   FleetContext Context_;
   const OwnedPools &Owned_;
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -1,10 +1,12 @@
 #ifndef CUMINROAD_FLEET_QUEUEREGISTRY_H
 #define CUMINROAD_FLEET_QUEUEREGISTRY_H
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/fleet/AccountKeyIndex.h"
 #include "cuminroad/fleet/QueueConfig.h"
 
 namespace cuminroad {
@@ -13,6 +15,10 @@
 /// newer one.
 class QueueRegistry {
 public:
+  QueueRegistry() : Keys_(AccountKeyIndex::makeSalt()) {}
+
+  /// Keeps only hashes of the accounts' keys.
+  ///
   /// \returns whether \p Config is newer than the contracts in force.
   bool apply(QueueConfig Config);
   /// Records that the store had no newer contracts at \p Now.
@@ -31,11 +37,21 @@
   const QueueTerms *terms(std::string_view Queue) const;
   /// \returns the terms of all queues.
   std::vector<QueueTerms> allTerms() const;
+  /// \returns whether the contracts in force have client accounts.
+  bool hasAccounts() const { return Config_.Accounts.has_value(); }
+  /// \returns the name of the account that \p Key identifies, "" for a request
+  /// that needs no account, or nothing if the request must be refused.
+  ///
+  /// \param Key the key of the request; "" if there is none. The name is valid
+  /// until the next apply().
+  std::optional<std::string_view> authenticate(const QueueRoute &Route,
+                                               std::string_view Key) const;
   /// \returns all client accounts, without their keys.
   std::vector<ClientAccount> allAccounts() const;
 
 private:
   QueueConfig Config_;
+  AccountKeyIndex Keys_;
   TimePoint ConfirmedAt_{};
 };
 
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -40,6 +40,8 @@
                             "Submissions answered, by queue and outcome.")),
       SubmissionSeconds_(histograms(Registry_, "cuminroad_submission_seconds",
                                     "Time until a submission was answered.")),
+      Refusals_(counters(Registry_, "cuminroad_refusals_total",
+                         "Requests of clients that were refused, by cause.")),
       StoreCalls_(counters(Registry_, "cuminroad_store_calls_total",
                            "Calls of the store, by kind and outcome.")),
       StoreSeconds_(histograms(Registry_, "cuminroad_store_call_seconds",
@@ -77,6 +79,10 @@
       .Observe(toSeconds(Duration));
 }
 
+void FleetMetrics::recordRefusal(std::string_view Cause) {
+  Refusals_.Add({{"cause", std::string(Cause)}}).Increment();
+}
+
 void FleetMetrics::recordStoreCall(std::string_view Kind,
                                    std::string_view Outcome,
                                    milliseconds Duration) {
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -98,11 +98,45 @@
 
 void JobFrontend::recordUnknownRoute(std::string_view Host,
                                      std::string_view Path) {
-  Context_.Events.record(
-      EventId::RouteUnknown, Host,
-      fmt::format("path {} version {} age_ms {}", Path.substr(0, MaxLoggedPath),
-                  Context_.Queues.config().Version,
-                  Context_.Queues.age(Context_.MonotonicClock.now()).count()));
+  Context_.Events.record(EventId::RouteUnknown, Host,
+                         fmt::format("path {} {}",
+                                     Path.substr(0, MaxLoggedPath),
+                                     describeContracts()));
+}
+
+void JobFrontend::recordUnknownKey(const QueueTerms &Queue,
+                                   std::string_view Method, bool HasKey) {
+  Context_.Metrics.recordRefusal("unknown_key");
+  Context_.Events.record(EventId::KeyUnknown, Queue.Name,
+                         fmt::format("{} key {} {}", Method,
+                                     HasKey ? "unknown" : "missing",
+                                     describeContracts()));
+}
+
+std::string JobFrontend::describeContracts() const {
+  return fmt::format(
+      "version {} age_ms {}", Context_.Queues.config().Version,
+      Context_.Queues.age(Context_.MonotonicClock.now()).count());
+}
+
+bool JobFrontend::areKeysStale() const {
+  return Context_.Queues.hasAccounts() &&
+         Context_.Queues.age(Context_.MonotonicClock.now()) >
+             Context_.Settings.ConfigApplyTime +
+                 Context_.Settings.ConfigStaleTolerance;
+}
+
+void JobFrontend::refuseAsStale(const Submission &Pending) {
+  const std::string &Job = Pending.Request.Plan.Id;
+  const std::string Reason = "stale_config " + describeContracts();
+  Context_.Metrics.recordRefusal("stale_config");
+  // An earlier copy may have been written, so that the job may still run.
+  if (Pending.Uncertain) {
+    Context_.Events.record(EventId::JobOutcomeUnknown, Job, Reason);
+    return reply(Pending, SubmitReply{SubmitOutcome::Unknown});
+  }
+  Context_.Events.record(EventId::JobRefused, Job, Reason);
+  reply(Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
 
 void JobFrontend::submit(const QueueTerms &Queue, JobPlan Plan,
@@ -132,6 +166,10 @@
 }
 
 void JobFrontend::writeRequest(std::shared_ptr<Submission> Pending) {
+  // A write that may have taken effect is repeated nevertheless: the contracts
+  // were recent enough when it was sent first.
+  if ((Pending->Writes == 0 || !Pending->Uncertain) && areKeysStale())
+    return refuseAsStale(*Pending);
   // A write that gets no answer may take effect, and the caller could not be
   // told whether it did. A read has no effect.
   if (Pending->Uncertain ||
--- a/packages/fleet/src/QueueRegistry.cpp
+++ b/packages/fleet/src/QueueRegistry.cpp
@@ -6,9 +6,27 @@
   if (Config.Version <= Config_.Version)
     return false;
   Config_ = std::move(Config);
+  if (!Config_.Accounts) {
+    Keys_.build({});
+    return true;
+  }
+  Keys_.build(*Config_.Accounts);
+  for (AccountEntry &Entry : *Config_.Accounts)
+    Entry.Keys = {};
   return true;
 }
 
+std::optional<std::string_view>
+QueueRegistry::authenticate(const QueueRoute &Route,
+                            std::string_view Key) const {
+  if (!Config_.Accounts)
+    return "";
+  if (const auto Position = Keys_.find(Key))
+    return (*Config_.Accounts)[*Position].Account.Name;
+  return Route.AllowAnonymous ? std::optional<std::string_view>("")
+                              : std::nullopt;
+}
+
 const QueueRoute *QueueRegistry::match(std::string_view Host,
                                        std::string_view Path) const {
   const std::string_view Name = Host.substr(0, Host.find(':'));
