Close jobs to other accounts than the one that submitted them

Cause: any account could read and cancel another account's job by its id, and a submission under such an id was answered as accepted although its work never ran. The account is checked where the answer comes from: the pool owner's memory, the owner's answer to another daemon (which has the account now), and the job's row. A conflicting commit already returns that row, so that no store call is added. An owner of an earlier release answers without the account; its answer isn't used and the row decides. Jobs without an account stay open, and so do all jobs while the contracts have no accounts.

--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -4,10 +4,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "cuminroad/fleet/Caller.h"
 #include "cuminroad/fleet/FleetContext.h"
 #include "cuminroad/fleet/JobRows.h"
 #include "cuminroad/fleet/OwnerLookup.h"
@@ -24,6 +26,8 @@
   Accepted,
   /// The job was not accepted and will never run.
   NotAccepted,
+  /// The id is that of a job of another account. The job was not accepted.
+  IdInUse,
   /// The job is larger than a row of the store and can never be accepted.
   TooLarge,
   /// Whether the job was accepted, by this submission or by an earlier one of
@@ -46,7 +50,8 @@
 class JobFrontend {
 public:
   using SubmitDone = std::function<void(SubmitReply)>;
-  /// A known but empty answer means that no such job was ever accepted.
+  /// A known but empty answer means that no such job was ever accepted, or only
+  /// one that the caller may not access.
   using StatusDone = std::function<void(QueryResult<std::optional<JobStatus>>)>;
   using CountDone = std::function<void(QueryResult<int>)>;
 
@@ -67,12 +72,15 @@
   /// While the contracts have accounts and are stale, no job is accepted.
   ///
   /// \param CallerTimeout how long the client waits for the answer.
-  void submit(const QueueTerms &Queue, JobPlan Plan, milliseconds CallerTimeout,
-              SubmitDone Done);
-  void cancel(std::string_view Job, milliseconds CallerTimeout,
+  void submit(const QueueTerms &Queue, JobPlan Plan, const Caller &Client,
+              milliseconds CallerTimeout, SubmitDone Done);
+  /// The answer is whether there is such a job that the client may access.
+  void cancel(std::string_view Job, const Caller &Client,
+              milliseconds CallerTimeout,
               std::function<void(QueryResult<bool>)> Done);
   void status(const QueueTerms &Queue, std::string_view Job,
-              milliseconds CallerTimeout, StatusDone Done);
+              const Caller &Client, milliseconds CallerTimeout,
+              StatusDone Done);
   /// Counts the queue's jobs of which no task has started. The answer may be as
   /// old as PendingJobCounter allows.
   void pending(const QueueTerms &Queue, milliseconds CallerTimeout,
@@ -90,6 +98,9 @@
                           const Error &Failure);
   void handleWriteResult(std::shared_ptr<Submission> Pending,
                          Result<RowCommit> Outcome);
+  /// Answers a submission of a job that exists already.
+  void handleKnownJob(const std::shared_ptr<Submission> &Pending,
+                      std::span<const StoredRow> Rows);
   void reply(const Submission &Pending, const SubmitReply &Reply);
   /// Repeats the write as soon as the store has answered any call after \p
   /// FailedAt.
@@ -103,7 +114,17 @@
   using ReadDone = std::function<void(std::optional<RowPage>)>;
 
   void readWithRetry(RowRange Range, TimePoint Deadline, ReadDone Done);
-  void readStatus(std::string Job, TimePoint Deadline, StatusDone Done);
+  void readStatus(std::string Job, const Caller &Client, TimePoint Deadline,
+                  StatusDone Done);
+  /// Answers with a status that the pool's owner has reported.
+  void answerStatus(const OwnedJob &Job, const Caller &Client,
+                    const StatusDone &Done);
+  /// \returns whether the client may access the job with the given row, or
+  /// nothing if the row can't be decoded, which is logged.
+  std::optional<bool> checkAccess(const Caller &Client, std::string_view Job,
+                                  std::string_view RequestBytes);
+  /// Counts a request for a job of another account.
+  void recordForeignJob();
   void readProgress(std::string_view Service, const std::string &Job,
                     TimePoint Deadline, StatusDone Done);
   milliseconds remaining(TimePoint Deadline) const;
--- a/packages/fleet/include/cuminroad/fleet/PeerCalls.h
+++ b/packages/fleet/include/cuminroad/fleet/PeerCalls.h
@@ -7,24 +7,24 @@
 #include <string>
 #include <vector>
 
+#include "cuminroad/fleet/OwnedJob.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/net/HttpClient.h"
-#include "cuminroad/pool/JobStatus.h"
 
 namespace cuminroad {
 
 /// Calls to other daemons. Callbacks run on the thread of the client's loop.
 class PeerCalls {
 public:
-  using StatusDone = std::function<void(Result<std::optional<JobStatus>>)>;
+  using StatusDone = std::function<void(Result<std::optional<OwnedJob>>)>;
   using CountDone = std::function<void(Result<int>)>;
 
   /// \p Client must outlive the calls.
   explicit PeerCalls(HttpClient &Client) : Client_(Client) {}
 
-  /// Asks the pool's owner for the status of a job. The result is empty if the
-  /// owner doesn't know the job, and NoOwner if the daemon doesn't own the
-  /// pool.
+  /// Asks the pool's owner for the status and the account of a job. The result
+  /// is empty if the owner doesn't know the job, and NoOwner if the daemon
+  /// doesn't own the pool.
   void status(const std::string &Address, const std::string &Service,
               const std::string &Job, milliseconds Timeout, StatusDone Done);
   /// Asks the pool's owner how many jobs of a queue haven't started.
--- a/packages/fleet/include/cuminroad/fleet/PeerService.h
+++ b/packages/fleet/include/cuminroad/fleet/PeerService.h
@@ -6,9 +6,9 @@
 #include <string_view>
 
 #include "cuminroad/base/Clock.h"
+#include "cuminroad/fleet/OwnedJob.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
 #include "cuminroad/net/HttpServer.h"
-#include "cuminroad/pool/JobStatus.h"
 #include "cuminroad/store/RowStore.h"
 
 namespace cuminroad {
@@ -19,10 +19,10 @@
   virtual ~OwnedPools() = default;
   /// Whether this daemon owns the pool and has loaded its jobs.
   virtual bool owns(std::string_view Service) const = 0;
-  /// \returns the job's status according to the persisted state, or nothing if
-  /// the owner doesn't know the job.
-  virtual std::optional<JobStatus> status(std::string_view Service,
-                                          std::string_view Job) const = 0;
+  /// \returns the job's status according to the persisted state, and its
+  /// account, or nothing if the owner doesn't know the job.
+  virtual std::optional<OwnedJob> status(std::string_view Service,
+                                         std::string_view Job) const = 0;
   /// \returns how many jobs of the queue haven't started.
   virtual int pending(std::string_view Service,
                       std::string_view Queue) const = 0;
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -49,7 +49,7 @@
 
   /// Whether the pool's jobs have been read from the store.
   bool loaded() const { return Scheduler_ != nullptr; }
-  std::optional<JobStatus> status(std::string_view Job) const;
+  std::optional<OwnedJob> status(std::string_view Job) const;
   int pending(std::string_view Queue) const;
   /// Called once when another daemon has become the pool's owner.
   std::function<void()> OnReplaced;
@@ -172,6 +172,9 @@
     TimePoint RecordedAt;
   };
   std::map<std::string, FinalStatus, std::less<>> FinalStatuses_;
+  /// The accounts of the jobs that have one, finished ones included: those no
+  /// longer have a plan.
+  std::map<std::string, std::string, std::less<>> JobAccounts_;
   /// Starts whose transaction has not been submitted yet. The spec of the job
   /// is added when they are sent.
   std::vector<StartRun> UnrecordedStarts_;
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -7,6 +7,7 @@
 
 #include "cuminroad/base/Clock.h"
 #include "cuminroad/fleet/AccountKeyIndex.h"
+#include "cuminroad/fleet/Caller.h"
 #include "cuminroad/fleet/QueueConfig.h"
 
 namespace cuminroad {
@@ -39,13 +40,12 @@
   std::vector<QueueTerms> allTerms() const;
   /// \returns whether the contracts in force have client accounts.
   bool hasAccounts() const { return Config_.Accounts.has_value(); }
-  /// \returns the name of the account that \p Key identifies, "" for a request
-  /// that needs no account, or nothing if the request must be refused.
+  /// \returns whom \p Key identifies, or nothing if the request must be
+  /// refused.
   ///
-  /// \param Key the key of the request; "" if there is none. The name is valid
-  /// until the next apply().
-  std::optional<std::string_view> authenticate(const QueueRoute &Route,
-                                               std::string_view Key) const;
+  /// \param Key the key of the request; "" if there is none.
+  std::optional<Caller> authenticate(const QueueRoute &Route,
+                                     std::string_view Key) const;
   /// \returns all client accounts, without their keys.
   std::vector<ClientAccount> allAccounts() const;
 
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -122,8 +122,8 @@
   void stop() override;
 
   bool owns(std::string_view Service) const override;
-  std::optional<JobStatus> status(std::string_view Service,
-                                  std::string_view Job) const override;
+  std::optional<OwnedJob> status(std::string_view Service,
+                                 std::string_view Job) const override;
   int pending(std::string_view Service, std::string_view Queue) const override;
   const OwnerRow *ownerOf(std::string_view Service) const override;
   std::optional<std::vector<std::string>> pools() const override;
@@ -374,8 +374,8 @@
   return Found != Owners_.end() && Found->second->loaded();
 }
 
-std::optional<JobStatus> FleetDaemonImpl::status(std::string_view Service,
-                                                 std::string_view Job) const {
+std::optional<OwnedJob> FleetDaemonImpl::status(std::string_view Service,
+                                                std::string_view Job) const {
   return Owners_.find(Service)->second->status(Job);
 }
 
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -69,6 +69,7 @@
 
 struct JobFrontend::Submission {
   JobRequest Request;
+  Caller Client;
   /// Encoded once: a write is repeated with the same bytes.
   std::string EncodedRequest;
   TimePoint ReceivedAt;
@@ -87,6 +88,7 @@
 
 struct JobFrontend::Cancellation {
   std::string Job;
+  Caller Client;
   TimePoint Deadline;
   std::function<void(QueryResult<bool>)> Done;
 };
@@ -140,8 +142,11 @@
 }
 
 void JobFrontend::submit(const QueueTerms &Queue, JobPlan Plan,
-                         milliseconds CallerTimeout, SubmitDone Done) {
+                         const Caller &Client, milliseconds CallerTimeout,
+                         SubmitDone Done) {
   auto Pending = std::make_shared<Submission>();
+  Plan.Account = Client.Account;
+  Pending->Client = Client;
   Pending->Request =
       JobRequest{Queue.Name, Queue.Service, Context_.Store.storeTime(),
                  std::move(Plan), Queue};
@@ -202,15 +207,13 @@
 
 void JobFrontend::handleWriteResult(std::shared_ptr<Submission> Pending,
                                     Result<RowCommit> Outcome) {
-  const std::string &Job = Pending->Request.Plan.Id;
-  if (Outcome) {
-    // A conflict means that the row exists already: the job was submitted
-    // before and is not duplicated.
-    Context_.Events.record(Outcome->committed() ? EventId::JobAccepted
-                                                : EventId::JobKnown,
-                           Job, describe(Pending->Request));
+  if (Outcome && Outcome->committed()) {
+    Context_.Events.record(EventId::JobAccepted, Pending->Request.Plan.Id,
+                           describe(Pending->Request));
     return reply(*Pending, SubmitReply{SubmitOutcome::Accepted});
   }
+  if (Outcome)
+    return handleKnownJob(Pending, Outcome->CheckedRows);
   Pending->Uncertain = Pending->Uncertain ||
                        Outcome.error().Code == ErrorCode::WriteOutcomeUnknown;
   if (Pending->Writes <= MaxLoggedWrites)
@@ -220,6 +223,29 @@
   handleWriteFailure(std::move(Pending), Outcome.error());
 }
 
+void JobFrontend::handleKnownJob(const std::shared_ptr<Submission> &Pending,
+                                 std::span<const StoredRow> Rows) {
+  const std::string &Job = Pending->Request.Plan.Id;
+  const auto Row =
+      std::find_if(Rows.begin(), Rows.end(), [&Job](const StoredRow &Each) {
+        return Each.Name.Key == Job;
+      });
+  const auto Access =
+      checkAccess(Pending->Client, Job, Row == Rows.end() ? "" : Row->Value);
+  if (!Access)
+    return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
+  if (!*Access) {
+    Context_.Metrics.recordRefusal("id_in_use");
+    Context_.Events.record(
+        EventId::JobRefused, Job,
+        fmt::format("id_in_use account {}", Pending->Client.Account));
+    return reply(*Pending, SubmitReply{SubmitOutcome::IdInUse});
+  }
+  // The job was submitted before and is not duplicated.
+  Context_.Events.record(EventId::JobKnown, Job, describe(Pending->Request));
+  reply(*Pending, SubmitReply{SubmitOutcome::Accepted});
+}
+
 void JobFrontend::handleWriteFailure(std::shared_ptr<Submission> Pending,
                                      const Error &Failure) {
   const std::string &Job = Pending->Request.Plan.Id;
@@ -240,8 +266,8 @@
 }
 
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
-  constexpr std::string_view Names[] = {"accepted", "not_accepted", "too_large",
-                                        "unknown"};
+  constexpr std::string_view Names[] = {"accepted", "not_accepted", "id_in_use",
+                                        "too_large", "unknown"};
   if (Reply.Outcome == SubmitOutcome::Unknown)
     Unsettled_.giveUp(Pending.Request.Plan.Id);
   else
@@ -269,10 +295,28 @@
   });
 }
 
-void JobFrontend::cancel(std::string_view Job, milliseconds CallerTimeout,
+std::optional<bool> JobFrontend::checkAccess(const Caller &Client,
+                                             std::string_view Job,
+                                             std::string_view RequestBytes) {
+  if (!Client.Restricted)
+    return true;
+  const auto Request = decodeRequest(Job, RequestBytes);
+  if (Request)
+    return Client.mayAccess(Request->Plan.Account);
+  Context_.Events.record(EventId::RowUnreadable, Job, Request.error().text());
+  return std::nullopt;
+}
+
+void JobFrontend::recordForeignJob() {
+  Context_.Metrics.recordRefusal("other_account");
+}
+
+void JobFrontend::cancel(std::string_view Job, const Caller &Client,
+                         milliseconds CallerTimeout,
                          std::function<void(QueryResult<bool>)> Done) {
   auto Pending = std::make_shared<Cancellation>();
   Pending->Job = Job;
+  Pending->Client = Client;
   Pending->Deadline =
       Context_.MonotonicClock.now() + CallerTimeout - ResponseMargin;
   Pending->Done = std::move(Done);
@@ -295,10 +339,23 @@
           return Pending->Done(QueryResult<bool>::unknown());
         std::int64_t Version = 0;
         bool Cancelled = false;
+        std::string_view Request;
         for (const StoredRow &Each : Page->Rows) {
           Cancelled = Cancelled || !cancelledJob(Each.Name.Key).empty();
-          if (Each.Name.Key == Pending->Job)
-            Version = Each.Version;
+          if (Each.Name.Key != Pending->Job)
+            continue;
+          Version = Each.Version;
+          Request = Each.Value;
+        }
+        if (Version != 0) {
+          const auto Access =
+              checkAccess(Pending->Client, Pending->Job, Request);
+          if (!Access)
+            return Pending->Done(QueryResult<bool>::unknown());
+          if (!*Access) {
+            recordForeignJob();
+            return Pending->Done(QueryResult<bool>::known(false));
+          }
         }
         if (Version == 0 && Unsettled_.contains(Pending->Job))
           return retryCancel(Pending);
@@ -325,28 +382,37 @@
 }
 
 void JobFrontend::status(const QueueTerms &Queue, std::string_view Id,
-                         milliseconds CallerTimeout, StatusDone Done) {
+                         const Caller &Client, milliseconds CallerTimeout,
+                         StatusDone Done) {
   const std::string Job(Id);
   const TimePoint Deadline =
       Context_.MonotonicClock.now() + CallerTimeout - ResponseMargin;
   if (Owned_.owns(Queue.Service)) {
-    const auto Status = Owned_.status(Queue.Service, Job);
-    if (Status)
-      return Done(QueryResult<std::optional<JobStatus>>::known(Status));
-    return readStatus(Job, Deadline, std::move(Done));
+    if (const auto Owned = Owned_.status(Queue.Service, Job))
+      return answerStatus(*Owned, Client, Done);
+    return readStatus(Job, Client, Deadline, std::move(Done));
   }
   const OwnerRow *Owner = Owners_.ownerOf(Queue.Service);
   if (Owner == nullptr || Owner->PeerAddress.empty())
-    return readStatus(Job, Deadline, std::move(Done));
-  Context_.Peers.status(
-      Owner->PeerAddress, Queue.Service, Job, OwnerTimeout,
-      [this, Job, Deadline,
-       Done = std::move(Done)](Result<std::optional<JobStatus>> Status) {
-        if (Status && *Status)
-          return Done(QueryResult<std::optional<JobStatus>>::known(*Status));
-        // The owner may not have learned of the job yet, so the store decides.
-        readStatus(Job, Deadline, Done);
-      });
+    return readStatus(Job, Client, Deadline, std::move(Done));
+  Context_.Peers.status(Owner->PeerAddress, Queue.Service, Job, OwnerTimeout,
+                        [this, Job, Client, Deadline, Done = std::move(Done)](
+                            const Result<std::optional<OwnedJob>> &Answer) {
+                          if (Answer && *Answer)
+                            return answerStatus(**Answer, Client, Done);
+                          // The owner may not have learned of the job yet, so
+                          // the store decides.
+                          readStatus(Job, Client, Deadline, Done);
+                        });
+}
+
+void JobFrontend::answerStatus(const OwnedJob &Job, const Caller &Client,
+                               const StatusDone &Done) {
+  using Answer = QueryResult<std::optional<JobStatus>>;
+  if (Client.mayAccess(Job.Account))
+    return Done(Answer::known(Job.Status));
+  recordForeignJob();
+  Done(Answer::known(std::nullopt));
 }
 
 void JobFrontend::readWithRetry(RowRange Range, TimePoint Deadline,
@@ -365,12 +431,12 @@
       });
 }
 
-void JobFrontend::readStatus(std::string Job, TimePoint Deadline,
-                             StatusDone Done) {
+void JobFrontend::readStatus(std::string Job, const Caller &Client,
+                             TimePoint Deadline, StatusDone Done) {
   using Answer = QueryResult<std::optional<JobStatus>>;
   RowRange Range = requestRange(Job);
   readWithRetry(std::move(Range), Deadline,
-                [this, Job = std::move(Job), Deadline,
+                [this, Job = std::move(Job), Client, Deadline,
                  Done = std::move(Done)](const std::optional<RowPage> &Page) {
                   if (!Page)
                     return Done(Answer::unknown());
@@ -383,6 +449,10 @@
                                            Request.error().text());
                     return Done(Answer::unknown());
                   }
+                  if (!Client.mayAccess(Request->Plan.Account)) {
+                    recordForeignJob();
+                    return Done(Answer::known(std::nullopt));
+                  }
                   readProgress(Request->Service, Job, Deadline, Done);
                 });
 }
--- a/packages/fleet/src/PeerCalls.cpp
+++ b/packages/fleet/src/PeerCalls.cpp
@@ -58,7 +58,7 @@
     const Result<std::string> Body = responseBody(std::move(Response));
     if (!Body)
       return Done(tl::unexpected(Body.error()));
-    Done(decodeStatus(*Body));
+    Done(decodeOwnedJob(*Body));
   });
 }
 
--- a/packages/fleet/src/PeerMessages.cpp
+++ b/packages/fleet/src/PeerMessages.cpp
@@ -24,27 +24,30 @@
   });
 }
 
-std::string encode(const std::optional<JobStatus> &Status) {
+std::string encode(const std::optional<OwnedJob> &Job) {
   nlohmann::json Out = nlohmann::json::array();
-  if (Status)
-    Out = {static_cast<int>(Status->Stage), static_cast<int>(Status->Failure)};
+  if (Job)
+    Out = {static_cast<int>(Job->Status.Stage),
+           static_cast<int>(Job->Status.Failure), Job->Account};
   return packMessage(Out);
 }
 
-Result<std::optional<JobStatus>> decodeStatus(std::string_view Bytes) {
-  return unpackMessage<std::optional<JobStatus>>(
+Result<std::optional<OwnedJob>> decodeOwnedJob(std::string_view Bytes) {
+  return unpackMessage<std::optional<OwnedJob>>(
       Bytes,
-      [](const nlohmann::json &Input) -> Result<std::optional<JobStatus>> {
+      [](const nlohmann::json &Input) -> Result<std::optional<OwnedJob>> {
         if (Input.empty())
-          return std::optional<JobStatus>();
+          return std::optional<OwnedJob>();
         const int Stage = Input.at(0).get<int>();
         const int Failure = Input.at(1).get<int>();
         if (Stage < 0 || Stage > static_cast<int>(JobStage::Cancelled) ||
             Failure < 0 ||
             Failure > static_cast<int>(JobFailure::RecordTooLarge))
           return failure(ErrorCode::ValueOutOfRange, "status");
-        return std::optional(JobStatus{static_cast<JobStage>(Stage),
-                                       static_cast<JobFailure>(Failure)});
+        return std::optional(
+            OwnedJob{JobStatus{static_cast<JobStage>(Stage),
+                               static_cast<JobFailure>(Failure)},
+                     Input.at(2).get<std::string>()});
       });
 }
 
--- a/packages/fleet/src/PeerMessages.h
+++ b/packages/fleet/src/PeerMessages.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "cuminroad/base/Error.h"
+#include "cuminroad/fleet/OwnedJob.h"
 #include "cuminroad/fleet/PlacementAdvisor.h"
-#include "cuminroad/pool/JobStatus.h"
 
 // Paths and bodies of calls between daemons. Bodies are in MessagePack.
 
@@ -32,9 +32,11 @@
 std::string encode(std::span<const AdviceTicket> Tickets);
 Result<std::vector<AdviceTicket>> decodeTickets(std::string_view Bytes);
 
-/// \p Status is empty for a job that the owner doesn't know.
-std::string encode(const std::optional<JobStatus> &Status);
-Result<std::optional<JobStatus>> decodeStatus(std::string_view Bytes);
+/// \p Job is empty for a job that the owner doesn't know.
+std::string encode(const std::optional<OwnedJob> &Job);
+/// An answer without an account, as earlier releases send it, is an error: the
+/// job may belong to one.
+Result<std::optional<OwnedJob>> decodeOwnedJob(std::string_view Bytes);
 
 } // namespace cuminroad
 
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -390,19 +390,27 @@
           Self->Scheduler_->forgetJob(Job);
           Self->Writer_->remove(progressRow(Self->Term_.Service, Job));
           Self->FinalStatuses_.erase(Job);
+          Self->JobAccounts_.erase(Job);
         });
   }
 }
 
-std::optional<JobStatus> PoolOwner::status(std::string_view Job) const {
+std::optional<OwnedJob> PoolOwner::status(std::string_view Job) const {
+  const auto Account = JobAccounts_.find(Job);
+  OwnedJob Out;
+  if (Account != JobAccounts_.end())
+    Out.Account = Account->second;
   const auto Final = FinalStatuses_.find(Job);
-  if (Final != FinalStatuses_.end())
-    return Final->second.Status;
+  if (Final != FinalStatuses_.end()) {
+    Out.Status = Final->second.Status;
+    return Out;
+  }
   const auto Stage = Scheduler_->stage(Job);
   if (!Stage)
     return std::nullopt;
   // A final stage is not reported before it is durable.
-  return JobStatus{isFinal(*Stage) ? JobStage::Running : *Stage};
+  Out.Status.Stage = isFinal(*Stage) ? JobStage::Running : *Stage;
+  return Out;
 }
 
 void PoolOwner::updateMovedQueues() {
--- a/packages/fleet/src/PoolOwnerJobs.cpp
+++ b/packages/fleet/src/PoolOwnerJobs.cpp
@@ -98,6 +98,8 @@
   }
   if (Scheduler_->stage(Job) || FinalStatuses_.contains(Job))
     return;
+  if (!Request.Plan.Account.empty())
+    JobAccounts_[Job] = Request.Plan.Account;
   QueueTerms Terms = acceptedTerms(Request);
   const milliseconds Age = std::max(
       Context_.Store.storeTime() - Request.AcceptedAt, milliseconds(0));
--- a/packages/fleet/src/QueueRegistry.cpp
+++ b/packages/fleet/src/QueueRegistry.cpp
@@ -16,15 +16,13 @@
   return true;
 }
 
-std::optional<std::string_view>
-QueueRegistry::authenticate(const QueueRoute &Route,
-                            std::string_view Key) const {
+std::optional<Caller> QueueRegistry::authenticate(const QueueRoute &Route,
+                                                  std::string_view Key) const {
   if (!Config_.Accounts)
-    return "";
+    return Caller{};
   if (const auto Position = Keys_.find(Key))
-    return (*Config_.Accounts)[*Position].Account.Name;
-  return Route.AllowAnonymous ? std::optional<std::string_view>("")
-                              : std::nullopt;
+    return Caller{(*Config_.Accounts)[*Position].Account.Name, true};
+  return Route.AllowAnonymous ? std::optional(Caller{"", true}) : std::nullopt;
 }
 
 const QueueRoute *QueueRegistry::match(std::string_view Host,
--- a/packages/fleet/tests/AccountKeysTest.cpp
+++ b/packages/fleet/tests/AccountKeysTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-using OptionalName = std::optional<std::string_view>;
+using OptionalName = std::optional<std::string>;
 
 QueueConfig makeConfig(std::int64_t Version, std::vector<std::string> KeysOfA) {
   QueueConfig Config;
@@ -23,6 +23,14 @@
   return Config;
 }
 
+/// \returns the account that a request is from, "" for none, or nothing if it
+/// is refused.
+OptionalName accountOf(const QueueRegistry &Queues, const QueueRoute &Route,
+                       std::string_view Key) {
+  const auto Client = Queues.authenticate(Route, Key);
+  return Client ? OptionalName(Client->Account) : std::nullopt;
+}
+
 /// The value of a configuration's row in these tests: its version, and a key of
 /// account "a".
 QueueConfig decodeTestConfig(const std::string &Value) {
@@ -110,16 +118,16 @@
   QueueRegistry Queues;
   const QueueRoute Closed;
   BOOST_CHECK(Queues.apply(makeConfig(1, {"old", "both"})));
-  BOOST_CHECK(Queues.authenticate(Closed, "old") == OptionalName("a"));
-  BOOST_CHECK(Queues.authenticate(Closed, "key-of-b") == OptionalName("b"));
+  BOOST_CHECK(accountOf(Queues, Closed, "old") == OptionalName("a"));
+  BOOST_CHECK(accountOf(Queues, Closed, "key-of-b") == OptionalName("b"));
   BOOST_CHECK(!Queues.authenticate(Closed, "new"));
   BOOST_CHECK(!Queues.authenticate(Closed, ""));
   BOOST_CHECK(!Queues.authenticate(Closed, "ol"));
   BOOST_CHECK(!Queues.authenticate(Closed, "old1"));
   BOOST_CHECK(Queues.apply(makeConfig(2, {"both", "new"})));
   BOOST_CHECK(!Queues.authenticate(Closed, "old"));
-  BOOST_CHECK(Queues.authenticate(Closed, "both") == OptionalName("a"));
-  BOOST_CHECK(Queues.authenticate(Closed, "new") == OptionalName("a"));
+  BOOST_CHECK(accountOf(Queues, Closed, "both") == OptionalName("a"));
+  BOOST_CHECK(accountOf(Queues, Closed, "new") == OptionalName("a"));
 }
 
 // Guards against a removed key that an older version brings back.
@@ -129,7 +137,7 @@
   BOOST_CHECK(!Queues.apply(makeConfig(4, {"old"})));
   BOOST_CHECK(!Queues.apply(makeConfig(5, {"old"})));
   BOOST_CHECK(!Queues.authenticate(QueueRoute{}, "old"));
-  BOOST_CHECK(Queues.authenticate(QueueRoute{}, "new") == OptionalName("a"));
+  BOOST_CHECK(accountOf(Queues, QueueRoute{}, "new") == OptionalName("a"));
 }
 
 // Guards against an open route that refuses a call, or that takes a call with
@@ -139,9 +147,9 @@
   QueueRoute Open;
   Open.AllowAnonymous = true;
   Queues.apply(makeConfig(1, {"key"}));
-  BOOST_CHECK(Queues.authenticate(Open, "key") == OptionalName("a"));
-  BOOST_CHECK(Queues.authenticate(Open, "other") == OptionalName(""));
-  BOOST_CHECK(Queues.authenticate(Open, "") == OptionalName(""));
+  BOOST_CHECK(accountOf(Queues, Open, "key") == OptionalName("a"));
+  BOOST_CHECK(accountOf(Queues, Open, "other") == OptionalName(""));
+  BOOST_CHECK(accountOf(Queues, Open, "") == OptionalName(""));
 }
 
 // Guards against deployments without accounts that refuse calls, and against
@@ -151,7 +159,7 @@
   QueueConfig Config;
   Config.Version = 1;
   Queues.apply(Config);
-  BOOST_CHECK(Queues.authenticate(QueueRoute{}, "key") == OptionalName(""));
+  BOOST_CHECK(accountOf(Queues, QueueRoute{}, "key") == OptionalName(""));
   Config.Version = 2;
   Config.Accounts.emplace();
   Queues.apply(Config);
@@ -159,7 +167,7 @@
   Config.Version = 3;
   Config.Accounts.reset();
   Queues.apply(Config);
-  BOOST_CHECK(Queues.authenticate(QueueRoute{}, "") == OptionalName(""));
+  BOOST_CHECK(accountOf(Queues, QueueRoute{}, "") == OptionalName(""));
 }
 
 // Load: 210 accounts with 10,000 keys. Guards against a key that the index
@@ -177,7 +185,7 @@
   Queues.apply(std::move(Config));
   for (int Index = 0; Index < 10'000; ++Index) {
     const std::string Key = "key-" + std::to_string(Index);
-    BOOST_REQUIRE(Queues.authenticate(QueueRoute{}, Key) ==
+    BOOST_REQUIRE(accountOf(Queues, QueueRoute{}, Key) ==
                   OptionalName(std::to_string(Index % 210)));
     BOOST_REQUIRE(!Queues.authenticate(QueueRoute{}, "k" + Key));
   }
--- a/packages/fleet/tests/FrontendFixture.h
+++ b/packages/fleet/tests/FrontendFixture.h
@@ -53,7 +53,7 @@
     Step.PerTask = TestTaskSize;
     Plan.Steps.push_back(Step);
     const TimePoint SubmittedAt = ControlLoop.MonotonicClock.now();
-    Frontend.submit(Queue, Plan, CallerTimeout,
+    Frontend.submit(Queue, Plan, Client, CallerTimeout,
                     [this, Id, SubmittedAt](SubmitReply Reply) {
                       ++Replies;
                       LastReply = Reply;
@@ -66,14 +66,14 @@
   }
   std::optional<bool> cancel(const std::string &Id) {
     std::optional<bool> Out;
-    Frontend.cancel(Id, CallerTimeout,
+    Frontend.cancel(Id, Client, CallerTimeout,
                     [&Out](QueryResult<bool> Answer) { Out = Answer.Value; });
     ControlLoop.runFor(2 * CallerTimeout);
     return Out;
   }
   std::optional<std::optional<JobStage>> stage(const std::string &Id) {
     std::optional<std::optional<JobStage>> Out;
-    Frontend.status(Queue, Id, CallerTimeout,
+    Frontend.status(Queue, Id, Client, CallerTimeout,
                     [&Out](QueryResult<std::optional<JobStatus>> Answer) {
                       if (Answer.Value && *Answer.Value)
                         Out = std::optional((*Answer.Value)->Stage);
@@ -108,6 +108,8 @@
   StubOwnerLookup Owners;
   JobFrontend Frontend;
   QueueTerms Queue;
+  /// Makes the requests.
+  Caller Client;
   int Replies = 0;
   SubmitReply LastReply;
   milliseconds ReplyTime{0};
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -75,8 +75,8 @@
 class NoOwnedPools final : public OwnedPools {
 public:
   bool owns(std::string_view) const override { return false; }
-  std::optional<JobStatus> status(std::string_view,
-                                  std::string_view) const override {
+  std::optional<OwnedJob> status(std::string_view,
+                                 std::string_view) const override {
     return std::nullopt;
   }
   int pending(std::string_view, std::string_view) const override { return 0; }
