Send first requests for advice before extensions and second copies

Requests on further VMs for blocked gangs, and second copies of requests that only waited for another pool's call, took the daemons; a third of the accelerator pool's calls were copies, and steps of the least urgent queue waited up to 21 s for their first answer while 55 % of the pool's processors were free. Change: requests of steps without any advice are sent first, by priority; extensions and copies of long requests get what is left. Result: two tests in AdviceDispatcherTest, seen to fail without the change.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
@@ -66,6 +67,13 @@
     /// A call for the step failed, so that another failure need not be the
     /// daemon's.
     bool Failed = false;
+
+    /// \returns the position in the queue; lower values are sent first. A
+    /// step without any advice can't start at all, so that requests for further
+    /// VMs, and second copies of slow requests, only get the capacity that the
+    /// others leave: on an overloaded pool they took it all, and steps of the
+    /// least urgent queue waited 20 s for their first answer.
+    std::tuple<bool, int, bool> rank() const;
   };
   using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
--- a/packages/fleet/src/AdviceDispatcher.cpp
+++ b/packages/fleet/src/AdviceDispatcher.cpp
@@ -33,6 +33,16 @@
 
 } // namespace
 
+std::tuple<bool, int, bool> AdviceDispatcher::PendingRequest::rank() const {
+  // Short decisions have daemons of their own, where a second copy delays few
+  // others.
+  const bool IsCopy =
+      OpenCalls > 0 && Command.ExpectedLatencyMs > MaxShortDecisionMs;
+  // Renewals go first: capacity is kept free for steps whose tickets are
+  // renewed.
+  return {Command.Extension || IsCopy, Command.Priority, !Command.Renewal};
+}
+
 AdviceDispatcher::AdviceDispatcher(PlacementAdvisor &LocalAdvisor,
                                    PeerCalls &Peers, Loop &ControlLoop,
                                    const Clock &MonotonicClock,
@@ -135,10 +145,7 @@
   std::stable_sort(
       Queue_.begin(), Queue_.end(),
       [](const PendingRequestPtr &Left, const PendingRequestPtr &Right) {
-        // Renewals go first: capacity is kept free for steps whose tickets are
-        // renewed.
-        return std::tuple(Left->Command.Priority, !Left->Command.Renewal) <
-               std::tuple(Right->Command.Priority, !Right->Command.Renewal);
+        return Left->rank() < Right->rank();
       });
   std::vector<PendingRequestPtr> Waiting;
   std::vector<StepName> Obsolete;
--- a/packages/fleet/tests/AdviceDispatcherTest.cpp
+++ b/packages/fleet/tests/AdviceDispatcherTest.cpp
@@ -20,6 +20,7 @@
   void advise(const StepName &Step, std::span<const std::string> Vms,
               milliseconds, Done Done) override {
     ++Calls;
+    CalledSteps.insert(Step);
     if (Failing || Step.Job == FailingJob) {
       ControlLoop_.after(milliseconds(20),
                          [Done] { Done(failure(ErrorCode::ConnectFailed)); });
@@ -28,8 +29,10 @@
     std::vector<AdviceTicket> Allowed;
     for (const std::string &Vm : Vms)
       Allowed.push_back(AdviceTicket{Vm, Step.Job});
-    ControlLoop_.after(milliseconds(20), [Allowed, Done] { Done(Allowed); });
+    ControlLoop_.after(Latency, [Allowed, Done] { Done(Allowed); });
   }
+  milliseconds Latency{20};
+  std::set<StepName> CalledSteps;
   bool Failing = false;
   std::string FailingJob;
   int Calls = 0;
@@ -151,3 +154,40 @@
     BOOST_CHECK_EQUAL(Setup.AnswerCounts["good"], Requests);
   }
 }
+
+// Guards against an overloaded pool of gangs that ask for advice on ever more
+// VMs: the requests took all daemons, and the first request of a less urgent
+// step waited 20 s.
+BOOST_FIXTURE_TEST_CASE(firstRequestIsSentAheadOfExtensions, Fixture) {
+  constexpr int Extensions = 100;
+  for (int Number = 0; Number < Extensions; ++Number) {
+    RequestAdvice Request = adviceRequest({"gang", 0, Number});
+    Request.ExpectedLatencyMs = 1300;
+    Request.Extension = true;
+    Dispatcher->requestAdvice(Request);
+  }
+  RequestAdvice First = adviceRequest({"small", 0, 0});
+  First.ExpectedLatencyMs = 230;
+  First.Priority = 2;
+  Dispatcher->requestAdvice(First);
+  ControlLoop.runFor(milliseconds(100));
+  BOOST_CHECK_EQUAL(AnswerCounts["small"], 1);
+}
+
+// Guards against second copies of requests whose daemon is only busy with a
+// call of another pool: under saturation a third of all calls were copies, and
+// other requests waited for them.
+BOOST_AUTO_TEST_CASE(copiesOfSlowRequestsDelayNoOther) {
+  Fixture Setup(true);
+  Setup.Advisor.Latency = milliseconds(1000);
+  Setup.Dispatcher->setPeers({{"b", {"b:1", "x"}}, {"c", {"c:1", "y"}}});
+  constexpr int Requests = 12;
+  for (int Number = 0; Number < Requests; ++Number) {
+    RequestAdvice Request = Fixture::adviceRequest({"slow", 0, Number});
+    Request.ExpectedLatencyMs = 300;
+    Setup.Dispatcher->requestAdvice(Request);
+  }
+  Setup.ControlLoop.runFor(milliseconds(2500));
+  // The first requests are answered, and each daemon has begun with new ones.
+  BOOST_CHECK_EQUAL(Setup.Advisor.Calls, Setup.Advisor.CalledSteps.size());
+}
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -52,6 +52,8 @@
   bool Renewal = false;
   /// The step's last request failed.
   bool AfterFailure = false;
+  /// Advice on other VMs is known already.
+  bool Extension = false;
 };
 
 using PoolCommand = std::variant<StartRun, StopRun, ThrottleRun, RequestAdvice>;
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -291,7 +291,8 @@
   Tables_.Commands.push_back(
       RequestAdvice{nameOf(Step), std::move(Vms), ExpectedLatencyMs,
                     Step.Occurrence->Job->Terms.Priority, Renewal,
-                    Step.AdviceRetryDelay > milliseconds(0)});
+                    Step.AdviceRetryDelay > milliseconds(0),
+                    !Renewal && !Step.QueriedVms.empty()});
 }
 
 } // namespace cuminroad
--- a/packages/pool/src/SchedulingPassPlacement.cpp
+++ b/packages/pool/src/SchedulingPassPlacement.cpp
@@ -1,12 +1,13 @@
 // Choice of a VM for a single task, and the start of its run.
 #include "SchedulingPass.h"
 
-#include "AccountQuota.h"
 #include <algorithm>
 #include <optional>
 #include <tuple>
 #include <utility>
 
+#include "AccountQuota.h"
+
 namespace cuminroad {
 
 namespace {
