Let a test of second copies of advice requests fail without the rule

Cause: the test passed without the change that it guards, since copies and other requests had the same priority. Change: the slow request is more urgent than those that wait.

--- a/packages/fleet/tests/AdviceDispatcherTest.cpp
+++ b/packages/fleet/tests/AdviceDispatcherTest.cpp
@@ -29,9 +29,12 @@
     std::vector<AdviceTicket> Allowed;
     for (const std::string &Vm : Vms)
       Allowed.push_back(AdviceTicket{Vm, Step.Job});
-    ControlLoop_.after(Latency, [Allowed, Done] { Done(Allowed); });
+    ControlLoop_.after(Step.Job == SlowJob ? SlowLatency : Latency,
+                       [Allowed, Done] { Done(Allowed); });
   }
   milliseconds Latency{20};
+  static constexpr milliseconds SlowLatency{1100};
+  std::string SlowJob;
   std::set<StepName> CalledSteps;
   bool Failing = false;
   std::string FailingJob;
@@ -176,18 +179,24 @@
 
 // Guards against second copies of requests whose daemon is only busy with a
 // call of another pool: under saturation a third of all calls were copies, and
-// other requests waited for them.
+// less urgent requests waited for them.
 BOOST_AUTO_TEST_CASE(copiesOfSlowRequestsDelayNoOther) {
   Fixture Setup(true);
-  Setup.Advisor.Latency = milliseconds(1000);
   Setup.Dispatcher->setPeers({{"b", {"b:1", "x"}}, {"c", {"c:1", "y"}}});
-  constexpr int Requests = 12;
+  Setup.Advisor.Latency = milliseconds(300);
+  Setup.Advisor.SlowJob = "busy";
+  RequestAdvice Urgent = Fixture::adviceRequest({"busy", 0, 0});
+  Urgent.ExpectedLatencyMs = 300;
+  Setup.Dispatcher->requestAdvice(Urgent);
+  constexpr int Requests = 20;
   for (int Number = 0; Number < Requests; ++Number) {
-    RequestAdvice Request = Fixture::adviceRequest({"slow", 0, Number});
+    RequestAdvice Request = Fixture::adviceRequest({"small", 0, Number});
     Request.ExpectedLatencyMs = 300;
+    Request.Priority = 2;
     Setup.Dispatcher->requestAdvice(Request);
   }
-  Setup.ControlLoop.runFor(milliseconds(2500));
-  // The first requests are answered, and each daemon has begun with new ones.
+  Setup.ControlLoop.runFor(milliseconds(1500));
+  // Other requests still wait, so that no step was called for twice.
+  BOOST_CHECK_LT(Setup.AnswerCounts["small"], Requests);
   BOOST_CHECK_EQUAL(Setup.Advisor.Calls, Setup.Advisor.CalledSteps.size());
 }
