Answer calls with unknown keys by 503 while the contracts are too old to tell

Cause: a daemon whose contracts are older than config_apply_ms + max_stretch_ms called a key unknown (401) that newer contracts may have. Change: such a call gets 503 with Retry-After; a call without a key still gets 401. So a key that was added that long ago is called unknown by no daemon, whichever links are cut. A trial with two accounts checks this with processes: their keys are added and removed during the load, wrong keys and ids of the other account are tried, and daemons are killed, cut off, refused by the store, or slow.

--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -65,10 +65,12 @@
   void queuesChanged() { PendingJobs_.queuesChanged(); }
   /// Logs that no route of the contracts in force matches a request.
   void recordUnknownRoute(std::string_view Host, std::string_view Path);
-  /// Logs and counts that a request was refused, because no key of an account
-  /// in force came with it.
-  void recordUnknownKey(const QueueTerms &Queue, std::string_view Method,
-                        bool HasKey);
+  /// Logs and counts that a request is refused, because no key of an account in
+  /// force came with it.
+  ///
+  /// \returns whether the key may nevertheless be one: the contracts are so old
+  /// that newer ones may have it.
+  bool refuseKey(const QueueTerms &Queue, std::string_view Method, bool HasKey);
   /// While the contracts have accounts and are stale, no job is accepted.
   ///
   /// \param CallerTimeout how long the client waits for the answer.
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -106,13 +106,15 @@
                                      describeContracts()));
 }
 
-void JobFrontend::recordUnknownKey(const QueueTerms &Queue,
-                                   std::string_view Method, bool HasKey) {
-  Context_.Metrics.recordRefusal("unknown_key");
+bool JobFrontend::refuseKey(const QueueTerms &Queue, std::string_view Method,
+                            bool HasKey) {
+  const bool MayBeValid = HasKey && areKeysStale();
+  Context_.Metrics.recordRefusal(MayBeValid ? "stale_config" : "unknown_key");
   Context_.Events.record(EventId::KeyUnknown, Queue.Name,
                          fmt::format("{} key {} {}", Method,
                                      HasKey ? "unknown" : "missing",
                                      describeContracts()));
+  return MayBeValid;
 }
 
 std::string JobFrontend::describeContracts() const {
--- a/packages/fleet/tests/AccountKeysTest.cpp
+++ b/packages/fleet/tests/AccountKeysTest.cpp
@@ -252,8 +252,9 @@
 // neither shows.
 BOOST_FIXTURE_TEST_CASE(unknownKeysAreCountedAndLogged, FrontendFixture) {
   Queues.apply(makeConfig(7, {"key"}));
-  Frontend.recordUnknownKey(Queue, "POST", true);
-  Frontend.recordUnknownKey(Queue, "GET", false);
+  Queues.confirm(ControlLoop.MonotonicClock.now());
+  BOOST_CHECK(!Frontend.refuseKey(Queue, "POST", true));
+  BOOST_CHECK(!Frontend.refuseKey(Queue, "GET", false));
   const auto Lines = Events.since(0);
   BOOST_REQUIRE(!Lines.empty());
   BOOST_CHECK(Lines.back().Id == EventId::KeyUnknown);
--- /dev/null
+++ b/tests/failure/fleet_accounts_test.py
@@ -0,0 +1,57 @@
+"""Two client accounts whose keys come and go during the load, under faults."""
+
+import time
+import unittest
+
+import fleet_faults
+import fleet_trial
+
+# A key is added, used, removed, and probed after its removal.
+SECONDS = 24
+
+
+def cut_daemon_off(trial, seconds):
+    """Cuts a daemon from the store and from all other daemons."""
+    daemon = fleet_faults.random_daemon(trial)
+    others = [other for other in trial.daemons if other is not daemon]
+    fleet_faults.cut_links(
+        trial, [(daemon.name, "store")] +
+        [(daemon.name, other.name) for other in others] +
+        [(other.name, daemon.name) for other in others], seconds)
+
+
+def refuse_daemon(trial, seconds):
+    """The store refuses a daemon's own calls; others relay them."""
+    with trial.store.refusing(fleet_faults.random_daemon(trial).name):
+        time.sleep(seconds)
+
+
+class FleetAccountsTest(unittest.TestCase):
+    def run_faults(self, seed, *faults):
+        trial = fleet_trial.Trial(seed, accounts=("a", "b"))
+        trial.run([(0, lambda trial, s: trial.accounts.rotate(s), SECONDS),
+                   (0, lambda trial, s: trial.accounts.probe(s), SECONDS),
+                   *faults], SECONDS)
+        print(trial.summary(), trial.accounts.probes, flush=True)
+        # Fewer would leave the checks without evidence.
+        for kind in ("unknown key", "removed key", "added key", "foreign job"):
+            self.assertGreater(trial.accounts.probes.get(kind, 0), 5, kind)
+        self.assertGreater(sum(call["state"] == "completed"
+                               for call in trial.load.calls), 10)
+
+    def test_keys_change(self):
+        # Guards against a key that works although it was never in the
+        # contracts or was removed, one that doesn't although it is in them,
+        # and jobs that other accounts learn of.
+        self.run_faults(21, (6, fleet_faults.kill_daemon, 1),
+                        (12, fleet_faults.roll_daemons, 3))
+
+    def test_keys_change_while_daemons_are_cut_off(self):
+        # Guards against the same at daemons that know of no change, or only
+        # through others.
+        self.run_faults(22, (1, cut_daemon_off, 14), (2, refuse_daemon, 14),
+                        (17, fleet_faults.store_slow, 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/fleet_load.py
+++ b/tests/support/fleet_load.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import random
 import threading
 import time
 
@@ -54,6 +55,9 @@
                     "open": {}, "accepted": None, "refused": False,
                     "cancelled": False,
                     "attempts": self.trial.queues[queue]["attempts"]}
+            if self.trial.accounts:
+                call["account"] = random.choice(
+                    list(self.trial.accounts.keys))
             self.calls.append(call)
             will_cancel = self.rng.random() < 0.05
             thread = threading.Thread(target=self.run_client, daemon=True,
@@ -68,6 +72,8 @@
         path = self.trial.queues[call["queue"]]["path_prefix"] + call["job"]
         headers = {"Host": "h", "Deadline-Ms": "3000",
                    "Content-Type": "application/json"}
+        if self.trial.accounts:
+            headers.update(self.trial.accounts.header(call["account"]))
         # Connections are reused until the daemon closes them or has exited.
         connection = (call["open"].pop(port, None) or
                       http.client.HTTPConnection("127.0.0.1", port,
--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -16,6 +16,7 @@
 import time
 
 import cluster
+import fleet_accounts
 import fleet_checker
 import fleet_load
 import operator_servers
@@ -52,7 +53,7 @@
 
     zones = ("za", "zb")
 
-    def __init__(self, seed, daemons=2, vms=3, crash_share=0):
+    def __init__(self, seed, daemons=2, vms=3, crash_share=0, accounts=()):
         self.rng = random.Random(seed)
         self.directory = tempfile.mkdtemp(prefix="cuminroad-fleet-")
         self.ports = cluster.PortBlock()
@@ -74,6 +75,8 @@
         self.version = 0
         # Writes of submissions that were performed without a response.
         self.lost_writes = 0
+        self.accounts = accounts and fleet_accounts.Accounts(
+            self, accounts, random.Random(seed + 2))
         self.vms, self.daemons = [], []
         for zone in self.zones:
             for number in range(vms):
@@ -125,6 +128,10 @@
                        "contact_ms": CONTACT_S * 1000,
                        "remote_factor": 1.5, "status_s": 120, "grace_s": 6},
             "platform": {"address": loopback % store_port}}
+        if self.accounts:
+            settings["bounds"].update(
+                config_apply_ms=fleet_accounts.CONFIG_APPLY_MS,
+                max_stretch_ms=fleet_accounts.MAX_STRETCH_MS)
         with open(self.path(daemon, "json"), "w") as file:
             json.dump(settings, file)
 
@@ -174,10 +181,12 @@
         routes = [{"name": name, **queue}
                   for name, queue in self.queues.items()
                   if name not in self.dropped_queues]
-        self.store.put("op", "config", json.dumps(
-            {"version": self.version, "routes": routes,
-             "services": [{"name": name} for name in self.services],
-             "limits": {}}).encode())
+        config = {"version": self.version, "routes": routes,
+                  "services": [{"name": name} for name in self.services],
+                  "limits": {}}
+        if self.accounts:
+            config["tenants"] = self.accounts.tenants()
+        self.store.put("op", "config", json.dumps(config).encode())
 
     def publish_vms(self):
         """Writes the VMs' entries to the store until the trial ends."""
@@ -267,6 +276,7 @@
                 fleet_checker.check_tasks_per_vm(history, jobs) +
                 fleet_checker.check_reported_outcomes(
                     history, self.load.calls, jobs) +
+                (self.accounts.violations if self.accounts else []) +
                 self.check_memory())
 
     def check_memory(self):
