Probe unanswered writes by reads

The owner's transactions timed out again and again (200, 400, 800 ms), starts waited 0.8 to 1.2 s for their records, and the owner of the larger pool lost it; callers waited 1.6 s for the answer to a submission that was in the store. Change: an owner's transaction without a response for three times the usual time is followed by a read of the head row, which shows whether it took effect; a submission without a response for 200 ms by a read of its row. The lost answer to an acquisition of a pool is found after 400 ms instead of 1,000.

--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -95,6 +95,11 @@
   /// Writes the request, after a read if the store may be unreachable.
   void writeRequest(std::shared_ptr<Submission> Pending);
   void sendWrite(std::shared_ptr<Submission> Pending);
+  /// Reads the job's row in \p Delay if the write is still unanswered then.
+  void probeLater(const std::shared_ptr<Submission> &Pending, int Write,
+                  milliseconds Delay);
+  void probeWrite(const std::shared_ptr<Submission> &Pending, int Write,
+                  milliseconds Delay);
   /// Retries the submission, or answers it if there is no time left.
   void handleWriteFailure(std::shared_ptr<Submission> Pending,
                           const Error &Failure);
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -22,6 +22,10 @@
 /// Timeout of the read that precedes a write while the store may be
 /// unreachable.
 constexpr milliseconds ProbeTimeout{300};
+/// A write that has no response after this time is probed by a read, and again
+/// each time this doubles. A caller whose job is in the store learns of it
+/// before the write times out.
+constexpr milliseconds FirstProbeDelay{200};
 constexpr milliseconds OwnerTimeout{350};
 constexpr milliseconds RetryInterval{60};
 /// Longest interval between two attempts while no other call shows that the
@@ -82,6 +86,8 @@
   /// effect, or may still do so.
   bool Uncertain = false;
   int Writes = 0;
+  /// The write whose outcome is awaited; 0 without one.
+  int AwaitedWrite = 0;
   /// How the first writes failed, for the event log.
   std::string FailedWrites;
 };
@@ -200,11 +206,44 @@
   Change.Puts.push_back(RowPut{Row, Pending->EncodedRequest});
   const milliseconds Timeout =
       std::clamp(remaining(Pending->Deadline), RetryInterval, WriteTimeout);
-  ++Pending->Writes;
+  const int Write = ++Pending->Writes;
+  Pending->AwaitedWrite = Write;
   Context_.Store.commit(std::move(Change), Timeout,
-                        [this, Pending](Result<RowCommit> Outcome) {
+                        [this, Pending, Write](Result<RowCommit> Outcome) {
+                          if (Pending->AwaitedWrite != Write)
+                            return;
+                          Pending->AwaitedWrite = 0;
                           handleWriteResult(Pending, std::move(Outcome));
                         });
+  probeLater(Pending, Write, FirstProbeDelay);
+}
+
+void JobFrontend::probeLater(const std::shared_ptr<Submission> &Pending,
+                             int Write, milliseconds Delay) {
+  if (Pending->AwaitedWrite != Write)
+    return;
+  Context_.ControlLoop.after(Delay, [this, Pending, Write, Delay] {
+    if (Pending->AwaitedWrite == Write)
+      probeWrite(Pending, Write, Delay);
+  });
+}
+
+void JobFrontend::probeWrite(const std::shared_ptr<Submission> &Pending,
+                             int Write, milliseconds Delay) {
+  Context_.Store.read(
+      requestRange(Pending->Request.Plan.Id), ProbeTimeout,
+      [this, Pending, Write, Delay](const Result<RowPage> &Page) {
+        if (Pending->AwaitedWrite != Write)
+          return;
+        const std::string &Job = Pending->Request.Plan.Id;
+        if (!Page || std::none_of(Page->Rows.begin(), Page->Rows.end(),
+                                  [&Job](const StoredRow &Each) {
+                                    return Each.Name.Key == Job;
+                                  }))
+          return probeLater(Pending, Write, Delay * 2);
+        Pending->AwaitedWrite = 0;
+        handleKnownJob(Pending, Page->Rows);
+      });
 }
 
 void JobFrontend::handleWriteResult(std::shared_ptr<Submission> Pending,
--- a/packages/fleet/src/PoolLease.cpp
+++ b/packages/fleet/src/PoolLease.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr milliseconds ReadTimeout{800};
-constexpr milliseconds AcquireTimeout{1000};
+/// An acquisition whose response is lost is found by the read that follows.
+constexpr milliseconds AcquireTimeout{400};
 /// Poll interval while the row has not changed since the last read.
 constexpr milliseconds UnchangedPollInterval{150};
 /// Range of the delays by which standbys differ.
--- a/packages/store/include/cuminroad/store/FencedWriter.h
+++ b/packages/store/include/cuminroad/store/FencedWriter.h
@@ -86,9 +86,19 @@
 
   void scheduleSend(milliseconds Delay);
   void sendTransaction();
+  /// Reads the head row in \p Delay if the transaction is still unanswered
+  /// then: its response may be lost, and the row shows whether it took effect.
+  void probeLater(std::int64_t Serial, milliseconds Delay);
+  void probe(std::int64_t Serial, milliseconds Delay);
+  /// \returns whether the probe found out what became of the transaction.
+  bool handleProbe(const RowPage &Page);
   void handleOutcome(TimePoint SentAt, Result<RowCommit> Outcome);
   void handleCommitted(TimePoint RenewedAt, std::int64_t Version);
   void handleConflict(const RowCommit &Outcome);
+  /// Another writer has replaced the head row.
+  void handleReplaced();
+  /// \returns when the try with this serial number was sent.
+  TimePoint triedAt(std::int64_t Serial) const;
   void dequeueRows();
   void recordDelay(milliseconds Delay);
   void enqueue(QueuedRow Change);
@@ -101,6 +111,9 @@
   std::int64_t Serial_ = 0;
   /// Serial number of the first try to write TransactionRows_.
   std::int64_t FirstTrySerial_ = 0;
+  /// When the tries to write TransactionRows_ were sent, from FirstTrySerial_
+  /// on.
+  std::vector<TimePoint> TriesSentAt_;
   std::deque<QueuedRow> Queue_;
   std::set<RowName> QueuedNames_;
   std::deque<CommitWaiter> Waiters_;
@@ -113,7 +126,9 @@
   bool Retrying_ = false;
   bool RenewRequested_ = false;
   bool SendScheduled_ = false;
-  bool InFlight_ = false;
+  /// The serial number of the transaction whose outcome is awaited; 0 without
+  /// one.
+  std::int64_t AwaitedSerial_ = 0;
   bool Closed_ = false;
   TimePoint RenewedAt_{};
   TimePoint LastSentAt_{};
--- a/packages/store/src/FencedWriter.cpp
+++ b/packages/store/src/FencedWriter.cpp
@@ -24,6 +24,11 @@
 constexpr milliseconds TimeoutMax{1600};
 /// The newest duration contributes one part in this many to the moving average.
 constexpr int SmoothingDivisor = 4;
+/// A transaction without a response for this multiple of the smoothed duration
+/// is probed by a read. While responses of writes get lost, the writer goes on
+/// after the probe instead of after timeouts and retries.
+constexpr int ProbeFactor = 3;
+constexpr milliseconds ProbeDelayMin{50};
 constexpr milliseconds RetryDelayMin{50};
 constexpr milliseconds RetryDelayMax{400};
 
@@ -73,7 +78,7 @@
 }
 
 void FencedWriter::scheduleSend(milliseconds Delay) {
-  if (SendScheduled_ || InFlight_ || Closed_)
+  if (SendScheduled_ || AwaitedSerial_ != 0 || Closed_)
     return;
   SendScheduled_ = true;
   const auto SinceLastSend = std::chrono::duration_cast<milliseconds>(
@@ -81,7 +86,7 @@
   ControlLoop_.after(std::max(Delay, MinSendInterval - SinceLastSend),
                      [Self = shared_from_this()] {
                        Self->SendScheduled_ = false;
-                       if (!Self->Closed_ && !Self->InFlight_)
+                       if (!Self->Closed_ && Self->AwaitedSerial_ == 0)
                          Self->sendTransaction();
                      });
 }
@@ -106,6 +111,7 @@
   if (!Retrying_) {
     dequeueRows();
     FirstTrySerial_ = Serial_ + 1;
+    TriesSentAt_.clear();
   }
   RenewRequested_ = false;
   RowTransaction Change;
@@ -117,15 +123,62 @@
     else
       Change.Removals.push_back(Row.Name);
   }
-  InFlight_ = true;
+  const std::int64_t Serial = Serial_;
+  AwaitedSerial_ = Serial;
   const TimePoint SentAt = MonotonicClock_.now();
   LastSentAt_ = SentAt;
-  Store_.commit(std::move(Change), Timeout_,
-                [Self = shared_from_this(), SentAt](Result<RowCommit> Outcome) {
-                  Self->InFlight_ = false;
-                  if (!Self->Closed_)
-                    Self->handleOutcome(SentAt, std::move(Outcome));
-                });
+  TriesSentAt_.push_back(SentAt);
+  Store_.commit(
+      std::move(Change), Timeout_,
+      [Self = shared_from_this(), Serial, SentAt](Result<RowCommit> Outcome) {
+        // A probe may have found the outcome before.
+        if (Self->AwaitedSerial_ != Serial)
+          return;
+        Self->AwaitedSerial_ = 0;
+        if (!Self->Closed_)
+          Self->handleOutcome(SentAt, std::move(Outcome));
+      });
+  probeLater(Serial, std::max(SmoothedDelay_ * ProbeFactor, ProbeDelayMin));
+}
+
+void FencedWriter::probeLater(std::int64_t Serial, milliseconds Delay) {
+  if (AwaitedSerial_ != Serial)
+    return;
+  ControlLoop_.after(Delay, [Self = shared_from_this(), Serial, Delay] {
+    if (!Self->Closed_ && Self->AwaitedSerial_ == Serial)
+      Self->probe(Serial, Delay);
+  });
+}
+
+void FencedWriter::probe(std::int64_t Serial, milliseconds Delay) {
+  const RowName &Head = HeadRow_.Row;
+  Store_.read(
+      RowRange{Head.Table, Head.Partition, Head.Key, "", 1}, Timeout_,
+      [Self = shared_from_this(), Serial, Delay](const Result<RowPage> &Page) {
+        if (Self->Closed_ || Self->AwaitedSerial_ != Serial)
+          return;
+        if (!Page || !Self->handleProbe(*Page))
+          Self->probeLater(Serial, Delay * 2);
+      });
+}
+
+bool FencedWriter::handleProbe(const RowPage &Page) {
+  if (Page.Rows.empty() || Page.Rows.front().Name != HeadRow_.Row ||
+      Page.Rows.front().Version == HeadVersion_)
+    return false;
+  const StoredRow &Head = Page.Rows.front();
+  AwaitedSerial_ = 0;
+  const std::int64_t Serial = HeadRow_.DecodeSerial(Head.Value);
+  if (Serial >= FirstTrySerial_)
+    handleCommitted(triedAt(Serial), Head.Version);
+  else
+    handleReplaced();
+  return true;
+}
+
+TimePoint FencedWriter::triedAt(std::int64_t Serial) const {
+  const auto Index = static_cast<std::size_t>(Serial - FirstTrySerial_);
+  return Index < TriesSentAt_.size() ? TriesSentAt_[Index] : RenewedAt_;
 }
 
 void FencedWriter::handleOutcome(TimePoint SentAt, Result<RowCommit> Outcome) {
@@ -174,12 +227,12 @@
   const std::int64_t Serial = Head == Outcome.CheckedRows.end()
                                   ? 0
                                   : HeadRow_.DecodeSerial(Head->Value);
-  if (Serial >= FirstTrySerial_) {
-    // Which try took effect is unknown, so that the lease keeps its earlier
-    // start until the next renewal.
-    RenewRequested_ = true;
-    return handleCommitted(RenewedAt_, Head->Version);
-  }
+  if (Serial >= FirstTrySerial_)
+    return handleCommitted(triedAt(Serial), Head->Version);
+  handleReplaced();
+}
+
+void FencedWriter::handleReplaced() {
   Closed_ = true;
   if (OnReplaced)
     OnReplaced();
--- a/packages/store/tests/FencedWriterTest.cpp
+++ b/packages/store/tests/FencedWriterTest.cpp
@@ -189,3 +189,30 @@
   ControlLoop.runFor(milliseconds(500));
   BOOST_CHECK(Rows.find(dataRow(2)) != nullptr);
 }
+
+// Guards against a writer that waits for timeouts while the responses of many
+// writes are lost: starts waited 0.8 to 1.2 s for their records, and the owner
+// lost its pool since each retry was lost as well.
+BOOST_AUTO_TEST_CASE(lostResponsesDelayRowsLittle) {
+  std::mt19937 Random(7);
+  FakeLoop ControlLoop;
+  FakeRows Rows;
+  FakeRowStore Store(Rows, ControlLoop);
+  const auto Writer = makeWriter(Store, ControlLoop, "a");
+  Writer->begin(takeHead(Rows, "a/0"), ControlLoop.MonotonicClock.now());
+  // Reads are not affected: the store answers them.
+  Store.NextFault = [&] {
+    return Random() % 2 == 0 ? StoreFault{StoreFault::ResponseLost, {}}
+                             : StoreFault{};
+  };
+  Store.FaultsOnReads = false;
+  constexpr milliseconds LongestDelay{150};
+  for (int Number = 0; Number < 40; ++Number) {
+    bool Committed = false;
+    Writer->put(dataRow(Number), [] { return std::string("x"); });
+    Writer->whenCommitted([&] { Committed = true; });
+    ControlLoop.runFor(LongestDelay);
+    BOOST_CHECK_MESSAGE(Committed, "row " << Number);
+    BOOST_CHECK(Rows.find(dataRow(Number)) != nullptr);
+  }
+}
--- a/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
+++ b/tests/fakes/include/cuminroad/fakes/FakeRowStore.h
@@ -80,6 +80,8 @@
   /// Returns the fault to inject into the next call; without it, all calls
   /// succeed. Reads and change feeds fail on any fault.
   std::function<StoreFault()> NextFault;
+  /// Whether reads and change feeds have faults too.
+  bool FaultsOnReads = true;
   milliseconds Latency{6};
   /// Calls get no response until they time out, also those in progress.
   bool Silent = false;
@@ -93,6 +95,9 @@
   StoreFault injectedFault() const {
     return NextFault ? NextFault() : StoreFault{};
   }
+  StoreFault readFault() const {
+    return FaultsOnReads ? injectedFault() : StoreFault{};
+  }
   /// \returns how long \p Page takes to arrive after the pages before it.
   milliseconds transferTime(const RowPage &Page);
   /// Calls \p Done with the error after \p Delay.
