--- a/packages/contract/include/cuminroad/contract/Capacity.h
+++ b/packages/contract/include/cuminroad/contract/Capacity.h
@@ -56,6 +56,11 @@
                                              : Right.Accelerators};
 }
 
+/// \returns the maximum of each component.
+inline Capacity componentwiseMax(const Capacity &Left, const Capacity &Right) {
+  return Left - componentwiseMin(Left, Right) + Right;
+}
+
 } // namespace cuminroad
 
 #endif
--- a/packages/pool/include/cuminroad/pool/ClientAccount.h
+++ b/packages/pool/include/cuminroad/pool/ClientAccount.h
@@ -49,6 +49,12 @@
   Capacity Used;
   /// Capacity of the tasks that could start now if there was room.
   Capacity Waiting;
+  /// Used, and what the pool's VMs could hold of Waiting if they were empty.
+  Capacity Needed;
+  /// The least limit with which the account's most urgent step could start that
+  /// has waited long for its quota, once runs that end have ended; all 0 if
+  /// there is none.
+  Capacity Claim;
   /// Most that the account may use in this pool.
   Capacity Limit = UnlimitedCapacity;
 };
--- a/packages/pool/src/AccountQuota.h
+++ b/packages/pool/src/AccountQuota.h
@@ -24,6 +24,11 @@
          startsWithinLimit(Step) <= 0;
 }
 
+/// Keeps the limit of the step's account for the step, which is the account's
+/// most urgent one that waits for its quota, if it has waited for a good part
+/// of its objective.
+void holdQuotaFor(const StepRecord &Step, TimePoint Now);
+
 /// \returns whether that will still be so when the running tasks of the steps
 /// that \p Step depends on have ended.
 bool isBlockedByQuotaWhenReady(const StepRecord &Step);
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -44,8 +44,15 @@
   /// Capacity of its runs that may be on VMs: tasks in the phases Placed,
   /// Running and Stopping, and unknown runs.
   Capacity Used;
+  /// The part of it that doesn't end by itself.
+  Capacity UsedForLong;
   /// The pass that last reported a step of the account as blocked by its quota.
   TimePoint QuotaReportedAt{};
+  /// Within a pass: kept for a step that has waited long for the quota, so that
+  /// less urgent and smaller ones don't take whatever becomes free.
+  Capacity Held;
+  /// See AccountLoad.
+  Capacity Claim;
 };
 
 /// The advisor's ticket for one VM.
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -174,8 +174,11 @@
   Vm.Tasks.insert(&Task);
   Vm.ExpectedEndsKnown = false;
   Vm.Used += Task.Step->Plan->reservedCapacity();
-  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
+  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account) {
     Account->Used += Task.Step->Plan->PerTask;
+    if (Task.Step->Plan->LongRunning)
+      Account->UsedForLong += Task.Step->Plan->PerTask;
+  }
   ++Task.Step->TasksOnVms;
 }
 
@@ -183,8 +186,11 @@
   if (Task.Vm == nullptr)
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
-  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
+  if (AccountRecord *Account = Task.Step->Occurrence->Job->Account) {
     Account->Used -= Task.Step->Plan->PerTask;
+    if (Task.Step->Plan->LongRunning)
+      Account->UsedForLong -= Task.Step->Plan->PerTask;
+  }
   Task.Vm->Tasks.erase(&Task);
   Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -100,6 +100,10 @@
     if (Vm->acceptsWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
       AvailableVms_.push_back(Vm);
   }
+  for (const auto &[Name, Account] : Tables_.Accounts) {
+    Account->Held = Capacity{};
+    Account->Claim = Capacity{};
+  }
   for (StepRecord *Step : Waiting_.Steps) {
     Step->Blocked = false;
     Step->ReservedVms.clear();
@@ -208,6 +212,7 @@
     Step.QuotaBlockedSince = Now_;
     Step.NextBlockedReport = FirstBlockedReport;
   }
+  holdQuotaFor(Step, Now_);
   const auto Waited =
       std::chrono::duration_cast<milliseconds>(Now_ - *Step.QuotaBlockedSince);
   if (!isReportDue(Step, Waited))
