Exchange parts of quotas between the owners of pools

With equal parts, an account whose work is all in one of two pools got half of its quota.

An owner that takes over reads its pool's rows first, and until then starts nothing for accounts with a limit. An account that isn't in the contracts starts nothing for 4 s, in which newer contracts arrive.

--- a/packages/fleet/include/cuminroad/fleet/JobRows.h
+++ b/packages/fleet/include/cuminroad/fleet/JobRows.h
@@ -42,10 +42,15 @@
 /// The daemons of the fleet.
 inline constexpr std::string_view DaemonTable = "daemons";
 
+/// What pools need and give of the quotas of client accounts; only the pool's
+/// owner writes its rows.
+inline constexpr std::string_view QuotaTable = "quotas";
+
 RowName requestRow(std::string_view Job);
 RowName cancelRow(std::string_view Job);
 RowName progressRow(std::string_view Service, std::string_view Job);
 RowName ownerRow(std::string_view Service);
+RowName quotaRow(std::string_view Service, int Number);
 /// The partition in which a pool's owner keeps its rows.
 std::string poolPartition(std::string_view Service);
 /// All partitions of RequestTable.
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -16,6 +16,7 @@
 #include "cuminroad/fleet/FleetContext.h"
 #include "cuminroad/fleet/JobRows.h"
 #include "cuminroad/fleet/PoolLease.h"
+#include "cuminroad/fleet/QuotaExchange.h"
 #include "cuminroad/fleet/VmLink.h"
 #include "cuminroad/pool/PoolScheduler.h"
 #include "cuminroad/store/FencedWriter.h"
@@ -93,8 +94,10 @@
   bool shouldHandOver() const;
   void handOver(std::string_view Reason);
   void loadJobsWhenRead();
-  /// Passes the client accounts and their limits to the scheduler.
-  void applyAccounts();
+  /// Passes the accounts' limits in the pool to the scheduler.
+  void applyAccountLimits();
+  /// Exchanges parts of the accounts' quotas with other pools.
+  void exchangeQuotas();
   void applyRow(const StoredRow &Row);
   void applyRequest(JobRequest Request);
   void applyCancel(const std::string &Job);
@@ -140,11 +143,14 @@
   /// See OwnerRow.
   std::vector<std::string> MovedQueues_;
   std::shared_ptr<FencedWriter> Writer_;
+  std::shared_ptr<QuotaExchange> Quotas_;
   std::shared_ptr<TableFollower> Requests_;
   std::shared_ptr<TableReader> Progress_;
   std::shared_ptr<AdviceDispatcher> AdviceDispatcher_;
   std::unique_ptr<PoolScheduler> Scheduler_;
   TimePoint InheritedLeasesUntil_{};
+  /// When the jobs were loaded.
+  TimePoint LoadedAt_{};
   int DirectoryListener_ = 0;
   std::map<std::string, std::shared_ptr<VmLink>, std::less<>> Links_;
   /// VMs that are to be held as soon as possible: for the first time, or since
--- a/packages/fleet/src/JobRows.cpp
+++ b/packages/fleet/src/JobRows.cpp
@@ -82,6 +82,11 @@
   return RowName{std::string(OwnerTable), poolPartition(Service), "owner"};
 }
 
+RowName quotaRow(std::string_view Service, int Number) {
+  return RowName{std::string(QuotaTable), poolPartition(Service),
+                 fmt::format("{}", Number)};
+}
+
 std::vector<std::string> requestPartitions() {
   std::vector<std::string> Out;
   for (unsigned Number = 0; Number < PartitionCount; ++Number)
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -38,6 +38,9 @@
 constexpr int LateReportsUntilHandOver = 3;
 constexpr double MinCpuShareGain = 1.5;
 constexpr milliseconds CleanupInterval{10000};
+/// A new owner gives nothing of the accounts' quotas away for this long: VMs
+/// are listed every 1.5 s, and their runs are reported then.
+constexpr milliseconds QuotaExchangeDelay{2000};
 /// Most bytes that a task with a run takes in the stored progress of its job.
 constexpr std::size_t MaxTaskRecordBytes = 96;
 /// Least such bytes.
@@ -96,6 +99,14 @@
           [this](const std::string &Value) { return serialOf(Value); }});
   Writer_->OnReplaced = [this] { handleReplacement(); };
   Writer_->begin(Term_.RowVersion, Term_.WrittenAt);
+  Quotas_ = std::make_shared<QuotaExchange>(Context_, Term_.Service, Writer_);
+  Quotas_->OnRead = [this] {
+    if (!Scheduler_)
+      return;
+    applyAccountLimits();
+    schedulePass();
+  };
+  Quotas_->contractsChanged();
   AdviceDispatcher_ = std::make_shared<AdviceDispatcher>(
       Context_.Advisor, Context_.Peers, Context_.ControlLoop,
       Context_.MonotonicClock, Context_.Self.Name,
@@ -147,6 +158,7 @@
   if (DirectoryListener_ != 0)
     Context_.Directory.removeListener(DirectoryListener_);
   Writer_->close();
+  Quotas_->close();
   Requests_->close();
   Progress_->close();
   AdviceDispatcher_->close();
@@ -211,7 +223,9 @@
   Scheduler_ = makePoolScheduler(Context_.MonotonicClock, Context_.SystemClock,
                                  poolOptions(Context_.Settings));
   Scheduler_->setQueues(Context_.Queues.allTerms());
-  applyAccounts();
+  Scheduler_->setAccounts(Context_.Queues.allAccounts());
+  applyAccountLimits();
+  LoadedAt_ = Context_.MonotonicClock.now();
   for (auto &[Job, Request] : LoadedRequests_)
     applyRequest(std::move(Request));
   for (const std::string &Job : LoadedCancels_)
@@ -228,21 +242,27 @@
   schedulePass();
 }
 
-void PoolOwner::applyAccounts() {
-  const std::vector<ClientAccount> Accounts = Context_.Queues.allAccounts();
-  Scheduler_->setAccounts(Accounts);
-  const auto Pools = static_cast<std::int64_t>(
-      std::max<std::size_t>(Context_.Queues.config().Services.size(), 1));
-  for (const ClientAccount &Each : Accounts)
-    Scheduler_->setAccountLimit(Each.Name, quotaPart(Each.MaxRunning, Pools));
+void PoolOwner::applyAccountLimits() {
+  for (const auto &[Account, Limit] : Quotas_->limits())
+    Scheduler_->setAccountLimit(Account, Limit);
+}
+
+void PoolOwner::exchangeQuotas() {
+  // Until the VMs are listed, it isn't known what the pool needs.
+  if (Context_.MonotonicClock.now() - LoadedAt_ < QuotaExchangeDelay)
+    return;
+  if (Quotas_->update([this] { return Scheduler_->accountLoads(); }))
+    applyAccountLimits();
 }
 
 void PoolOwner::queuesChanged() {
+  Quotas_->contractsChanged();
   if (!Scheduler_)
     return;
   AdviceDispatcher_->setQueues(Context_.Queues.config().Routes);
   Scheduler_->setQueues(Context_.Queues.allTerms());
-  applyAccounts();
+  Scheduler_->setAccounts(Context_.Queues.allAccounts());
+  applyAccountLimits();
   schedulePass();
 }
 
@@ -367,6 +387,7 @@
   if (Scheduler_) {
     removeUnlistedVms();
     updateMovedQueues();
+    exchangeQuotas();
     reportLoad();
     if (shouldHandOver())
       return handOver("too slow");
--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -24,6 +24,8 @@
 constexpr int ShortestRestart = 350;
 constexpr double SlowClockRate = 0.98;
 constexpr int MaxAttempts = 4;
+/// The accounts and their quotas in tasks, of which the VMs hold 15.
+const std::map<std::string, int> AccountQuotas{{"x", 5}, {"y", 2}};
 
 QueueTerms modelQueue() {
   QueueTerms Out;
@@ -61,6 +63,8 @@
   if (Kinds_.ShortEndLists)
     Fake_.MaxListedEnds = 1;
   Facts_.MaxAttempts = MaxAttempts;
+  if (Kinds_.Quotas)
+    Facts_.Quotas = AccountQuotas;
   Facts_.PermittedTasks = [this](const std::string &Vm, TimePoint Time) {
     return permittedTasks(Vm, Time);
   };
@@ -107,6 +111,12 @@
   Daemon.Process->Store.NextFault = [this, &Daemon] {
     return storeFault(Daemon);
   };
+  if (!Kinds_.Quotas)
+    return;
+  std::vector<ClientAccount> Accounts;
+  for (const auto &[Account, Tasks] : AccountQuotas)
+    Accounts.push_back(ClientAccount{Account, 1, TestTaskSize * Tasks});
+  Daemon.Process->setAccounts({std::string(TestService)}, Accounts);
 }
 
 VmCallFault DisruptedPool::orderFault(ModelDaemon &Daemon,
@@ -171,6 +181,8 @@
   Request.Plan.Id =
       fmt::format("{:016x}", 0x1000000000000000ULL * (Random_() % 16) +
                                  static_cast<unsigned long long>(++JobCount_));
+  if (Kinds_.Quotas && JobCount_ % 3 != 0)
+    Request.Plan.Account = JobCount_ % 3 == 1 ? "x" : "y";
   Request.Plan.Steps.push_back(anyStep());
   if (chance(4)) {
     Request.Plan.Steps.push_back(anyStep());
--- a/packages/fleet/tests/DisruptedPool.h
+++ b/packages/fleet/tests/DisruptedPool.h
@@ -36,6 +36,8 @@
   bool LateOrdersSurviveRestarts = false;
   /// VMs list few ends at a time.
   bool ShortEndLists = false;
+  /// Jobs belong to accounts with quotas.
+  bool Quotas = false;
   /// A capacity that the owner could not read anew still binds.
   bool StaleCapacityBinds = true;
 };
--- a/packages/fleet/tests/PoolTestSupport.cpp
+++ b/packages/fleet/tests/PoolTestSupport.cpp
@@ -27,7 +27,7 @@
   Out.Vm.Id = Key;
   Out.Vm.Total = TestTaskSize * Tasks;
   Out.Vm.Incarnation = 1;
-  Out.Service = TestService;
+  Out.Service = Service_;
   Out.Address = std::string(Key) + ":1";
   Fields >> Out.Vm.Incarnation >> Out.Address;
   if (std::int64_t ClockMs = 0; Fields >> ClockMs)
@@ -45,11 +45,13 @@
   return Out;
 }
 
-void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step) {
+void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step,
+                   const std::string &Account, const std::string &Service) {
   JobRequest Request;
   Request.Queue = "q";
-  Request.Service = TestService;
+  Request.Service = Service;
   Request.Plan.Id = Job;
+  Request.Plan.Account = Account;
   Request.Plan.Steps.push_back(std::move(Step));
   RowTransaction Change;
   Change.Puts.push_back(RowPut{requestRow(Job), encodeRequest(Request)});
@@ -57,12 +59,14 @@
 }
 
 TestDaemon::TestDaemon(std::string Name, FakeLoop &ControlLoop, FakeRows &Rows,
-                       FakeVms &Vms, const QueueTerms &Queue, double CpuShare)
+                       FakeVms &Vms, const QueueTerms &Queue, double CpuShare,
+                       std::string Service)
     : Store(Rows, ControlLoop), Calls(Vms, ControlLoop), Name_(std::move(Name)),
-      CpuShare_(CpuShare), ControlLoop_(Process, ControlLoop),
-      GatedStore_(Process, Store), GatedCalls_(Process, Calls),
-      MonotonicClock_(ControlLoop.MonotonicClock), Events_(Name_, 100, nullptr),
-      Peers_(Http_), Advisor_(ControlLoop), Directory_(Formats_, Events_),
+      Service_(std::move(Service)), CpuShare_(CpuShare),
+      ControlLoop_(Process, ControlLoop), GatedStore_(Process, Store),
+      GatedCalls_(Process, Calls), MonotonicClock_(ControlLoop.MonotonicClock),
+      Events_(Name_, 100, nullptr), Peers_(Http_), Advisor_(ControlLoop),
+      Formats_(Service_), Directory_(Formats_, Events_),
       Context_{Settings_,    Self_,       ControlLoop.MonotonicClock,
                SystemClock_, Events_,     ControlLoop_,
                GatedStore_,  GatedCalls_, Advisor_,
@@ -81,9 +85,8 @@
   Self_ =
       DaemonIdentity{Name_, fmt::format("{}-{}", Name_, ++IncarnationCount_),
                      "d", Name_ + ":1", CpuShare_};
-  Lease_ =
-      std::make_shared<PoolLease>(GatedStore_, ControlLoop_, MonotonicClock_,
-                                  Events_, Self_, std::string(TestService));
+  Lease_ = std::make_shared<PoolLease>(
+      GatedStore_, ControlLoop_, MonotonicClock_, Events_, Self_, Service_);
   Lease_->OnAcquired = [this](const PoolTerm &Term) {
     Owner_ = std::make_shared<PoolOwner>(Context_, Term);
     Owner_->OnReplaced = [this] {
@@ -115,6 +118,21 @@
   start();
 }
 
+void TestDaemon::setAccounts(std::vector<std::string> Services,
+                             const std::vector<ClientAccount> &Accounts) {
+  QueueConfig Config = Queues_.config();
+  ++Config.Version;
+  Config.Services = std::move(Services);
+  Config.Accounts.emplace();
+  for (const ClientAccount &Each : Accounts)
+    Config.Accounts->push_back(AccountEntry{Each, {}});
+  Process.run([this, Config = std::move(Config)] {
+    Queues_.apply(Config);
+    if (Owner_)
+      Owner_->queuesChanged();
+  });
+}
+
 void TestDaemon::listVms(const std::vector<StoredRow> &Rows) {
   Process.run([this, Rows] { Directory_.tableRead(Rows); });
 }
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -99,6 +99,8 @@
 /// milliseconds, and a label.
 class TestFormats final : public PlatformFormats {
 public:
+  /// \param Service the pool that all VMs belong to.
+  explicit TestFormats(std::string Service) : Service_(std::move(Service)) {}
   std::string configTable() const override { return "op"; }
   std::string configKey() const override { return "config"; }
   std::string vmTable() const override { return "vms"; }
@@ -107,6 +109,9 @@
   }
   Result<VmEntry> decodeVm(std::string_view Key,
                            std::string_view Bytes) const override;
+
+private:
+  std::string Service_;
 };
 
 inline constexpr std::string_view TestService = "pool";
@@ -117,13 +122,16 @@
 QueueTerms makeTestQueue();
 
 /// Writes the row of an accepted job of the test's queue.
-void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step);
+void submitTestJob(FakeRows &Rows, const std::string &Job, StepPlan Step,
+                   const std::string &Account = "",
+                   const std::string &Service = std::string(TestService));
 
 /// A daemon that may own the test's pool, without ports and peers.
 class TestDaemon {
 public:
   TestDaemon(std::string Name, FakeLoop &ControlLoop, FakeRows &Rows,
-             FakeVms &Vms, const QueueTerms &Queue, double CpuShare = 1.0);
+             FakeVms &Vms, const QueueTerms &Queue, double CpuShare = 1.0,
+             std::string Service = std::string(TestService));
   ~TestDaemon();
 
   /// Ends the process without a graceful shutdown and starts a new one.
@@ -135,6 +143,10 @@
   /// \returns the last events of all owners that the daemon has been.
   std::vector<Event> events() const { return Events_.since(0); }
   void listVms(const std::vector<StoredRow> &Rows);
+  /// Brings the pools and accounts into force, beside the test's queue.
+  void setAccounts(std::vector<std::string> Services,
+                   const std::vector<ClientAccount> &Accounts);
+  std::string metrics() const { return Metrics_.render(); }
 
   FakeRowStore Store;
   FakeVmCalls Calls;
@@ -147,6 +159,7 @@
   void start();
 
   std::string Name_;
+  std::string Service_;
   double CpuShare_;
   GatedLoop ControlLoop_;
   GatedRowStore GatedStore_;
--- a/packages/fleet/tests/RunRules.cpp
+++ b/packages/fleet/tests/RunRules.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds MaxCancelTime{3000};
 constexpr milliseconds MaxStopTime{900};
+/// Part of a quota, in percent, by which it may be exceeded, beside one task.
+constexpr int QuotaOveragePercent = 10;
 
 } // namespace
 
@@ -87,6 +89,24 @@
   }
 }
 
+void RunRules::checkQuota(const RunEvent &Start) {
+  const std::string &Account =
+      Known_.Submitted.at(Start.Run.Task.Step.Job).Account;
+  const auto Quota = Known_.Quotas.find(Account);
+  if (Quota == Known_.Quotas.end())
+    return;
+  int Running = 1;
+  for (const auto &[Vm, Runs] : Running_)
+    for (const TaskRun &Other : Runs)
+      Running += Known_.Submitted.at(Other.Task.Step.Job).Account == Account;
+  // Orders that are carried out late may bring an account over its quota.
+  const int Permitted =
+      Quota->second + Quota->second * QuotaOveragePercent / 100 + 1;
+  if (Running > Permitted)
+    report("over the quota", Start,
+           fmt::format(", {} of {} for {}", Running, Quota->second, Account));
+}
+
 void RunRules::checkCancellation(const RunEvent &Event) {
   const auto Cancelled = Known_.CancelledAt.find(Event.Run.Task.Step.Job);
   if (Cancelled == Known_.CancelledAt.end())
@@ -139,6 +159,7 @@
     checkLimitPerVm(Event);
     checkLabel(Event);
     checkOrder(Event);
+    checkQuota(Event);
     Runs.insert(Event.Run);
   }
   checkCompletions(Vms);
--- a/packages/fleet/tests/RunRules.h
+++ b/packages/fleet/tests/RunRules.h
@@ -25,6 +25,8 @@
     std::map<std::string, std::map<TimePoint, std::string>> Labels;
     /// Returns how many tasks may be on a VM at a time.
     std::function<int(const std::string &Vm, TimePoint Time)> PermittedTasks;
+    /// The most tasks that each account may have running.
+    std::map<std::string, int> Quotas;
     /// Failed runs of a task after which it is not started again.
     int MaxAttempts = 1;
     /// From then on cancellations are acted on in time.
@@ -46,6 +48,7 @@
   void checkLimitPerVm(const RunEvent &Start);
   void checkLabel(const RunEvent &Start);
   void checkOrder(const RunEvent &Start);
+  void checkQuota(const RunEvent &Start);
   void checkCancellation(const RunEvent &Event);
   void checkCompletions(const FakeVms &Vms);
   void checkAttempts(const FakeVms &Vms);
--- a/packages/fleet/tests/RunRulesTest.cpp
+++ b/packages/fleet/tests/RunRulesTest.cpp
@@ -45,6 +45,7 @@
       {"daemons", &Kinds.Daemons},
       {"ends", &Kinds.ShortEndLists},
       {"late", &Kinds.LateOrdersSurviveRestarts},
+      {"quotas", &Kinds.Quotas},
       {"stale", &Kinds.StaleCapacityBinds}};
   for (const auto &[Kind, Switch] : Switches) {
     if (names("CUMINROAD_MODEL_WITHOUT", Kind))
@@ -87,3 +88,10 @@
 BOOST_AUTO_TEST_CASE(endsAreListedInPages) {
   checkRules(201, 220, {.ShortEndLists = true});
 }
+
+// Guards against an account that has more running than its quota allows after
+// the same disruptions: owners that are killed, starts without an answer,
+// orders that are carried out late, and VMs that restart.
+BOOST_AUTO_TEST_CASE(quotasHoldThroughDisruptions) {
+  checkRules(301, 330, {.Quotas = true});
+}
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -91,6 +91,10 @@
   /// Most steps of unfinished occurrences of a job; at least one occurrence is
   /// open. Later ones that are due begin when these are done.
   std::size_t MaxOpenSteps = 500;
+  /// A job may arrive before the contracts that have its account, which come
+  /// into force everywhere within 3 s. Nothing of an account whose quota isn't
+  /// known starts for this long; later, the contracts have dropped it.
+  milliseconds UnknownAccountDelay{4000};
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
   /// Largest delay before a task whose start was invalid is placed again. The
--- a/packages/pool/include/cuminroad/pool/QuotaLedger.h
+++ b/packages/pool/include/cuminroad/pool/QuotaLedger.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cuminroad/base/Clock.h"
@@ -58,6 +59,10 @@
   QuotaRow row(int Number) const;
   /// \returns the most that the account's runs may occupy in the own pool.
   Capacity limit(std::string_view Account) const;
+  /// \returns the limits of all accounts that are or were in the contracts.
+  std::vector<std::pair<std::string, Capacity>> limits() const;
+  /// \returns the pools that share the quotas, in order.
+  const std::vector<std::string> &pools() const { return Pools_; }
   /// \returns the own pool's part of the account's quota.
   QuotaFractions fraction(std::string_view Account) const;
   /// \returns whether any account has a limit and there is another pool.
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -37,6 +37,9 @@
   /// The terms in force, or the last ones that were.
   ClientAccount Terms;
   bool InForce = false;
+  /// Until then nothing of the account starts, unless its terms become known;
+  /// empty once they are.
+  std::optional<TimePoint> UnknownUntil;
   /// Most capacity that its runs may occupy in this pool.
   Capacity Limit = UnlimitedCapacity;
   /// Whether Limit was set by PoolScheduler::setAccountLimit().
--- a/packages/pool/src/PoolSchedulerAccounts.cpp
+++ b/packages/pool/src/PoolSchedulerAccounts.cpp
@@ -48,6 +48,7 @@
     AccountRecord &Account = Tables_.findOrCreateAccount(Terms.Name);
     Account.Terms = Terms;
     Account.InForce = true;
+    Account.UnknownUntil.reset();
     if (!Account.LimitSet)
       Account.Limit = Terms.MaxRunning;
   }
@@ -60,6 +61,16 @@
   Record.LimitSet = true;
 }
 
+void PoolSchedulerImpl::admitUnknownAccounts() {
+  for (const auto &[Name, Account] : Tables_.Accounts)
+    if (Account->UnknownUntil &&
+        MonotonicClock_.now() >= *Account->UnknownUntil) {
+      Account->UnknownUntil.reset();
+      if (!Account->LimitSet)
+        Account->Limit = UnlimitedCapacity;
+    }
+}
+
 std::vector<AccountLoad> PoolSchedulerImpl::accountLoads() const {
   Capacity Total;
   Capacity LargestVm;
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -151,6 +151,8 @@
   /// Discards the records of a finished job, except its final stage, once none
   /// of its tasks is on a VM.
   void archiveFinishedJob(JobRecord &Job);
+  /// Lifts the limit of accounts that have been unknown for long.
+  void admitUnknownAccounts();
   void createDueOccurrences();
   void stopStuckTasks();
 
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -9,8 +9,15 @@
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
-  if (!New->Plan.Account.empty())
+  if (!New->Plan.Account.empty()) {
+    const bool IsNew = !Tables_.Accounts.contains(New->Plan.Account);
     New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
+    if (IsNew) {
+      New->Account->Limit = Capacity{};
+      New->Account->UnknownUntil =
+          MonotonicClock_.now() + Options_.UnknownAccountDelay;
+    }
+  }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
   applyTerms(*New);
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -306,6 +306,7 @@
 }
 
 void PoolSchedulerImpl::schedule() {
+  admitUnknownAccounts();
   createDueOccurrences();
   stopStuckTasks();
   const TimePoint Now = MonotonicClock_.now();
--- a/packages/pool/src/QuotaLedger.cpp
+++ b/packages/pool/src/QuotaLedger.cpp
@@ -283,6 +283,14 @@
   return Capacity{Out[0], Out[1], Out[2]};
 }
 
+std::vector<std::pair<std::string, Capacity>> QuotaLedger::limits() const {
+  std::vector<std::pair<std::string, Capacity>> Out;
+  Out.reserve(Accounts_.size());
+  for (const auto &[Name, Each] : Accounts_)
+    Out.emplace_back(Name, limit(Name));
+  return Out;
+}
+
 bool QuotaLedger::needsExchange() const {
   return Pools_.size() > 1 &&
          std::any_of(Accounts_.begin(), Accounts_.end(), [](const auto &Entry) {
--- a/packages/pool/tests/QuotaTest.cpp
+++ b/packages/pool/tests/QuotaTest.cpp
@@ -88,6 +88,93 @@
   BOOST_CHECK_EQUAL(startCount(), 10);
 }
 
+// Guards against a job that arrives before the contracts with its account
+// running without a quota, and against jobs of an account that the contracts
+// have dropped never running.
+BOOST_FIXTURE_TEST_CASE(unknownAccountWaitsForItsQuota, QuotaFixture) {
+  addVm(makeVm("a", HugeSize));
+  submit("new", "j", makeStep(5, SmallSize));
+  submit("dropped", "k", makeStep(5, SmallSize));
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  MonotonicClock.advance(milliseconds(3000));
+  BOOST_CHECK_EQUAL(startCount(), 0);
+  setQuota("new", SmallSize * 2);
+  BOOST_CHECK_EQUAL(startCount(), 2);
+  MonotonicClock.advance(milliseconds(1000));
+  BOOST_CHECK_EQUAL(startCount(), 5);
+  BOOST_CHECK(usedBy("new") == SmallSize * 2);
+}
+
+// Guards against smaller tasks of an account that take all of the quota that
+// becomes free, so that a gang that waits for it never starts.
+BOOST_FIXTURE_TEST_CASE(smallTasksDoNotOvertakeAGangForEver, QuotaFixture) {
+  addVm(makeVm("a", HugeSize));
+  setQuota("x", SmallSize * 4);
+  submit("x", "service", [] {
+    StepPlan Out = makeStep(1, SmallSize);
+    Out.LongRunning = true;
+    return Out;
+  }());
+  for (int Number = 0; Number < 3; ++Number)
+    submit("x", "first" + std::to_string(Number), makeStep(1, SmallSize));
+  BOOST_REQUIRE_EQUAL(startCount(), 4);
+  std::vector<StartRun> Running;
+  for (const StartRun &Start : Starts)
+    if (Start.Run.Task.Step.Job != "service")
+      Running.push_back(Start);
+  submit("x", "gang", gang(3, SmallSize));
+  bool GangStarted = false;
+  for (int Round = 0; Round < 20 && !GangStarted; ++Round) {
+    submit("x", "small" + std::to_string(Round), makeStep(1, SmallSize),
+           makeQueue(2));
+    MonotonicClock.advance(milliseconds(400));
+    if (!Running.empty()) {
+      endRun(Running.front(), RunOutcome::Done);
+      Running.erase(Running.begin());
+    }
+    runPass();
+    for (const StartRun &Start : Starts) {
+      GangStarted = GangStarted || Start.Run.Task.Step.Job == "gang";
+      Running.push_back(Start);
+    }
+  }
+  BOOST_CHECK(GangStarted);
+}
+
+// Guards against the quota being held for a gang that can't start because
+// long-running tasks have the rest of it.
+BOOST_FIXTURE_TEST_CASE(quotaIsNotHeldInVain, QuotaFixture) {
+  addVm(makeVm("a", HugeSize));
+  setQuota("x", SmallSize * 4);
+  StepPlan Service = makeStep(2, SmallSize);
+  Service.LongRunning = true;
+  submit("x", "service", Service);
+  BOOST_REQUIRE_EQUAL(startCount(), 2);
+  submit("x", "gang", gang(3, SmallSize));
+  runPass();
+  MonotonicClock.advance(milliseconds(60000));
+  submit("x", "small", makeStep(2, SmallSize), makeQueue(2));
+  BOOST_CHECK_EQUAL(startCount(), 2);
+  for (const AccountLoad &Load : Scheduler->accountLoads())
+    BOOST_CHECK(Load.Claim == SmallSize * 5);
+}
+
+// Guards against a pool asking for parts of quotas that its VMs can't use.
+BOOST_FIXTURE_TEST_CASE(poolNeedsWhatItsVmsCanHold, QuotaFixture) {
+  addVm(makeVm("a", SmallSize * 2));
+  setQuota("x", UnlimitedCapacity);
+  submit("x", "small", makeStep(5, SmallSize));
+  submit("x", "large", makeStep(1, SmallSize * 3));
+  submit("x", "accelerated", makeStep(1, {1000, 100, 1}));
+  StepPlan Filler = makeStep(3, {1000, 0, 0});
+  Filler.BestEffort = true;
+  submit("x", "filler", Filler);
+  const std::vector<AccountLoad> Loads = Scheduler->accountLoads();
+  BOOST_REQUIRE_EQUAL(Loads.size(), 1);
+  BOOST_CHECK(Loads[0].Needed == (Capacity{5000, 200, 0}));
+  BOOST_CHECK(Loads[0].Waiting == (Capacity{12000, 900, 1}));
+}
+
 // Guards against best-effort tasks, which reserve no CPU on their VM, running
 // beyond the CPU quota.
 BOOST_FIXTURE_TEST_CASE(cpuOfBestEffortTasksCounts, QuotaFixture) {
