Count runs of finished jobs against their account

The row of a cancelled or failed job had no runs, so that an owner that took over while they were being stopped gave their part of the quota to other tasks. A run that a VM reported of a finished job counted against no account either.

The row of a finished job of an account now has the tasks that are on VMs, as the row of an unfinished job has. The next owner counts them until the VMs' reports. The scheduler keeps the account and the task sizes of finished jobs. Rows of jobs without an account are as before.

--- a/packages/pool/include/cuminroad/pool/JobProgress.h
+++ b/packages/pool/include/cuminroad/pool/JobProgress.h
@@ -61,6 +61,7 @@
   JobStage Stage = JobStage::Queued;
   /// Why the job failed; None unless Stage is Failed.
   JobFailure Failure = JobFailure::None;
+  /// Of a finished job, only tasks whose runs may be on VMs.
   std::vector<OccurrenceProgress> Occurrences;
 };
 
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -15,6 +15,7 @@
 #include "cuminroad/pool/JobFailure.h"
 #include "cuminroad/pool/JobPlan.h"
 #include "cuminroad/pool/JobStage.h"
+#include "cuminroad/pool/JobStatus.h"
 #include "cuminroad/pool/PoolVm.h"
 #include "cuminroad/pool/QueueTerms.h"
 #include "cuminroad/pool/TaskName.h"
@@ -160,6 +161,23 @@
   }
 };
 
+/// What is kept of a finished job.
+struct FinishedJob {
+  JobStatus Status;
+  /// The account against which runs of the job count that are still found on
+  /// VMs, or nullptr, and the size of a task of each step.
+  AccountRecord *Account = nullptr;
+  std::vector<Capacity> TaskSizes;
+
+  FinishedJob() = default;
+  FinishedJob(JobStatus Final, AccountRecord *Owner, const JobPlan &Plan)
+      : Status(Final), Account(Owner) {
+    if (Account != nullptr)
+      for (const StepPlan &Step : Plan.Steps)
+        TaskSizes.push_back(Step.PerTask);
+  }
+};
+
 /// A task whose run may have crashed a VM.
 struct CrashSuspect {
   TaskName Task;
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -64,12 +64,16 @@
   const QueueTerms *terms(std::string_view Job) const override;
 
 private:
+  /// \returns the record of the account of a job. A new one starts nothing
+  /// until its terms are known, or it has been unknown for long.
+  AccountRecord &findOrCreateAccount(const std::string &Name);
   JobRecord &insertJob(JobPlan Plan, QueueTerms Accepted, TimePoint AcceptedAt);
   /// Gives the job the terms in force of its queue, or else those under which
   /// it was accepted.
   void applyTerms(JobRecord &Job);
   /// Fails a job whose tasks have failed as often as its terms allow.
   void failIfAttemptsUsed(JobRecord &Job);
+  void restoreFinishedJob(const JobPlan &Plan, const JobProgress &Progress);
   void restoreOccurrence(JobRecord &Job, const OccurrenceProgress &Progress);
   void restoreTask(StepRecord &Step, const TaskProgress &Progress);
   /// \returns the task of \p Run if that is its current run and on \p Vm, or
@@ -135,6 +139,8 @@
   /// \returns the record of a run of the step that is not a task's current one.
   static UnknownRun unknownRunOf(const StepRecord &Step,
                                  std::optional<TimePoint> SettledAt);
+  /// Lets a run count against the account of its job, if that has finished.
+  void countForFinishedJob(const StepName &Step, UnknownRun &Run) const;
   /// Stops a run that belongs to no unfinished task. It occupies the VM's
   /// capacity until it has ended.
   void stopUnknownRun(VmRecord &Vm, const TaskRun &Run,
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -5,19 +5,22 @@
 
 namespace cuminroad {
 
+AccountRecord &PoolSchedulerImpl::findOrCreateAccount(const std::string &Name) {
+  const bool IsNew = !Tables_.Accounts.contains(Name);
+  AccountRecord &Out = Tables_.findOrCreateAccount(Name);
+  if (IsNew) {
+    Out.Limit = Capacity{};
+    Out.UnknownUntil = MonotonicClock_.now() + Options_.UnknownAccountDelay;
+  }
+  return Out;
+}
+
 JobRecord &PoolSchedulerImpl::insertJob(JobPlan Plan, QueueTerms Accepted,
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
-  if (!New->Plan.Account.empty()) {
-    const bool IsNew = !Tables_.Accounts.contains(New->Plan.Account);
-    New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
-    if (IsNew) {
-      New->Account->Limit = Capacity{};
-      New->Account->UnknownUntil =
-          MonotonicClock_.now() + Options_.UnknownAccountDelay;
-    }
-  }
+  if (!New->Plan.Account.empty())
+    New->Account = &findOrCreateAccount(New->Plan.Account);
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
   applyTerms(*New);
@@ -44,10 +47,8 @@
 void PoolSchedulerImpl::restoreJob(JobPlan Plan, QueueTerms Accepted,
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
-  if (isFinal(Progress.Stage)) {
-    Tables_.FinishedJobs[Plan.Id] = JobStatus{Progress.Stage, Progress.Failure};
-    return;
-  }
+  if (isFinal(Progress.Stage))
+    return restoreFinishedJob(Plan, Progress);
   const std::string Id = Plan.Id;
   addJob(std::move(Plan), std::move(Accepted), AcceptedAt);
   JobRecord *Job = Tables_.job(Id);
@@ -58,6 +59,35 @@
     restoreOccurrence(*Job, Entry);
 }
 
+void PoolSchedulerImpl::restoreFinishedJob(const JobPlan &Plan,
+                                           const JobProgress &Progress) {
+  AccountRecord *Account =
+      Plan.Account.empty() ? nullptr : &findOrCreateAccount(Plan.Account);
+  Tables_.FinishedJobs[Plan.Id] =
+      FinishedJob(JobStatus{Progress.Stage, Progress.Failure}, Account, Plan);
+  if (Account == nullptr)
+    return;
+  for (const OccurrenceProgress &Occurrence : Progress.Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps) {
+      if (Step.Step < 0 || Step.Step >= static_cast<int>(Plan.Steps.size()))
+        continue;
+      const StepPlan &Each = Plan.Steps[static_cast<std::size_t>(Step.Step)];
+      for (const TaskProgress &Task : Step.Tasks) {
+        if (Task.Vm.empty())
+          continue;
+        VmRecord &Vm = Tables_.findOrCreateVm(Task.Vm);
+        if (Vm.Description.Incarnation == 0)
+          Vm.Description.Incarnation = Task.VmIncarnation;
+        const StepName Name{Plan.Id, Occurrence.Number, Step.Step};
+        // The next report tells whether the run is still there.
+        Tables_.addUnknownRun(Vm, TaskRun{TaskName{Name, Task.Index}, Task.Run},
+                              UnknownRun{Each.reservedCapacity(),
+                                         MonotonicClock_.now(), Account,
+                                         Each.PerTask});
+      }
+    }
+}
+
 void PoolSchedulerImpl::restoreOccurrence(JobRecord &Job,
                                           const OccurrenceProgress &Progress) {
   const int All = std::max(Job.Plan.Occurrences, 1);
@@ -203,7 +233,8 @@
     for (const StepRecord &Step : Occurrence->Steps)
       if (Step.TasksOnVms > 0)
         return;
-  Tables_.FinishedJobs[Job.Plan.Id] = JobStatus{Job.Stage, Job.Failure};
+  Tables_.FinishedJobs[Job.Plan.Id] =
+      FinishedJob(JobStatus{Job.Stage, Job.Failure}, Job.Account, Job.Plan);
   Tables_.removeJob(Job);
 }
 
@@ -232,7 +263,7 @@
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found == Tables_.FinishedJobs.end())
     return std::nullopt;
-  return Found->second.Stage;
+  return Found->second.Status.Stage;
 }
 
 JobFailure PoolSchedulerImpl::failure(std::string_view Id) const {
@@ -240,7 +271,7 @@
     return Job->Failure;
   const auto Found = Tables_.FinishedJobs.find(Id);
   return Found == Tables_.FinishedJobs.end() ? JobFailure::None
-                                             : Found->second.Failure;
+                                             : Found->second.Status.Failure;
 }
 
 JobProgress PoolSchedulerImpl::progress(std::string_view Id) const {
@@ -249,7 +280,8 @@
   JobProgress Out;
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found != Tables_.FinishedJobs.end())
-    Out = JobProgress{Found->second.Stage, Found->second.Failure, {}};
+    Out = JobProgress{
+        Found->second.Status.Stage, Found->second.Status.Failure, {}};
   return Out;
 }
 
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -205,6 +205,8 @@
                        Capacity{}};
     if (Step != nullptr)
       Unknown = unknownRunOf(*Step, MonotonicClock_.now());
+    else
+      countForFinishedJob(Report.Run.Task.Step, Unknown);
     stopUnknownRun(Vm, Report.Run, Unknown);
     // A start that the VM has not confirmed may not have reached it yet.
     if (TaskRecord *Current = Tables_.task(Report.Run.Task);
@@ -260,6 +262,18 @@
   return Task;
 }
 
+void PoolSchedulerImpl::countForFinishedJob(const StepName &Step,
+                                            UnknownRun &Run) const {
+  const auto Found = Tables_.FinishedJobs.find(Step.Job);
+  if (Found == Tables_.FinishedJobs.end())
+    return;
+  const FinishedJob &Job = Found->second;
+  if (Step.Step < 0 || Step.Step >= static_cast<int>(Job.TaskSizes.size()))
+    return;
+  Run.Account = Job.Account;
+  Run.AccountSize = Job.TaskSizes[static_cast<std::size_t>(Step.Step)];
+}
+
 UnknownRun PoolSchedulerImpl::unknownRunOf(const StepRecord &Step,
                                            std::optional<TimePoint> SettledAt) {
   return UnknownRun{Step.Plan->reservedCapacity(), SettledAt,
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -340,12 +340,36 @@
   return Out;
 }
 
+/// \returns the tasks of an occurrence that are on VMs.
+static OccurrenceProgress runsOf(const OccurrenceRecord &Occurrence) {
+  OccurrenceProgress Out{Occurrence.Number, false, {}, 1};
+  for (const StepRecord &Step : Occurrence.Steps) {
+    StepProgress Each;
+    Each.Step = Step.Number;
+    if (Step.TasksOnVms > 0)
+      for (const auto &[Index, Task] : Step.Tasks.records())
+        if (Task.Vm != nullptr)
+          Each.Tasks.push_back(progressOf(Task));
+    if (!Each.Tasks.empty())
+      Out.Steps.push_back(std::move(Each));
+  }
+  return Out;
+}
+
 JobProgress progressOf(const JobRecord &Job) {
   JobProgress Out;
   Out.Stage = Job.Stage;
   Out.Failure = Job.Failure;
-  if (isFinal(Job.Stage))
+  if (isFinal(Job.Stage)) {
+    // The next owner counts them against the account until it knows that they
+    // have ended. There is no space for those of a job whose record is too
+    // large.
+    if (Job.Account != nullptr && Job.Failure != JobFailure::RecordTooLarge)
+      for (const auto &[Number, Occurrence] : Job.Occurrences)
+        if (OccurrenceProgress Runs = runsOf(*Occurrence); !Runs.Steps.empty())
+          Out.Occurrences.push_back(std::move(Runs));
     return Out;
+  }
   const DoneFormat Format = doneFormat(Job);
   forEachDone(Job.DoneOccurrences, Format, [&Out](int First, int Count) {
     Out.Occurrences.push_back(OccurrenceProgress{First, true, {}, Count});
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -76,8 +76,8 @@
   /// Unfinished jobs, and finished jobs with runs that have not ended yet. Jobs
   /// and VMs are only added and removed by the functions above.
   JobMap Jobs;
-  /// Final statuses of the other finished jobs.
-  std::map<std::string, JobStatus, std::less<>> FinishedJobs;
+  /// The other finished jobs.
+  std::map<std::string, FinishedJob, std::less<>> FinishedJobs;
   VmMap Vms;
   std::map<std::string, std::unique_ptr<AccountRecord>, std::less<>> Accounts;
   /// The same VMs in the same order, each at its Position.
@@ -122,7 +122,8 @@
 /// \returns the estimated length of the critical path of \p Plan, including one
 /// call to the advisor for each step if the queue needs advice.
 milliseconds criticalPath(const JobPlan &Plan, const QueueTerms &Terms);
-/// \returns the progress of a job to persist.
+/// \returns the progress of a job to persist. That of a finished job has the
+/// runs on VMs if they count against an account.
 JobProgress progressOf(const JobRecord &Job);
 
 } // namespace cuminroad
