Refuse jobs that can never run within their account's quota

A task or a gang that is larger than the whole quota of its account was accepted and never started.

A submission of such a job is answered with 413 and exceeds_account_quota. It is read first whether the job exists: it may have been accepted when the quota was higher, and the refusal says that it never runs. If that can't be read, the answer is 503.

--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -30,6 +30,9 @@
   IdInUse,
   /// The job is larger than a row of the store and can never be accepted.
   TooLarge,
+  /// A task or a gang of the job is larger than its account's quota. The job
+  /// was not accepted.
+  ExceedsQuota,
   /// Whether the job was accepted, by this submission or by an earlier one of
   /// the same job, could not be determined. The client may send the same
   /// submission again.
@@ -105,6 +108,9 @@
                           const Error &Failure);
   void handleWriteResult(std::shared_ptr<Submission> Pending,
                          Result<RowCommit> Outcome);
+  /// Refuses a job that is larger than its account's quota, unless it exists:
+  /// it may have been accepted when the quota was higher.
+  void refuseBeyondQuota(std::shared_ptr<Submission> Pending);
   /// Answers a submission of a job that exists already.
   void handleKnownJob(const std::shared_ptr<Submission> &Pending,
                       std::span<const StoredRow> Rows);
--- a/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueRegistry.h
@@ -1,7 +1,11 @@
 #ifndef CUMINROAD_FLEET_QUEUEREGISTRY_H
 #define CUMINROAD_FLEET_QUEUEREGISTRY_H
 
+#include <cstddef>
+#include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -46,12 +50,17 @@
   /// \param Key the key of the request; "" if there is none.
   std::optional<Caller> authenticate(const QueueRoute &Route,
                                      std::string_view Key) const;
+  /// \returns the account with the name, or null. The pointer is valid until
+  /// the next apply().
+  const ClientAccount *account(std::string_view Name) const;
   /// \returns all client accounts, without their keys.
   std::vector<ClientAccount> allAccounts() const;
 
 private:
   QueueConfig Config_;
   AccountKeyIndex Keys_;
+  /// Positions in Config_.Accounts.
+  std::map<std::string, std::size_t, std::less<>> AccountsByName_;
   TimePoint ConfirmedAt_{};
 };
 
--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -7,6 +7,7 @@
 
 #include "cuminroad/fleet/OwnerRow.h"
 #include "cuminroad/pool/JobProgress.h"
+#include "cuminroad/pool/QuotaCheck.h"
 
 namespace cuminroad {
 
@@ -175,9 +176,42 @@
         fmt::format("too_large bytes {}", Pending->EncodedRequest.size()));
     return reply(*Pending, SubmitReply{SubmitOutcome::TooLarge});
   }
+  const ClientAccount *Account = Context_.Queues.account(Client.Account);
+  if (Account != nullptr && !areKeysStale() &&
+      exceedsQuota(Pending->Request.Plan, Account->MaxRunning))
+    return refuseBeyondQuota(std::move(Pending));
   writeRequest(std::move(Pending));
 }
 
+void JobFrontend::refuseBeyondQuota(std::shared_ptr<Submission> Pending) {
+  readWithRetry(
+      requestRange(Pending->Request.Plan.Id), Pending->RetryUntil,
+      [this, Pending](const std::optional<RowPage> &Page) {
+        const std::string &Job = Pending->Request.Plan.Id;
+        if (Page && std::any_of(Page->Rows.begin(), Page->Rows.end(),
+                                [&Job](const StoredRow &Each) {
+                                  return Each.Name.Key == Job;
+                                }))
+          return handleKnownJob(Pending, Page->Rows);
+        // An earlier copy may still be written.
+        if (Pending->Uncertain) {
+          Context_.Events.record(EventId::JobOutcomeUnknown, Job,
+                                 "exceeds_account_quota");
+          return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
+        }
+        Context_.Events.record(
+            EventId::JobRefused, Job,
+            fmt::format("{} account {}",
+                        Page ? "exceeds_account_quota" : "store_unreachable",
+                        Pending->Client.Account));
+        if (!Page)
+          return reply(*Pending, SubmitReply{SubmitOutcome::NotAccepted,
+                                             StoreRetryAfter});
+        Context_.Metrics.recordRefusal("exceeds_account_quota");
+        reply(*Pending, SubmitReply{SubmitOutcome::ExceedsQuota});
+      });
+}
+
 void JobFrontend::writeRequest(std::shared_ptr<Submission> Pending) {
   // A write that may have taken effect is repeated nevertheless: the contracts
   // were recent enough when it was sent first.
@@ -307,8 +341,9 @@
 }
 
 void JobFrontend::reply(const Submission &Pending, const SubmitReply &Reply) {
-  constexpr std::string_view Names[] = {"accepted", "not_accepted", "id_in_use",
-                                        "too_large", "unknown"};
+  constexpr std::string_view Names[] = {
+      "accepted",  "not_accepted",          "id_in_use",
+      "too_large", "exceeds_account_quota", "unknown"};
   if (Reply.Outcome == SubmitOutcome::Unknown)
     Unsettled_.giveUp(Pending.Request.Plan.Id);
   else
--- a/packages/fleet/src/QueueRegistry.cpp
+++ b/packages/fleet/src/QueueRegistry.cpp
@@ -6,13 +6,16 @@
   if (Config.Version <= Config_.Version)
     return false;
   Config_ = std::move(Config);
+  AccountsByName_.clear();
   if (!Config_.Accounts) {
     Keys_.build({});
     return true;
   }
   Keys_.build(*Config_.Accounts);
-  for (AccountEntry &Entry : *Config_.Accounts)
+  for (AccountEntry &Entry : *Config_.Accounts) {
+    AccountsByName_.emplace(Entry.Account.Name, AccountsByName_.size());
     Entry.Keys = {};
+  }
   return true;
 }
 
@@ -51,6 +54,13 @@
   return Out;
 }
 
+const ClientAccount *QueueRegistry::account(std::string_view Name) const {
+  const auto Found = AccountsByName_.find(Name);
+  return Found == AccountsByName_.end()
+             ? nullptr
+             : &(*Config_.Accounts)[Found->second].Account;
+}
+
 std::vector<ClientAccount> QueueRegistry::allAccounts() const {
   std::vector<ClientAccount> Out;
   if (!Config_.Accounts)
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -94,13 +94,16 @@
   int Calls_ = 0;
 };
 
+inline constexpr std::string_view TestService = "pool";
+
 /// Test formats of rows: the value of a VM's row is the number of tasks that
 /// fit on it, and optionally its incarnation, its address, its clock in
 /// milliseconds, and a label.
 class TestFormats final : public PlatformFormats {
 public:
   /// \param Service the pool that all VMs belong to.
-  explicit TestFormats(std::string Service) : Service_(std::move(Service)) {}
+  explicit TestFormats(std::string Service = std::string(TestService))
+      : Service_(std::move(Service)) {}
   std::string configTable() const override { return "op"; }
   std::string configKey() const override { return "config"; }
   std::string vmTable() const override { return "vms"; }
@@ -114,7 +117,6 @@
   std::string Service_;
 };
 
-inline constexpr std::string_view TestService = "pool";
 /// Size of the tests' tasks; a few of them fit on a VM.
 inline constexpr Capacity TestTaskSize{1000, 100, 0};
 
