--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -41,6 +42,10 @@
   /// Sets the gauges of an owned pool. A default PoolLoad resets them once the
   /// pool is no longer owned.
   void setPoolLoad(const std::string &Service, const PoolLoad &Load);
+  /// Sets the gauges of the accounts with jobs in an owned pool. The accounts
+  /// that use most have gauges of their own, the others have one together.
+  void setAccountLoads(const std::string &Service,
+                       std::vector<AccountLoad> Loads);
   /// Sets the gauges of the contracts in force. \p Age is the time since the
   /// store confirmed them.
   void setConfig(std::int64_t Version, milliseconds Age);
@@ -50,6 +55,9 @@
   std::string render() const;
 
 private:
+  void addAccount(const std::string &Service, const std::string &Account,
+                  const Capacity &Used, const Capacity &Limit);
+
   prometheus::Registry Registry_;
   prometheus::Family<prometheus::Counter> &Submissions_;
   prometheus::Family<prometheus::Histogram> &SubmissionSeconds_;
@@ -67,6 +75,11 @@
   prometheus::Family<prometheus::Gauge> &PoolTasks_;
   prometheus::Family<prometheus::Gauge> &PoolVms_;
   prometheus::Family<prometheus::Gauge> &PoolCores_;
+  prometheus::Family<prometheus::Gauge> &AccountUsed_;
+  prometheus::Family<prometheus::Gauge> &AccountLimit_;
+  /// The gauges of accounts, by pool.
+  std::map<std::string, std::vector<prometheus::Gauge *>> AccountsUsed_;
+  std::map<std::string, std::vector<prometheus::Gauge *>> AccountLimits_;
 };
 
 } // namespace cuminroad
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -1,5 +1,10 @@
 #include "cuminroad/fleet/FleetMetrics.h"
 
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
 #include <prometheus/text_serializer.h>
 
 #include "cuminroad/net/HttpClient.h"
@@ -11,6 +16,9 @@
 /// Milliseconds per second, and thousandths of a core per core.
 constexpr double ThousandthsPerUnit = 1000.0;
 
+/// Accounts of a pool with gauges of their own.
+constexpr std::size_t MaxNamedAccounts = 10;
+
 const prometheus::Histogram::BucketBoundaries LatencyBuckets{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
 
@@ -68,7 +76,12 @@
       PoolVms_(gauges(Registry_, "cuminroad_pool_vms",
                       "VMs of an owned pool, listed and held.")),
       PoolCores_(gauges(Registry_, "cuminroad_pool_cores",
-                        "Cores of an owned pool, in use and in all.")) {}
+                        "Cores of an owned pool, in use and in all.")),
+      AccountUsed_(gauges(Registry_, "cuminroad_account_used",
+                          "What accounts use in an owned pool, by resource: "
+                          "thousandths of cores, megabytes, accelerators.")),
+      AccountLimit_(gauges(Registry_, "cuminroad_account_limit",
+                           "Most that accounts may use in an owned pool.")) {}
 
 void FleetMetrics::recordSubmission(const std::string &Queue,
                                     std::string_view Outcome,
@@ -133,6 +146,57 @@
       .Set(static_cast<double>(Load.TotalMilliCores) / ThousandthsPerUnit);
 }
 
+void FleetMetrics::addAccount(const std::string &Service,
+                              const std::string &Account, const Capacity &Used,
+                              const Capacity &Limit) {
+  const std::tuple<const char *, std::int64_t, std::int64_t> Resources[] = {
+      {"cpu", Used.MilliCores, Limit.MilliCores},
+      {"mem_mb", Used.MemoryMb, Limit.MemoryMb},
+      {"gpu", Used.Accelerators, Limit.Accelerators}};
+  for (const auto &[Resource, Amount, Most] : Resources) {
+    const prometheus::Labels Labels{
+        {"pool", Service}, {"account", Account}, {"resource", Resource}};
+    prometheus::Gauge &UsedGauge = AccountUsed_.Add(Labels);
+    UsedGauge.Set(static_cast<double>(Amount));
+    AccountsUsed_[Service].push_back(&UsedGauge);
+    prometheus::Gauge &LimitGauge = AccountLimit_.Add(Labels);
+    LimitGauge.Set(Most >= UnlimitedAmount
+                       ? std::numeric_limits<double>::infinity()
+                       : static_cast<double>(Most));
+    AccountLimits_[Service].push_back(&LimitGauge);
+  }
+}
+
+void FleetMetrics::setAccountLoads(const std::string &Service,
+                                   std::vector<AccountLoad> Loads) {
+  // Gauges of accounts that are no longer among the largest would stay.
+  for (prometheus::Gauge *Each : std::exchange(AccountsUsed_[Service], {}))
+    AccountUsed_.Remove(Each);
+  for (prometheus::Gauge *Each : std::exchange(AccountLimits_[Service], {}))
+    AccountLimit_.Remove(Each);
+  const auto Named = std::min(Loads.size(), MaxNamedAccounts);
+  std::partial_sort(
+      Loads.begin(), Loads.begin() + static_cast<std::ptrdiff_t>(Named),
+      Loads.end(), [](const AccountLoad &Left, const AccountLoad &Right) {
+        return std::tie(Right.Used.MilliCores, Right.Used.MemoryMb, Left.Name) <
+               std::tie(Left.Used.MilliCores, Left.Used.MemoryMb, Right.Name);
+      });
+  Capacity Used;
+  Capacity Limit;
+  for (std::size_t Index = 0; Index < Loads.size(); ++Index) {
+    if (Index < Named) {
+      addAccount(Service, Loads[Index].Name, Loads[Index].Used,
+                 Loads[Index].Limit);
+      continue;
+    }
+    // Bounds the sum, which is unlimited if one of them is.
+    Used += Loads[Index].Used;
+    Limit = componentwiseMin(Limit + Loads[Index].Limit, UnlimitedCapacity);
+  }
+  if (Named < Loads.size())
+    addAccount(Service, "other", Used, Limit);
+}
+
 void FleetMetrics::setConfig(std::int64_t Version, milliseconds Age) {
   ConfigVersion_.Add({}).Set(static_cast<double>(Version));
   ConfigAge_.Add({}).Set(toSeconds(Age));
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -155,6 +155,7 @@
     return;
   Closed_ = true;
   Context_.Metrics.setPoolLoad(Term_.Service, PoolLoad{});
+  Context_.Metrics.setAccountLoads(Term_.Service, {});
   if (DirectoryListener_ != 0)
     Context_.Directory.removeListener(DirectoryListener_);
   Writer_->close();
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -105,6 +105,7 @@
   LateReports_ = Starts.LoopDelay > LateLoopDelay ? LateReports_ + 1 : 0;
   const PoolLoad Load = Scheduler_->load();
   Context_.Metrics.setPoolLoad(Term_.Service, Load);
+  Context_.Metrics.setAccountLoads(Term_.Service, Scheduler_->accountLoads());
   if (Load.Jobs == 0)
     return;
   Context_.Events.record(
--- a/packages/fleet/tests/QuotaExchangeTest.cpp
+++ b/packages/fleet/tests/QuotaExchangeTest.cpp
@@ -278,3 +278,26 @@
                         "seed " << Seed << ": " << Site.running(1));
   }
 }
+
+// Guards against metrics without what an account uses and may use, and against
+// a series of gauges for each of many accounts.
+BOOST_FIXTURE_TEST_CASE(metricsNameTheLargestAccounts, QuotaExchangeFixture) {
+  for (int Number = 0; Number < 30; ++Number)
+    Accounts.push_back(
+        ClientAccount{fmt::format("idle{:02}", Number), 1, TestTaskSize * 10});
+  addDaemon(0);
+  submit(0, 3);
+  wait(10000);
+  const std::string Metrics = Daemons[0]->metrics();
+  const auto Has = [&Metrics](std::string_view Line) {
+    return Metrics.find(Line) != std::string::npos;
+  };
+  BOOST_CHECK(Has("cuminroad_account_used{account=\"x\",pool=\"p0\","
+                  "resource=\"cpu\"} 3000"));
+  BOOST_CHECK(Has("cuminroad_account_limit{account=\"x\",pool=\"p0\","
+                  "resource=\"cpu\"} 4000"));
+  BOOST_CHECK(Has("account=\"idle08\""));
+  BOOST_CHECK(!Has("account=\"idle09\""));
+  BOOST_CHECK(Has("cuminroad_account_limit{account=\"other\",pool=\"p0\","
+                  "resource=\"cpu\"} 105000"));
+}
