Admit jobs beyond the rate of their account only to capacity that is left over

Cause: requests beyond an account's rate were served alongside work to which other accounts are entitled (34 % of the quick jobs of one burst). Change: each account has a token bucket that counts the jobs of all pools in the order of their acceptance; an owner passes the rows of other pools to PoolScheduler::countJob(), also after a takeover. Steps beyond the rate come last, leave the room that waiting entitled steps could use and the recent peak of entitled use, reserve no VMs and ask for advice last. Without accounts nothing changes.

--- a/packages/contract/include/cuminroad/contract/Capacity.h
+++ b/packages/contract/include/cuminroad/contract/Capacity.h
@@ -56,6 +56,15 @@
                                              : Right.Accelerators};
 }
 
+/// \returns the maximum of each component.
+inline Capacity componentwiseMax(const Capacity &Left, const Capacity &Right) {
+  return Capacity{
+      Left.MilliCores > Right.MilliCores ? Left.MilliCores : Right.MilliCores,
+      Left.MemoryMb > Right.MemoryMb ? Left.MemoryMb : Right.MemoryMb,
+      Left.Accelerators > Right.Accelerators ? Left.Accelerators
+                                             : Right.Accelerators};
+}
+
 } // namespace cuminroad
 
 #endif
--- a/packages/fleet/include/cuminroad/fleet/PoolOwner.h
+++ b/packages/fleet/include/cuminroad/fleet/PoolOwner.h
@@ -95,6 +95,14 @@
   void loadJobsWhenRead();
   void applyRow(const StoredRow &Row);
   void applyRequest(JobRequest Request);
+  /// Applies the requests that were read before the scheduler was created, and
+  /// counts the jobs of other pools, in the order of their acceptance.
+  void applyLoadedRequests();
+  /// Counts a job of another pool towards the rate of its account.
+  void countJob(std::string Account, milliseconds AcceptedAt);
+  /// \returns the local time at which the store's clock showed \p StoreTime,
+  /// now if it has not done so yet.
+  TimePoint localTime(milliseconds StoreTime) const;
   void applyCancel(const std::string &Job);
   void syncVms();
   /// Queues the first holds of VMs whose links are new.
@@ -160,6 +168,11 @@
   /// Rows that were read before the scheduler could be created.
   std::map<std::string, JobRequest> LoadedRequests_;
   std::set<std::string> LoadedCancels_;
+  /// Jobs of other pools: when each was accepted, and its account.
+  std::multimap<milliseconds, std::string> LoadedJobsElsewhere_;
+  /// Rows of jobs of other pools that have been counted. A full read of the
+  /// table passes the same rows again.
+  std::set<std::string, std::less<>> CountedJobs_;
   std::map<std::string, JobProgress> LoadedProgress_;
   bool RequestsRead_ = false;
   bool ProgressRead_ = false;
--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -212,8 +212,7 @@
                                  poolOptions(Context_.Settings));
   Scheduler_->setQueues(Context_.Queues.allTerms());
   Scheduler_->setAccounts(Context_.Queues.allAccounts());
-  for (auto &[Job, Request] : LoadedRequests_)
-    applyRequest(std::move(Request));
+  applyLoadedRequests();
   for (const std::string &Job : LoadedCancels_)
     Scheduler_->cancelJob(Job);
   Context_.Events.record(EventId::JobsLoaded, Term_.Service,
@@ -221,6 +220,7 @@
                                      Term_.Epoch, LoadedRequests_.size(),
                                      LoadedProgress_.size()));
   LoadedRequests_.clear();
+  LoadedJobsElsewhere_.clear();
   LoadedCancels_.clear();
   LoadedProgress_.clear();
   DirectoryListener_ = Context_.Directory.addListener([this] { syncVms(); });
--- a/packages/fleet/src/PoolOwnerJobs.cpp
+++ b/packages/fleet/src/PoolOwnerJobs.cpp
@@ -61,6 +61,11 @@
 }
 
 void PoolOwner::tableRead(std::vector<StoredRow> Rows) {
+  std::set<std::string, std::less<>> Present;
+  for (const StoredRow &Row : Rows)
+    if (CountedJobs_.contains(Row.Name.Key))
+      Present.insert(Row.Name.Key);
+  CountedJobs_ = std::move(Present);
   for (const StoredRow &Row : Rows)
     applyRow(Row);
   RequestsRead_ = true;
@@ -75,8 +80,10 @@
 }
 
 void PoolOwner::applyRow(const StoredRow &Row) {
-  if (Row.Removed)
+  if (Row.Removed) {
+    CountedJobs_.erase(Row.Name.Key);
     return;
+  }
   const std::string_view Cancelled = cancelledJob(Row.Name.Key);
   if (!Cancelled.empty())
     return applyCancel(std::string(Cancelled));
@@ -88,6 +95,44 @@
   }
   if (Request->Service == Term_.Service)
     applyRequest(std::move(*Request));
+  else if (!Request->Plan.Account.empty() &&
+           CountedJobs_.insert(Row.Name.Key).second)
+    countJob(std::move(Request->Plan.Account), Request->AcceptedAt);
+}
+
+TimePoint PoolOwner::localTime(milliseconds StoreTime) const {
+  const milliseconds Age =
+      std::max(Context_.Store.storeTime() - StoreTime, milliseconds(0));
+  return Context_.MonotonicClock.now() - Age;
+}
+
+void PoolOwner::countJob(std::string Account, milliseconds AcceptedAt) {
+  if (Scheduler_)
+    Scheduler_->countJob(Account, localTime(AcceptedAt));
+  else
+    LoadedJobsElsewhere_.emplace(AcceptedAt, std::move(Account));
+}
+
+void PoolOwner::applyLoadedRequests() {
+  std::vector<JobRequest *> Requests;
+  Requests.reserve(LoadedRequests_.size());
+  for (auto &[Job, Request] : LoadedRequests_)
+    Requests.push_back(&Request);
+  std::stable_sort(Requests.begin(), Requests.end(),
+                   [](const JobRequest *Left, const JobRequest *Right) {
+                     return Left->AcceptedAt < Right->AcceptedAt;
+                   });
+  auto Elsewhere = LoadedJobsElsewhere_.begin();
+  const auto CountUntil = [&](milliseconds When) {
+    for (; Elsewhere != LoadedJobsElsewhere_.end() && Elsewhere->first <= When;
+         ++Elsewhere)
+      Scheduler_->countJob(Elsewhere->second, localTime(Elsewhere->first));
+  };
+  for (JobRequest *Request : Requests) {
+    CountUntil(Request->AcceptedAt);
+    applyRequest(std::move(*Request));
+  }
+  CountUntil(milliseconds::max());
 }
 
 void PoolOwner::applyRequest(JobRequest Request) {
@@ -99,9 +144,7 @@
   if (Scheduler_->stage(Job) || FinalStatuses_.contains(Job))
     return;
   QueueTerms Terms = acceptedTerms(Request);
-  const milliseconds Age = std::max(
-      Context_.Store.storeTime() - Request.AcceptedAt, milliseconds(0));
-  const TimePoint Accepted = Context_.MonotonicClock.now() - Age;
+  const TimePoint Accepted = localTime(Request.AcceptedAt);
   const auto Progress = LoadedProgress_.find(Job);
   if (Progress == LoadedProgress_.end() || !isFinal(Progress->second.Stage))
     logAcceptedTerms(Job, Terms);
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -53,10 +53,11 @@
         EventId::StepBlocked, Each.Step.Job,
         fmt::format(
             "{}.{} waited_ms {} tasks {} vms allowed {} held {} usable {} "
-            "ticket {} room {}",
+            "ticket {} room {}{}",
             Each.Step.Occurrence, Each.Step.Step, Each.Waited.count(),
             Each.WaitingTasks, Each.AllowedVms, Each.AvailableVms,
-            Each.UsableVms, Each.VmsWithTicket, Each.VmsWithRoom));
+            Each.UsableVms, Each.VmsWithTicket, Each.VmsWithRoom,
+            Each.BeyondRate ? " beyond_rate" : ""));
 }
 
 void PoolOwner::logCrash(const VmCrash &Crash) {
--- a/packages/pool/include/cuminroad/pool/PoolCommand.h
+++ b/packages/pool/include/cuminroad/pool/PoolCommand.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_POOLCOMMAND_H
 #define CUMINROAD_POOL_POOLCOMMAND_H
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -39,6 +40,9 @@
   int SpeedPercent = 100;
 };
 
+/// Comes after the priorities of all queues.
+inline constexpr int LowestPriority = std::numeric_limits<int>::max();
+
 /// Requests advice from the placement advisor: which of some VMs may run a
 /// step.
 struct RequestAdvice {
@@ -46,7 +50,8 @@
   std::vector<std::string> Vms;
   /// Expected latency of the advisor's response, in milliseconds.
   double ExpectedLatencyMs = 0;
-  /// Priority of the step's queue; 0 is the highest.
+  /// Priority of the step's queue; 0 is the highest. LowestPriority for a job
+  /// beyond the rate of its account.
   int Priority = 0;
   /// The VMs are known to be allowed; the request is for new tickets only.
   bool Renewal = false;
--- a/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
+++ b/packages/pool/include/cuminroad/pool/PoolDiagnostics.h
@@ -38,6 +38,9 @@
   StepName Step;
   milliseconds Waited{0};
   int WaitingTasks = 0;
+  /// The step's job is beyond the rate of its account, so that other jobs keep
+  /// room that it could use.
+  bool BeyondRate = false;
   /// VMs that the advisor allows, or all VMs if the queue needs no advice.
   int AllowedVms = 0;
   /// Allowed VMs whose lease is held and that are not leaving.
--- a/packages/pool/include/cuminroad/pool/PoolScheduler.h
+++ b/packages/pool/include/cuminroad/pool/PoolScheduler.h
@@ -84,6 +84,10 @@
   /// earlier ones. An account that is no longer among them keeps its last
   /// terms for its unfinished jobs.
   virtual void setAccounts(std::span<const ClientAccount> Accounts) = 0;
+  /// Counts a job of another pool towards the rate of its account. Jobs of this
+  /// pool are counted when they are added. All of them are passed in the order
+  /// in which they were accepted, after setAccounts().
+  virtual void countJob(std::string_view Account, TimePoint AcceptedAt) = 0;
   /// Sets the most capacity that the account's runs may occupy in this pool.
   /// Until the first call for an account it is the account's MaxRunning.
   virtual void setAccountLimit(std::string_view Account,
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -89,6 +89,10 @@
         Now_ < Step.NoAdviceBefore || !Step.Occurrence->Job->Terms.Advice)
       continue;
     const bool Ready = isReady(Step);
+    if (Step.Occurrence->Job->BeyondRate &&
+        (!Ready || Step.HeldBack ||
+         PendingAdvice >= Options_.MaxPendingAdvice / 2))
+      continue;
     if (!Ready && !isReadySoon(Step))
       continue;
     requestAdviceOnNewVms(Step);
@@ -285,10 +289,11 @@
   Step.AdvicePending = true;
   Step.AdviceRequestedAt = Now_;
   const double ExpectedLatencyMs = expectedLatencyMs(Step, Vms.size());
-  Tables_.Commands.push_back(
-      RequestAdvice{nameOf(Step), std::move(Vms), ExpectedLatencyMs,
-                    Step.Occurrence->Job->Terms.Priority, Renewal,
-                    Step.AdviceRetryDelay > milliseconds(0)});
+  Tables_.Commands.push_back(RequestAdvice{
+      nameOf(Step), std::move(Vms), ExpectedLatencyMs,
+      Step.Occurrence->Job->BeyondRate ? LowestPriority
+                                       : Step.Occurrence->Job->Terms.Priority,
+      Renewal, Step.AdviceRetryDelay > milliseconds(0)});
 }
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "AccountRateMeter.h"
 #include "TaskTable.h"
 #include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/JobFailure.h"
@@ -44,6 +45,8 @@
   /// Capacity of its runs that may be on VMs: tasks in the phases Placed,
   /// Running and Stopping, and unknown runs.
   Capacity Used;
+  /// Counts the account's jobs of all pools.
+  AccountRateMeter Rate;
 };
 
 /// The advisor's ticket for one VM.
@@ -92,6 +95,9 @@
   /// Whether the last pass left some tasks of the step unplaced for lack of
   /// VMs.
   bool Blocked = false;
+  /// Whether the last pass left tasks of the step unplaced because its job is
+  /// beyond the rate of its account, although there may be room.
+  bool HeldBack = false;
   /// Since when the step has been blocked, and for how long it must have been
   /// blocked for the next log entry.
   std::optional<TimePoint> BlockedSince;
@@ -122,6 +128,9 @@
   QueueTerms Terms;
   QueueTerms AcceptedTerms;
   TimePoint AcceptedAt{};
+  /// The account had sent more jobs than its rate allows. The job only gets
+  /// capacity to which no other job is entitled.
+  bool BeyondRate = false;
   /// Estimated length of the critical path; see criticalPath().
   milliseconds CriticalPath{0};
   JobStage Stage = JobStage::Queued;
@@ -237,6 +246,9 @@
   std::optional<TimePoint> ReservationStart;
   /// Capacity left beside the blocked step from ReservationStart on.
   Capacity BackfillRoom;
+  /// Within a pass: capacity that must stay free of jobs beyond the rate, since
+  /// waiting steps of other jobs could use it.
+  Capacity EntitledClaim;
   /// Best-effort tasks are paused at least until this time.
   TimePoint ThrottledUntil{};
   milliseconds ThrottleDuration{0};
--- a/packages/pool/src/PoolSchedulerAccounts.cpp
+++ b/packages/pool/src/PoolSchedulerAccounts.cpp
@@ -8,6 +8,7 @@
 void PoolSchedulerImpl::setAccounts(std::span<const ClientAccount> Accounts) {
   for (const auto &[Name, Account] : Tables_.Accounts)
     Account->InForce = false;
+  Tables_.AnyAccountInForce = !Accounts.empty();
   for (const ClientAccount &Terms : Accounts) {
     AccountRecord &Account = Tables_.findOrCreateAccount(Terms.Name);
     Account.Terms = Terms;
@@ -17,6 +18,12 @@
   }
 }
 
+void PoolSchedulerImpl::countJob(std::string_view Account,
+                                 TimePoint AcceptedAt) {
+  if (!Account.empty())
+    Tables_.countJob(Tables_.findOrCreateAccount(Account), AcceptedAt);
+}
+
 void PoolSchedulerImpl::setAccountLimit(std::string_view Account,
                                         const Capacity &Limit) {
   AccountRecord &Record = Tables_.findOrCreateAccount(Account);
--- a/packages/pool/src/PoolSchedulerImpl.h
+++ b/packages/pool/src/PoolSchedulerImpl.h
@@ -28,6 +28,7 @@
                   const JobProgress &Progress) override;
   void setQueues(std::span<const QueueTerms> Queues) override;
   void setAccounts(std::span<const ClientAccount> Accounts) override;
+  void countJob(std::string_view Account, TimePoint AcceptedAt) override;
   void setAccountLimit(std::string_view Account,
                        const Capacity &Limit) override;
   void failJob(std::string_view Job, JobFailure Reason) override;
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -9,8 +9,10 @@
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
-  if (!New->Plan.Account.empty())
+  if (!New->Plan.Account.empty()) {
     New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
+    New->BeyondRate = !Tables_.countJob(*New->Account, AcceptedAt);
+  }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
   applyTerms(*New);
@@ -38,6 +40,7 @@
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
   if (isFinal(Progress.Stage)) {
+    countJob(Plan.Account, AcceptedAt);
     Tables_.FinishedJobs[Plan.Id] = JobStatus{Progress.Stage, Progress.Failure};
     return;
   }
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -111,7 +111,8 @@
   std::sort(Unconfirmed.begin(), Unconfirmed.end(),
             [](const TaskRecord *Left, const TaskRecord *Right) {
               const auto Rank = [](const TaskRecord &Task) {
-                return std::tuple{Task.Step->Occurrence->Job->Terms.Priority,
+                return std::tuple{Task.Step->Occurrence->Job->BeyondRate,
+                                  Task.Step->Occurrence->Job->Terms.Priority,
                                   Task.PlacedAt, Task.Index};
               };
               return Rank(*Left) > Rank(*Right);
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -176,15 +176,19 @@
   Vm.Used += Task.Step->Plan->reservedCapacity();
   if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
     Account->Used += Task.Step->Plan->PerTask;
+  if (Task.Step->Occurrence->Job->BeyondRate)
+    BeyondRateUsed += Task.Step->Plan->reservedCapacity();
   ++Task.Step->TasksOnVms;
 }
 
-static void releaseCapacity(TaskRecord &Task) {
+void PoolTables::releaseCapacity(TaskRecord &Task) {
   if (Task.Vm == nullptr)
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
   if (AccountRecord *Account = Task.Step->Occurrence->Job->Account)
     Account->Used -= Task.Step->Plan->PerTask;
+  if (Task.Step->Occurrence->Job->BeyondRate)
+    BeyondRateUsed -= Task.Step->Plan->reservedCapacity();
   Task.Vm->Tasks.erase(&Task);
   Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -13,6 +13,7 @@
 
 #include "ExaminationBudget.h"
 #include "PoolRecords.h"
+#include "UsageHistory.h"
 #include "cuminroad/pool/JobProgress.h"
 #include "cuminroad/pool/JobStatus.h"
 #include "cuminroad/pool/PoolOptions.h"
@@ -42,6 +43,12 @@
 
   /// \returns the record of an account, which is created if there is none.
   AccountRecord &findOrCreateAccount(std::string_view Name);
+  /// Counts a job of an account. \returns whether it is within the account's
+  /// rate.
+  bool countJob(AccountRecord &Account, TimePoint AcceptedAt) const {
+    return !AnyAccountInForce ||
+           Account.Rate.take(AcceptedAt, Account.Terms.Weight);
+  }
 
   /// Adds a run that belongs to no unfinished task. \returns its record and
   /// whether it is new.
@@ -80,6 +87,12 @@
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
   std::map<std::string, std::unique_ptr<AccountRecord>, std::less<>> Accounts;
+  /// Whether any account is in force. Without accounts there are no rates.
+  bool AnyAccountInForce = false;
+  /// Capacity of the VMs that tasks of jobs beyond the rate occupy.
+  Capacity BeyondRateUsed;
+  /// Capacity of the VMs that all other runs occupied.
+  UsageHistory EntitledUse;
   /// The same VMs in the same order, each at its Position.
   std::vector<VmRecord *> OrderedVms;
   /// When VMs became unreachable, most recent last.
@@ -98,6 +111,7 @@
   PoolDiagnostics Diagnostics;
 
 private:
+  void releaseCapacity(TaskRecord &Task);
   static void releaseUnknownRun(VmRecord &Vm, const UnknownRun &Run);
   /// Updates the positions of the VMs from \p First on.
   void renumberVms(std::size_t First);
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -23,6 +23,7 @@
 void SchedulingPass::run() {
   for (VmRecord *Vm : Tables_.OrderedVms) {
     Vm->ReservationStart.reset();
+    Vm->EntitledClaim = Capacity{};
     for (const auto &[Run, Unknown] : Vm->UnknownRuns)
       TasksWithOtherRuns_.insert(Run.Task);
     if (Vm->acceptsWork() && (!Vm->inQuarantine(Now_) || Vm->NextProbe <= Now_))
@@ -30,8 +31,11 @@
   }
   for (StepRecord *Step : Waiting_.Steps) {
     Step->Blocked = false;
+    Step->HeldBack = false;
     Step->ReservedVms.clear();
   }
+  AnyBeyondRate_ =
+      !Waiting_.Steps.empty() && isBeyondRate(*Waiting_.Steps.back());
   ExaminationBudget Budget({.MostUrgent = Options_.MaxBlockedSteps,
                             .InTurn = Options_.MaxBlockedStepsInTurn,
                             .RoundTime = Options_.ExaminationRoundTime},
@@ -40,17 +44,27 @@
     if (!isReady(*Step) || !mayStartTasks(*Step, Options_))
       continue;
     const PlacementNeed Need = needOf(*Step->Plan);
+    if (isBeyondRate(*Step) && !admitBeyondRate(*Step, Need))
+      continue;
+    bool Examined = true;
     if (isWhole(*Step) && (awaitsAdvice(*Step) || isKnownBlocked(Need))) {
       handleBlocked(*Step, Need);
       if (Budget.isMostUrgent() && !isBeyondPool(Need))
         Budget.spend();
     } else if (Budget.admit(Step->PlacementRound)) {
       placeStep(*Step);
-      if (Step->Blocked && !(Budget.isMostUrgent() && isBeyondPool(Need)))
+      if ((Step->Blocked || Step->HeldBack) &&
+          !(Budget.isMostUrgent() && isBeyondPool(Need)))
         Budget.spend();
+    } else {
+      Examined = false;
     }
+    if (AnyBeyondRate_ && !isBeyondRate(*Step))
+      claimRoom(*Step, Need, Examined);
   }
   Budget.finish();
+  if (Tables_.AnyAccountInForce && !SpareCapacity_)
+    recordEntitledUse();
 }
 
 bool SchedulingPass::isKnownBlocked(const PlacementNeed &Need) {
@@ -74,12 +88,13 @@
   return false;
 }
 
-bool SchedulingPass::hasRoomFor(const PlacementNeed &Need) const {
+bool SchedulingPass::hasRoomFor(const PlacementNeed &Need,
+                                bool BeyondRate) const {
   return isMet(Need, [&](const VmRecord &Vm) -> std::optional<Capacity> {
     if (!Vm.acceptsWork() || !hasValidCapacity(Vm) ||
         !reservationAllows(Need, Vm))
       return std::nullopt;
-    return Vm.freeCapacity();
+    return BeyondRate ? unclaimedRoom(Vm) : Vm.freeCapacity();
   });
 }
 
@@ -99,12 +114,17 @@
   else
     placeTasks(Step);
   if (!Step.Blocked) {
-    Step.BlockedSince.reset();
+    if (!Step.HeldBack)
+      Step.BlockedSince.reset();
     return;
   }
   const PlacementNeed Need = needOf(*Step.Plan);
-  if (!hasRoomFor(Need))
+  if (!hasRoomFor(Need)) {
     NeedsWithoutRoom_.add(Need);
+  } else if (isBeyondRate(Step)) {
+    Step.Blocked = false;
+    return holdBack(Step);
+  }
   handleBlocked(Step, Need);
 }
 
@@ -114,6 +134,8 @@
   // Of the steps that can only wait for room, the most urgent ones suffice.
   if (++BlockedSteps_ <= Options_.MaxBlockedSteps || !isKnownBlocked(Need))
     reportBlocked(Step);
+  if (isBeyondRate(Step))
+    return;
   if (ReservationCount_ < Options_.MaxReservedSteps &&
       ReservationAttempts_ < Options_.MaxBlockedSteps &&
       !NeedsWithoutForecast_.cover(Need))
@@ -134,6 +156,7 @@
   Report.Step = nameOf(Step);
   Report.Waited = Waited;
   Report.WaitingTasks = Step.WaitingTasks;
+  Report.BeyondRate = isBeyondRate(Step);
   const bool NeedsAdvice = Step.Occurrence->Job->Terms.Advice.has_value();
   for (const auto &[Id, Vm] : Tables_.Vms) {
     if (NeedsAdvice && !Step.AllowedVms.contains(Vm.get()))
--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -1,6 +1,7 @@
 #ifndef CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
 #define CUMINROAD_POOL_SRC_SCHEDULINGPASS_H
 
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -38,6 +39,9 @@
   }
   /// \returns whether a waiting task of the step may have crashed a VM.
   static bool hasWaitingSuspect(const StepRecord &Step);
+  static bool isBeyondRate(const StepRecord &Step) {
+    return Step.Occurrence->Job->BeyondRate;
+  }
   /// Places what it can of a step, and handles it as blocked if there is no VM
   /// for the rest.
   void placeStep(StepRecord &Step);
@@ -49,7 +53,8 @@
   template <typename F>
   bool isMet(const PlacementNeed &Need, F CapacityOf) const;
   /// \returns whether the available VMs have room for \p Need, on trial or not.
-  bool hasRoomFor(const PlacementNeed &Need) const;
+  /// \p BeyondRate whether only unclaimed room counts.
+  bool hasRoomFor(const PlacementNeed &Need, bool BeyondRate = false) const;
   /// \returns whether they would have no room for it if they were empty; false
   /// too if more such needs were found than can be remembered.
   bool isBeyondPool(const PlacementNeed &Need);
@@ -63,6 +68,27 @@
   /// \returns whether there is room for the whole gang.
   bool chooseGangVms(StepRecord &Step, std::string_view Rack,
                      std::vector<VmRecord *> &ChosenVms);
+  /// \returns whether a step beyond the rate may start now as far as other jobs
+  /// are concerned; if not, it is held back.
+  bool admitBeyondRate(StepRecord &Step, const PlacementNeed &Need);
+  /// \returns whether the capacity that stays free when \p Tasks tasks start
+  /// covers what entitled work has recently used beyond its present use.
+  bool leavesRecentPeak(const StepRecord &Step, std::int64_t Tasks) const;
+  /// Keeps room that a waiting step within the rate could use free of jobs
+  /// beyond the rate. \p Examined whether the step has had its turn.
+  void claimRoom(const StepRecord &Step, const PlacementNeed &Need,
+                 bool Examined);
+  void holdBack(StepRecord &Step);
+  /// Records the capacity that runs occupy which are not beyond the rate.
+  void recordEntitledUse();
+  /// \returns the free capacity of the VM that is left to jobs beyond the rate.
+  static Capacity unclaimedRoom(const VmRecord &Vm) {
+    return componentwiseMax(Vm.freeCapacity() - Vm.EntitledClaim, Capacity{});
+  }
+  /// \returns the free capacity of the VM that the step may use.
+  static Capacity roomFor(const StepRecord &Step, const VmRecord &Vm) {
+    return isBeyondRate(Step) ? unclaimedRoom(Vm) : Vm.freeCapacity();
+  }
   /// \returns whether the largest free capacity may have become smaller with
   /// that of one VM.
   bool reducesMaximum(const Capacity &FreeBefore,
@@ -132,6 +158,17 @@
   /// Steps with reserved VMs, and steps for which VMs were looked for.
   int ReservationCount_ = 0;
   int ReservationAttempts_ = 0;
+  /// Whether steps beyond the rate wait. They come after all others.
+  bool AnyBeyondRate_ = false;
+  /// Free capacity of the available VMs, once all steps within the rate have
+  /// had their turn.
+  std::optional<Capacity> SpareCapacity_;
+  /// Capacity that runs occupy which are not beyond the rate.
+  Capacity EntitledUse_;
+  /// Steps for which room is kept free, without those that need advice.
+  std::vector<PlacementNeed> ClaimedNeeds_;
+  /// There is no room for these that isn't claimed.
+  UnmetNeeds NeedsHeldBack_;
   /// Blocked steps until now.
   int BlockedSteps_ = 0;
   /// No available VMs have room for these.
--- a/packages/pool/src/SchedulingPassGangs.cpp
+++ b/packages/pool/src/SchedulingPassGangs.cpp
@@ -80,7 +80,7 @@
   const auto WantedTasks = static_cast<std::size_t>(Step.Tasks.size());
   for (const auto &[Score, Vm] : UsableVms) {
     int FittingTasks =
-        countFits(Vm->freeCapacity(), Step.Plan->reservedCapacity());
+        countFits(roomFor(Step, *Vm), Step.Plan->reservedCapacity());
     if (Step.Plan->MaxPerVm > 0)
       FittingTasks =
           std::min(FittingTasks, Step.Plan->MaxPerVm - tasksOnVm(Step, *Vm));
--- a/packages/pool/src/SchedulingPassPlacement.cpp
+++ b/packages/pool/src/SchedulingPassPlacement.cpp
@@ -76,7 +76,7 @@
 
 bool SchedulingPass::canPlaceTask(const StepRecord &Step,
                                   const VmRecord &Vm) const {
-  return Step.Plan->reservedCapacity().fitsIn(Vm.freeCapacity()) &&
+  return Step.Plan->reservedCapacity().fitsIn(roomFor(Step, Vm)) &&
          hasValidCapacity(Vm) && reservationAllows(needOf(*Step.Plan), Vm) &&
          (Step.Plan->MaxPerVm == 0 ||
           tasksOnVm(Step, Vm) < Step.Plan->MaxPerVm);
@@ -112,6 +112,8 @@
     if (!Task.isCrashSuspect() || Task.Phase != TaskPhase::Waiting ||
         Task.NotPlacedBefore > Now_ || hasOtherRun(Step, Index))
       continue;
+    if (isBeyondRate(Step) && !leavesRecentPeak(Step, 1))
+      return holdBack(Step);
     // The VM with the fewest runs, since a crash takes them all.
     VmRecord *Best = nullptr;
     VmRecord *BestBusy = nullptr;
@@ -169,6 +171,8 @@
       Step.Blocked = true;
       return;
     }
+    if (isBeyondRate(Step) && !leavesRecentPeak(Step, 1))
+      return holdBack(Step);
     Place(Task);
   }
   for (auto Index = Step.Tasks.nextUnbegun(0); Index;
@@ -181,6 +185,8 @@
     }
     if (Job.RecordedTasks >= Options_.MaxRecordedTasks)
       return;
+    if (isBeyondRate(Step) && !leavesRecentPeak(Step, 1))
+      return holdBack(Step);
     Place(Step.Tasks.begin(*Index));
   }
 }
@@ -240,6 +246,8 @@
   Tables_.place(Task, Vm, Run, Now_);
   LargestFreeKnown_ =
       LargestFreeKnown_ && !reducesMaximum(FreeBefore, Vm.freeCapacity());
+  if (isBeyondRate(Step))
+    *SpareCapacity_ -= Step.Plan->reservedCapacity();
   JobRecord &Job = *Step.Occurrence->Job;
   if (Job.Stage == JobStage::Queued)
     Job.Stage = JobStage::Running;
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -11,6 +11,8 @@
 
 /// The order in which steps get VMs and tickets; lower values go first.
 struct Urgency {
+  /// Comes after all jobs that are within the rate of their account.
+  bool BeyondRate = false;
   /// So late that the job is of little value to its client.
   bool VeryLate = false;
   int Priority = 0;
@@ -19,8 +21,10 @@
   TimePoint Deadline{};
 
   friend bool operator<(const Urgency &Left, const Urgency &Right) {
-    return std::tie(Left.VeryLate, Left.Priority, Left.Late, Left.Deadline) <
-           std::tie(Right.VeryLate, Right.Priority, Right.Late, Right.Deadline);
+    return std::tie(Left.BeyondRate, Left.VeryLate, Left.Priority, Left.Late,
+                    Left.Deadline) < std::tie(Right.BeyondRate, Right.VeryLate,
+                                              Right.Priority, Right.Late,
+                                              Right.Deadline);
   }
 };
 
@@ -30,6 +34,7 @@
   const JobRecord &Job = *Occurrence.Job;
   const milliseconds Objective = Job.objective();
   Urgency Out;
+  Out.BeyondRate = Job.BeyondRate;
   Out.Priority = Job.Terms.Priority;
   Out.Deadline = Occurrence.Due + Objective;
   // A long-running job does not end and so is never late.
