--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -226,8 +226,7 @@
   Scheduler_->setAccounts(Context_.Queues.allAccounts());
   applyAccountLimits();
   LoadedAt_ = Context_.MonotonicClock.now();
-  for (auto &[Job, Request] : LoadedRequests_)
-    applyRequest(std::move(Request));
+  applyLoadedRequests();
   for (const std::string &Job : LoadedCancels_)
     Scheduler_->cancelJob(Job);
   Context_.Events.record(EventId::JobsLoaded, Term_.Service,
@@ -235,6 +234,7 @@
                                      Term_.Epoch, LoadedRequests_.size(),
                                      LoadedProgress_.size()));
   LoadedRequests_.clear();
+  LoadedJobsElsewhere_.clear();
   LoadedCancels_.clear();
   LoadedProgress_.clear();
   DirectoryListener_ = Context_.Directory.addListener([this] { syncVms(); });
--- a/packages/fleet/src/PoolOwnerLog.cpp
+++ b/packages/fleet/src/PoolOwnerLog.cpp
@@ -29,9 +29,10 @@
                   Step.Step.Step, Step.Waited.count(), Step.WaitingTasks);
   if (Step.QuotaAccount.empty())
     return Out +
-           fmt::format(" vms allowed {} held {} usable {} ticket {} room {}",
+           fmt::format(" vms allowed {} held {} usable {} ticket {} room {}{}",
                        Step.AllowedVms, Step.AvailableVms, Step.UsableVms,
-                       Step.VmsWithTicket, Step.VmsWithRoom);
+                       Step.VmsWithTicket, Step.VmsWithRoom,
+                       Step.BeyondRate ? " beyond_rate" : "");
   const auto Format = [](const Capacity &Amount) {
     return fmt::format("{},{},{}", Amount.MilliCores, Amount.MemoryMb,
                        Amount.Accelerators);
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -10,13 +10,16 @@
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
   if (!New->Plan.Account.empty()) {
-    const bool IsNew = !Tables_.Accounts.contains(New->Plan.Account);
     New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
-    if (IsNew) {
-      New->Account->Limit = Capacity{};
-      New->Account->UnknownUntil =
+    AccountRecord &Account = *New->Account;
+    // Its quota isn't known: no contracts of this owner had the account yet.
+    if (!Account.InForce && !Account.LimitSet && !Account.UnknownUntil &&
+        Account.Limit == UnlimitedCapacity) {
+      Account.Limit = Capacity{};
+      Account.UnknownUntil =
           MonotonicClock_.now() + Options_.UnknownAccountDelay;
     }
+    New->BeyondRate = !Tables_.countJob(Account, AcceptedAt);
   }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
@@ -45,6 +48,7 @@
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
   if (isFinal(Progress.Stage)) {
+    countJob(Plan.Account, AcceptedAt);
     Tables_.FinishedJobs[Plan.Id] = JobStatus{Progress.Stage, Progress.Failure};
     return;
   }
