--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -2,13 +2,13 @@
 #include "PoolSchedulerImpl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminroad {
 
 AccountRecord &PoolSchedulerImpl::findOrCreateAccount(const std::string &Name) {
-  const bool IsNew = !Tables_.Accounts.contains(Name);
   AccountRecord &Out = Tables_.findOrCreateAccount(Name);
-  if (IsNew) {
+  if (!std::exchange(Out.HadTermsOrJobs, true) && !Out.LimitSet) {
     Out.Limit = Capacity{};
     Out.UnknownUntil = MonotonicClock_.now() + Options_.UnknownAccountDelay;
   }
@@ -19,8 +19,10 @@
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
-  if (!New->Plan.Account.empty())
+  if (!New->Plan.Account.empty()) {
     New->Account = &findOrCreateAccount(New->Plan.Account);
+    New->BeyondRate = !Tables_.countJob(*New->Account, AcceptedAt);
+  }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
   applyTerms(*New);
@@ -47,8 +49,10 @@
 void PoolSchedulerImpl::restoreJob(JobPlan Plan, QueueTerms Accepted,
                                    TimePoint AcceptedAt,
                                    const JobProgress &Progress) {
-  if (isFinal(Progress.Stage))
+  if (isFinal(Progress.Stage)) {
+    countJob(Plan.Account, AcceptedAt);
     return restoreFinishedJob(Plan, Progress);
+  }
   const std::string Id = Plan.Id;
   addJob(std::move(Plan), std::move(Accepted), AcceptedAt);
   JobRecord *Job = Tables_.job(Id);
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -179,10 +179,12 @@
     if (Task.Step->Plan->LongRunning)
       Account->UsedForLong += Task.Step->Plan->PerTask;
   }
+  if (Task.Step->Occurrence->Job->BeyondRate)
+    BeyondRateUsed += Task.Step->Plan->reservedCapacity();
   ++Task.Step->TasksOnVms;
 }
 
-static void releaseCapacity(TaskRecord &Task) {
+void PoolTables::releaseCapacity(TaskRecord &Task) {
   if (Task.Vm == nullptr)
     return;
   Task.Vm->Used -= Task.Step->Plan->reservedCapacity();
@@ -191,6 +193,8 @@
     if (Task.Step->Plan->LongRunning)
       Account->UsedForLong -= Task.Step->Plan->PerTask;
   }
+  if (Task.Step->Occurrence->Job->BeyondRate)
+    BeyondRateUsed -= Task.Step->Plan->reservedCapacity();
   Task.Vm->Tasks.erase(&Task);
   Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
