Let the pool benchmark measure with client accounts

With 210 accounts whose quotas and rates are never reached, the checksums are the same as without accounts.

--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -4,9 +4,11 @@
 // that only saves time leaves it as it is. The second table is for steps that
 // can't start ahead of a job that can.
 //
-// usage: pool_benchmark [VMS] [JOBS]
+// usage: pool_benchmark [VMS] [JOBS [ACCOUNTS]]
 //
-// JOBS restricts the run to one of the numbers of jobs.
+// JOBS restricts the run to one of the numbers of jobs. These belong to
+// ACCOUNTS client accounts, whose quotas are compared but never reached, so
+// that the checksum is the same for each number of accounts.
 
 #include <cstdlib>
 #include <ctime>
@@ -30,14 +32,22 @@
          static_cast<double>(Now.tv_nsec) / 1e6;
 }
 
+constexpr double LargeRate = 1'000'000;
+constexpr Capacity LargeQuota{1'000'000'000, 1'000'000'000, 1'000'000'000};
+
 /// A pool with more waiting work than capacity, as after an outage.
 class OverloadedPool {
 public:
-  OverloadedPool(int Vms, int Jobs)
+  OverloadedPool(int Vms, int Jobs, int Accounts)
       : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, {})) {
     addPoolVms(*Scheduler_, Vms, MonotonicClock_.now());
+    std::vector<ClientAccount> Terms;
+    for (int Number = 0; Number < Accounts; ++Number)
+      Terms.push_back(ClientAccount{fmt::format("account-{}", Number),
+                                    LargeRate, LargeQuota});
+    Scheduler_->setAccounts(Terms);
     for (int Number = 0; Number < Jobs; ++Number)
-      addJob(Number);
+      addJob(Number, Accounts > 0 ? Terms[Number % Accounts].Name : "");
   }
 
   /// Runs one pass, including the encoding of changed progress records.
@@ -77,9 +87,10 @@
   std::uint64_t checksum() const { return Checksum_; }
 
 private:
-  void addJob(int Number) {
+  void addJob(int Number, const std::string &Account) {
     JobPlan Plan;
     Plan.Id = fmt::format("{:016x}", Number);
+    Plan.Account = Account;
     const int Steps = 1 + static_cast<int>(Random_() % 2);
     for (int Each = 0; Each < Steps; ++Each) {
       StepPlan Step;
@@ -223,7 +234,7 @@
   for (const int Jobs : {10, 100, 300, 1000, 3000}) {
     if (Argc > 2 && Jobs != std::atoi(Argv[2]))
       continue;
-    OverloadedPool Pool(Vms, Jobs);
+    OverloadedPool Pool(Vms, Jobs, Argc > 3 ? std::atoi(Argv[3]) : 0);
     constexpr int Passes = 200;
     double TotalMs = 0;
     double MaxMs = 0;
