--- a/packages/pool/tests/QuotaLedgerTest.cpp
+++ b/packages/pool/tests/QuotaLedgerTest.cpp
@@ -372,6 +372,26 @@
   BOOST_CHECK(Giver.limit(TestAccount) == Capacity{});
 }
 
+// Guards against a row that arrives late taking back what a newer one gave,
+// while it is in use.
+BOOST_AUTO_TEST_CASE(olderRowsAreIgnored) {
+  const std::vector<ClientAccount> Accounts{
+      ClientAccount{TestAccount, 1, OneTask * 8}};
+  QuotaLedger Ledger("a");
+  Ledger.setAccounts(Accounts);
+  Ledger.setPools({"b"});
+  Ledger.ownRowsRead({});
+  QuotaRow Row;
+  Row.Pools = {"a", "b"};
+  Ledger.rowRead("b", "0", 5, Row);
+  Row.Accounts[TestAccount].Given["a"] = {250000, 250000, 250000};
+  Ledger.rowRead("b", "0", 7, Row);
+  BOOST_CHECK(Ledger.limit(TestAccount) == OneTask * 6);
+  Row.Accounts.clear();
+  Ledger.rowRead("b", "0", 6, Row);
+  BOOST_CHECK(Ledger.limit(TestAccount) == OneTask * 6);
+}
+
 // Guards against rows that grow beyond what the store accepts, and against an
 // account moving between rows, where its gifts could be in neither.
 BOOST_AUTO_TEST_CASE(manyAccountsTakeSeveralRows) {
