--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -42,6 +42,7 @@
       : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, {})) {
     addPoolVms(*Scheduler_, Vms, MonotonicClock_.now());
     std::vector<ClientAccount> Terms;
+    Terms.reserve(static_cast<std::size_t>(Accounts));
     for (int Number = 0; Number < Accounts; ++Number)
       Terms.push_back(ClientAccount{fmt::format("account-{}", Number),
                                     LargeRate, LargeQuota});
--- a/packages/fleet/tests/DisruptedPool.cpp
+++ b/packages/fleet/tests/DisruptedPool.cpp
@@ -116,6 +116,7 @@
   if (!Kinds_.Quotas)
     return;
   std::vector<ClientAccount> Accounts;
+  Accounts.reserve(AccountQuotas.size());
   for (const auto &[Account, Tasks] : AccountQuotas)
     Accounts.push_back(
         ClientAccount{Account, LargeWeight, TestTaskSize * Tasks});
--- a/packages/pool/tests/QuotaModelTest.cpp
+++ b/packages/pool/tests/QuotaModelTest.cpp
@@ -113,6 +113,7 @@
   void setLimits(const std::map<std::string, Capacity> &Limits) {
     Limits_ = Limits;
     std::vector<ClientAccount> Accounts;
+    Accounts.reserve(Limits.size());
     for (const auto &[Name, Limit] : Limits)
       Accounts.push_back(ClientAccount{Name, LargeWeight, Limit});
     Scheduler->setAccounts(Accounts);
