Count jobs that an outage held up as within their account's rate

Change: a gap in the acceptance of all jobs lets accounts save up their rate for twice its length; a step beyond the rate that only lacks valid tickets asks for them.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -95,6 +95,13 @@
   /// into force everywhere within 3 s. Nothing of an account whose quota isn't
   /// known starts for this long; later, the contracts have dropped it.
   milliseconds UnknownAccountDelay{4000};
+  /// An account saves up its rate for this long, and for twice the length of a
+  /// gap in the acceptance of jobs: callers that could not submit while daemons
+  /// restarted or the store was away are accepted together afterwards, though
+  /// they came within the rate.
+  milliseconds RateBurst{1000};
+  /// A longer time without any accepted job counts as such a gap.
+  milliseconds MinAcceptanceGap{1000};
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
   /// Largest delay before a task whose start was invalid is placed again. The
--- a/packages/pool/src/AccountRateMeter.h
+++ b/packages/pool/src/AccountRateMeter.h
@@ -15,9 +15,11 @@
   /// Counts a job. Jobs are passed in the order of their acceptance; one that
   /// was accepted before the last one counts as accepted together with it.
   /// \param Rate tokens per second, at least 0.
+  /// \param Burst the time in which tokens are saved up.
   /// \returns whether there was a token for the job.
-  bool take(TimePoint AcceptedAt, double Rate) {
-    const double Depth = std::max(1.0, Rate);
+  bool take(TimePoint AcceptedAt, double Rate, milliseconds Burst) {
+    const double Depth =
+        std::max(1.0, Rate * std::chrono::duration<double>(Burst).count());
     if (!Started_) {
       Tokens_ = Depth;
       Started_ = true;
--- a/packages/pool/src/PoolSchedulerAccounts.cpp
+++ b/packages/pool/src/PoolSchedulerAccounts.cpp
@@ -58,7 +58,8 @@
 void PoolSchedulerImpl::countJob(std::string_view Account,
                                  TimePoint AcceptedAt) {
   if (!Account.empty())
-    Tables_.countJob(Tables_.findOrCreateAccount(Account), AcceptedAt);
+    Tables_.countJob(Tables_.findOrCreateAccount(Account), AcceptedAt,
+                     Options_);
 }
 
 void PoolSchedulerImpl::setAccountLimit(std::string_view Account,
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -19,7 +19,7 @@
       Account.UnknownUntil =
           MonotonicClock_.now() + Options_.UnknownAccountDelay;
     }
-    New->BeyondRate = !Tables_.countJob(Account, AcceptedAt);
+    New->BeyondRate = !Tables_.countJob(Account, AcceptedAt, Options_);
   }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -77,6 +77,28 @@
   return *Accounts.emplace(std::string(Name), std::move(New)).first->second;
 }
 
+milliseconds PoolTables::rateBurst(TimePoint AcceptedAt,
+                                   const PoolOptions &Options) {
+  if (LastAcceptedAt_ &&
+      AcceptedAt - *LastAcceptedAt_ > Options.MinAcceptanceGap) {
+    Gap_ =
+        std::chrono::duration_cast<milliseconds>(AcceptedAt - *LastAcceptedAt_);
+    GapEndedAt_ = AcceptedAt;
+  }
+  LastAcceptedAt_ = std::max(LastAcceptedAt_.value_or(AcceptedAt), AcceptedAt);
+  // Callers come back within about the time for which they were away.
+  const bool AreReturning = AcceptedAt - GapEndedAt_ <= Gap_ * 2;
+  return Options.RateBurst + (AreReturning ? Gap_ * 2 : milliseconds(0));
+}
+
+bool PoolTables::countJob(AccountRecord &Account, TimePoint AcceptedAt,
+                          const PoolOptions &Options) {
+  if (!AnyAccountInForce)
+    return true;
+  return Account.Rate.take(AcceptedAt, Account.Terms.Weight,
+                           rateBurst(AcceptedAt, Options));
+}
+
 std::pair<UnknownRun *, bool> PoolTables::addUnknownRun(VmRecord &Vm,
                                                         const TaskRun &Run,
                                                         const UnknownRun &New) {
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -45,10 +45,8 @@
   AccountRecord &findOrCreateAccount(std::string_view Name);
   /// Counts a job of an account. \returns whether it is within the account's
   /// rate.
-  bool countJob(AccountRecord &Account, TimePoint AcceptedAt) const {
-    return !AnyAccountInForce ||
-           Account.Rate.take(AcceptedAt, Account.Terms.Weight);
-  }
+  bool countJob(AccountRecord &Account, TimePoint AcceptedAt,
+                const PoolOptions &Options);
 
   /// Adds a run that belongs to no unfinished task. \returns its record and
   /// whether it is new.
@@ -111,11 +109,19 @@
   PoolDiagnostics Diagnostics;
 
 private:
+  /// \returns for how long accounts save up their rates, at the acceptance of a
+  /// job.
+  milliseconds rateBurst(TimePoint AcceptedAt, const PoolOptions &Options);
   void releaseCapacity(TaskRecord &Task);
   static void releaseUnknownRun(VmRecord &Vm, const UnknownRun &Run);
   /// Updates the positions of the VMs from \p First on.
   void renumberVms(std::size_t First);
 
+  /// When the last job of any account was accepted, and the last gap before
+  /// one; see PoolOptions::RateBurst.
+  std::optional<TimePoint> LastAcceptedAt_;
+  TimePoint GapEndedAt_{};
+  milliseconds Gap_{0};
   /// The records of Vms and Jobs by their keys there, for lookups.
   std::unordered_map<std::string_view, VmRecord *> VmsById_;
   std::unordered_map<std::string_view, JobRecord *> JobsById_;
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -132,7 +132,9 @@
   const PlacementNeed Need = needOf(*Step.Plan);
   if (!hasRoomFor(Need)) {
     NeedsWithoutRoom_.add(Need);
-  } else if (isBeyondRate(Step)) {
+  } else if (isBeyondRate(Step) && !Step.Occurrence->Job->Terms.Advice) {
+    // A step that needs advice may only lack valid tickets, and must ask for
+    // them.
     Step.Blocked = false;
     return holdBack(Step);
   }
