--- a/tests/support/fleet_trial.py
+++ b/tests/support/fleet_trial.py
@@ -52,7 +52,13 @@
 
     zones = ("za", "zb")
 
-    def __init__(self, seed, daemons=2, vms=3, crash_share=0):
+    def __init__(self, seed, daemons=2, vms=3, crash_share=0, limits=None,
+                 contract_limits=None):
+        """limits: fields added to the settings' `limits`.
+        contract_limits: `limits` of the operator's configuration.
+        """
+        self.limits = {"cpu_share": 0.25, **(limits or {})}
+        self.contract_limits = contract_limits or {}
         self.rng = random.Random(seed)
         self.directory = tempfile.mkdtemp(prefix="cuminroad-fleet-")
         self.ports = cluster.PortBlock()
@@ -119,7 +125,7 @@
             "listen": {"front": loopback % daemon.frontend_port,
                        "ready": loopback % daemon.ready_port},
             "port_range": [daemon.peer_port, daemon.metrics_port],
-            "limits": {"cpu_share": 0.25}, "advice": loopback % advisor_port,
+            "limits": self.limits, "advice": loopback % advisor_port,
             "heartbeat_ms": VM_PUBLISH_INTERVAL_S * 1000,
             "bounds": {"max_hold_ms": operator_vms.MAX_LEASE_MS,
                        "contact_ms": CONTACT_S * 1000,
@@ -177,7 +183,7 @@
         self.store.put("op", "config", json.dumps(
             {"version": self.version, "routes": routes,
              "services": [{"name": name} for name in self.services],
-             "limits": {}}).encode())
+             "limits": self.contract_limits}).encode())
 
     def publish_vms(self):
         """Writes the VMs' entries to the store until the trial ends."""
