Bound the memory and connections of each HTTP server

The library stores whatever its clients send: a process could be driven out of memory by incomplete bodies, heads of short fields, chunk records or bodies of up to 96 MB, and out of descriptors by open connections.

The servers now use a socket type that reports each read and write to a ConnectionBudget. It weighs what a connection holds before the bytes are stored, and closes the connections that hold the most and progress least when the budget is exhausted. Heads and bodies over the limit are refused with 431 and 413 without being read to their end. Slow transfers are limited by progress instead of total time.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -99,7 +99,7 @@
   HttpServerOptions Options;
   Options.Address = Config.Http.Address;
   Options.Port = Config.Http.Port;
-  Options.MaxBodyBytes = static_cast<std::size_t>(Config.MaxBodyBytes);
+  Options.Limits.MaxBodyBytes = static_cast<std::size_t>(Config.MaxBodyBytes);
   Server_ = startHttpServer(
       Options, [this](HttpRequest Request, HttpResponder Respond) {
         Api_.handle(std::move(Request), std::move(Respond));
--- a/packages/net/include/cuminroad/net/HttpServer.h
+++ b/packages/net/include/cuminroad/net/HttpServer.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "cuminroad/net/ConnectionBudget.h"
 #include "cuminroad/net/HttpMessage.h"
 
 namespace cuminroad {
@@ -15,12 +16,17 @@
 /// Called for each request, on the server's thread.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+/// Called on the server's thread when a connection or request hits a limit,
+/// with the peer's address.
+using HttpLimitListener =
+    std::function<void(LimitCause Cause, const std::string &Peer)>;
+
 /// The address on which a server listens, and its limits.
 struct HttpServerOptions {
   std::string Address;
   int Port = 0;
-  /// Requests with larger bodies are refused with status 413.
-  std::size_t MaxBodyBytes = 1 << 20;
+  ConnectionLimits Limits;
+  HttpLimitListener OnLimit;
 };
 
 /// A running HTTP/1.1 server.
@@ -36,6 +42,8 @@
   virtual void drain() = 0;
   /// \returns the number of requests whose response is not sent yet.
   virtual std::size_t inFlight() const = 0;
+  /// Replaces the limits. A server on a loop must be called on its thread.
+  virtual void setLimits(const ConnectionLimits &Limits) = 0;
 };
 
 /// Starts a server with a thread of its own. Throws std::exception if the port
--- a/packages/net/src/RestinioHttpServer.cpp
+++ b/packages/net/src/RestinioHttpServer.cpp
@@ -10,20 +10,93 @@
 #include <restinio/all.hpp>
 
 #include "AsioLoop.h"
+#include "BudgetedSocket.h"
+
+// Customization points that RESTinio has for socket types. All sockets of a
+// server share its ConnectionGuard, which they get from its settings.
+
+template <typename Settings>
+class restinio::socket_type_dependent_settings_t<Settings,
+                                                 cuminroad::BudgetedSocket> {
+public:
+  void setGuard(std::shared_ptr<cuminroad::ConnectionGuard> Guard) {
+    Guard_ = std::move(Guard);
+  }
+  const std::shared_ptr<cuminroad::ConnectionGuard> &guard() const {
+    return Guard_;
+  }
+
+private:
+  std::shared_ptr<cuminroad::ConnectionGuard> Guard_;
+};
+
+template <> class restinio::impl::socket_supplier_t<cuminroad::BudgetedSocket> {
+protected:
+  template <typename Settings>
+  socket_supplier_t(Settings &ServerSettings, asio_ns::io_context &Context) {
+    Sockets_.reserve(ServerSettings.concurrent_accepts_count());
+    while (Sockets_.size() < ServerSettings.concurrent_accepts_count())
+      Sockets_.emplace_back(Context, ServerSettings.guard());
+  }
+
+  // The names are RESTinio's.
+  cuminroad::BudgetedSocket &socket(std::size_t Index) {
+    return Sockets_.at(Index);
+  }
+  cuminroad::BudgetedSocket move_socket(std::size_t Index) {
+    return std::move(socket(Index));
+  }
+  std::size_t concurrent_accept_sockets_count() const noexcept {
+    return Sockets_.size();
+  }
+
+private:
+  std::vector<cuminroad::BudgetedSocket> Sockets_;
+};
 
 namespace cuminroad {
 
+/// Called by RESTinio once a connection is complete.
+template <typename Connection, typename StartRead, typename Failed>
+void prepare_connection_and_start_read(BudgetedSocket &Socket, Connection &,
+                                       StartRead Start, Failed) {
+  Socket.join();
+  if (Socket.is_open())
+    Start();
+}
+
+inline restinio::impl::tls_socket_t *
+make_tls_socket_pointer_for_state_listener(BudgetedSocket &) noexcept {
+  return nullptr;
+}
+
 namespace {
 
 constexpr auto DrainPollInterval = std::chrono::milliseconds(10);
 /// Time that the last responses get to leave the socket buffers.
 constexpr auto SocketFlushTime = std::chrono::milliseconds(200);
-constexpr auto IdleConnectionTimeout = std::chrono::seconds(60);
+/// ConnectionBudget limits how long reading and writing may take, by progress.
+constexpr auto TransferTimeout = std::chrono::hours(24);
 constexpr auto HandlingTimeout = std::chrono::seconds(120);
 constexpr std::size_t MaxPipelinedRequests = 1;
-/// Larger bodies are not read, and their connection is closed. Bodies between
-/// HttpServerOptions::MaxBodyBytes and this are read and refused with 413.
-constexpr std::size_t MaxReadBodyBytes = 96 << 20;
+/// Upper bound of the limits that may be configured while a server runs.
+/// ConnectionBudget enforces the limits themselves.
+constexpr std::size_t MaxHeadBytes = 1 << 20;
+constexpr std::size_t MaxBodyBytes = 16 << 20;
+
+/// \returns the memory that a request takes while it is handled.
+std::size_t weighRequest(const restinio::request_t &Request) {
+  std::size_t Bytes = Request.header().request_target().size() +
+                      Request.header().fields_count() * RequestMeter::FieldCost;
+  Request.header().for_each_field([&Bytes](const auto &Field) {
+    Bytes += Field.name().size() + Field.value().size();
+  });
+  Bytes += Request.body().capacity();
+  if (const auto *Chunks = Request.chunked_input_info())
+    Bytes += Chunks->chunk_count() * RequestMeter::ChunkCost +
+             Chunks->trailing_fields().fields_count() * RequestMeter::FieldCost;
+  return Bytes;
+}
 
 HttpRequest convertRequest(const restinio::request_t &RestinioRequest) {
   HttpRequest Request;
@@ -48,22 +121,28 @@
 class RestinioServerBase : public HttpServer {
 public:
   RestinioServerBase(const HttpServerOptions &Options, HttpHandler Handler)
-      : Handler_(std::move(Handler)), MaxBodyBytes_(Options.MaxBodyBytes) {}
+      : Handler_(std::move(Handler)), Guard_(std::make_shared<ConnectionGuard>(
+                                          Options.Limits, Options.OnLimit)) {}
 
   void announceClose() override { Closing_ = true; }
   std::size_t inFlight() const override { return InFlight_; }
 
 protected:
-  using Traits = restinio::traits_t<restinio::asio_timer_manager_t,
-                                    restinio::null_logger_t>;
+  using Traits =
+      restinio::traits_t<restinio::asio_timer_manager_t,
+                         restinio::null_logger_t,
+                         restinio::details::autodetect_request_handler_type,
+                         restinio::default_strand_t, BudgetedSocket>;
 
   restinio::server_settings_t<Traits>
   makeSettings(const HttpServerOptions &Options) {
     restinio::server_settings_t<Traits> Settings;
+    Settings.setGuard(Guard_);
     Settings.address(Options.Address)
         .port(static_cast<std::uint16_t>(Options.Port))
         .protocol(restinio::asio_ns::ip::tcp::v4())
-        .read_next_http_message_timelimit(IdleConnectionTimeout)
+        .read_next_http_message_timelimit(TransferTimeout)
+        .write_http_response_timelimit(TransferTimeout)
         .handle_request_timeout(HandlingTimeout)
         .max_pipelined_requests(MaxPipelinedRequests)
         .buffer_size(16 * 1024)
@@ -76,8 +155,10 @@
           SocketOptions.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
         })
         .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}.max_body_size(
-                MaxReadBodyBytes))
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(MaxHeadBytes)
+                .max_body_size(std::max<std::uint64_t>(
+                    MaxBodyBytes, Options.Limits.MaxBodyBytes)))
         .request_handler([this](restinio::request_handle_t RestinioRequest) {
           handle(std::move(RestinioRequest));
           return restinio::request_accepted();
@@ -87,13 +168,12 @@
 
   void handle(restinio::request_handle_t RestinioRequest) {
     ++InFlight_;
-    HttpResponder Respond = [this, RestinioRequest](HttpResponse Response) {
-      respond(*RestinioRequest, std::move(Response));
+    const ConnectionGuard::Id Connection = Guard_->current();
+    Guard_->budget().requestBegan(Connection, weighRequest(*RestinioRequest));
+    HttpResponder Respond = [this, Connection,
+                             RestinioRequest](HttpResponse Response) {
+      respond(*RestinioRequest, Connection, std::move(Response));
     };
-    if (RestinioRequest->body().size() > MaxBodyBytes_) {
-      Respond(HttpResponse{413, {}, R"({"error":"body_too_large"})"});
-      return;
-    }
     try {
       Handler_(convertRequest(*RestinioRequest), Respond);
     } catch (const std::exception &) {
@@ -102,7 +182,8 @@
     }
   }
 
-  void respond(restinio::request_t &RestinioRequest, HttpResponse Response) {
+  void respond(restinio::request_t &RestinioRequest,
+               ConnectionGuard::Id Connection, HttpResponse Response) {
     auto Builder = RestinioRequest.create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(
             static_cast<std::uint16_t>(Response.Status)),
@@ -113,12 +194,15 @@
     if (Closing_)
       Builder.connection_close();
     Builder.set_body(std::move(Response.Body));
-    Builder.done(
-        [this](const restinio::asio_ns::error_code &) { --InFlight_; });
+    Builder.done([this, Connection](const restinio::asio_ns::error_code &) {
+      Guard_->budget().requestEnded(Connection,
+                                    std::chrono::steady_clock::now());
+      --InFlight_;
+    });
   }
 
   HttpHandler Handler_;
-  std::size_t MaxBodyBytes_;
+  std::shared_ptr<ConnectionGuard> Guard_;
   std::atomic<bool> Closing_{false};
   std::atomic<std::size_t> InFlight_{0};
 };
@@ -145,6 +229,13 @@
   ~ThreadHttpServer() override {
     Server_.io_context().stop();
     Thread_.join();
+    Guard_->stop();
+  }
+
+  void setLimits(const ConnectionLimits &Limits) override {
+    restinio::asio_ns::post(Server_.io_context(), [Guard = Guard_, Limits] {
+      Guard->budget().setLimits(Limits);
+    });
   }
 
   void drain() override {
@@ -170,6 +261,12 @@
     Server_.open_sync();
   }
 
+  ~LoopHttpServer() override { Guard_->stop(); }
+
+  void setLimits(const ConnectionLimits &Limits) override {
+    Guard_->budget().setLimits(Limits);
+  }
+
   void drain() override {
     Closing_ = true;
     Server_.close_async([] {}, [](std::exception_ptr) {});
--- a/standins/StandinServer.cpp
+++ b/standins/StandinServer.cpp
@@ -42,7 +42,7 @@
   HttpServerOptions Options;
   Options.Address = "127.0.0.1";
   Options.Port = Port;
-  Options.MaxBodyBytes = 64 << 20;
+  Options.Limits.MaxBodyBytes = 64 << 20;
   const auto Server =
       startHttpServer(Options, [&](HttpRequest Request, HttpResponder Respond) {
         ControlLoop.post([&Handler, Request = std::move(Request),
