Derive the limits of the HTTP servers from settings and contracts

Each of the four servers of a fleet daemon gets a part of limits.memory_mb and limits.max_fds of the settings. The limits on heads, bodies and times come from the contracts and change with them. A limit that is too low for a server is raised and logged. Limits that are hit are counted by server and cause, and logged at most once a second for each.

--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -78,6 +78,8 @@
   RequestUnknown = 1500,
   RequestNotRun = 1501,
   RouteUnknown = 1502,
+  HttpLimitHit = 1510,
+  HttpLimitRaised = 1511,
   PeerMessageRejected = 1600,
   LinesDropped = 1700,
 };
--- a/packages/base/src/EventId.cpp
+++ b/packages/base/src/EventId.cpp
@@ -185,6 +185,13 @@
     EventInfo{EventId::RouteUnknown, Severity::Info, "route_unknown",
               "No route matches a request; with the version of the contracts "
               "and the time since the store confirmed it."},
+    EventInfo{EventId::HttpLimitHit, Severity::Warning, "http_limit_hit",
+              "A server refused a request or closed a connection because of "
+              "a limit; with the cause, the peer and the number since the "
+              "last line."},
+    EventInfo{EventId::HttpLimitRaised, Severity::Warning, "http_limit_raised",
+              "The settings allow less memory or fewer descriptors than a "
+              "server needs; it uses the lowest usable limits."},
     EventInfo{EventId::PeerMessageRejected, Severity::Warning,
               "peer_message_rejected",
               "A message between daemons could not be parsed and was ignored."},
--- a/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetMetrics.h
@@ -36,6 +36,8 @@
   void recordVmCrash(const std::string &Service, std::string_view Cause);
   /// Counts a job that failed because a task crashed VMs.
   void recordAbandonedJob(const std::string &Service);
+  /// Counts a limit of an HTTP server that was hit.
+  void recordHttpLimit(std::string_view Server, std::string_view Cause);
   /// Sets the gauges of an owned pool. A default PoolLoad resets them once the
   /// pool is no longer owned.
   void setPoolLoad(const std::string &Service, const PoolLoad &Load);
@@ -59,6 +61,7 @@
   prometheus::Family<prometheus::Counter> &VmCrashes_;
   prometheus::Family<prometheus::Counter> &AbandonedJobs_;
   prometheus::Family<prometheus::Counter> &HttpResends_;
+  prometheus::Family<prometheus::Counter> &HttpLimits_;
   prometheus::Family<prometheus::Gauge> &ConfigVersion_;
   prometheus::Family<prometheus::Gauge> &ConfigAge_;
   prometheus::Family<prometheus::Gauge> &PoolTasks_;
--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -31,6 +31,10 @@
   ListenAddress MetricsAddress;
   /// Share of one processor core that this VM may use; 1.0 is a whole core.
   double CpuShare = 1.0;
+  /// Memory that the process may use, in megabytes; 0 if there is no limit.
+  int MemoryMb = 0;
+  /// File descriptors that the process may have open; 0 if there is no limit.
+  int MaxDescriptors = 0;
   /// Longest lease that a VM grants for the tasks that it runs.
   milliseconds MaxTaskLease{6000};
   /// How often a VM rewrites its entry in the list of VMs.
--- a/packages/fleet/include/cuminroad/fleet/QueueConfig.h
+++ b/packages/fleet/include/cuminroad/fleet/QueueConfig.h
@@ -36,6 +36,11 @@
   /// Absent where the contracts know no accounts: requests then need no keys.
   std::optional<std::vector<AccountEntry>> Accounts;
   std::size_t MaxBodyBytes = 1 << 20;
+  std::size_t MaxHeaderBytes = 64 << 10;
+  /// By how much the head of a request may be late.
+  milliseconds HeaderTimeout{10000};
+  /// For how long a client's connection may make no progress.
+  milliseconds IdleTimeout{60000};
 };
 
 } // namespace cuminroad
--- a/packages/fleet/src/FleetDaemon.cpp
+++ b/packages/fleet/src/FleetDaemon.cpp
@@ -9,6 +9,7 @@
 #include "DrainTimer.h"
 #include "cuminroad/base/Ids.h"
 #include "cuminroad/fleet/DaemonRow.h"
+#include "cuminroad/fleet/HttpLimitReporter.h"
 #include "cuminroad/fleet/PeerAddresses.h"
 #include "cuminroad/fleet/PoolLease.h"
 #include "cuminroad/fleet/PoolOwner.h"
@@ -93,6 +94,8 @@
               Dependencies_.Settings.Domain,
               Dependencies_.Settings.PeerAddress.text(),
               Dependencies_.Settings.CpuShare},
+        HttpLimits_(Dependencies_.MonotonicClock, Dependencies_.Events,
+                    Metrics_),
         Peers_(Dependencies_.Client),
         Store_(Dependencies_.Store, Dependencies_.Client,
                Dependencies_.ControlLoop, Dependencies_.MonotonicClock,
@@ -129,8 +132,10 @@
   std::optional<std::vector<std::string>> pools() const override;
 
 private:
-  std::unique_ptr<HttpServer> listen(const ListenAddress &Endpoint,
-                                     HttpHandler Handler);
+  std::unique_ptr<HttpServer>
+  listen(ServerRole Role, const ListenAddress &Endpoint, HttpHandler Handler);
+  /// Applies the limits on requests of the contracts in force.
+  void updateHttpLimits();
   std::shared_ptr<TableFollower> followTable(FollowOptions Options,
                                              RowSink &Sink);
   void configChanged();
@@ -158,6 +163,7 @@
   RequestHandlerFactory MakeRequestHandler_;
   DaemonIdentity Self_;
   FleetMetrics Metrics_;
+  HttpLimitReporter HttpLimits_;
   PeerCalls Peers_;
   RelayedStore Store_;
   QueueRegistry Queues_;
@@ -188,10 +194,22 @@
 };
 
 std::unique_ptr<HttpServer>
-FleetDaemonImpl::listen(const ListenAddress &Endpoint, HttpHandler Handler) {
+FleetDaemonImpl::listen(ServerRole Role, const ListenAddress &Endpoint,
+                        HttpHandler Handler) {
+  const HttpBudget Budget =
+      makeHttpBudget(Role, Dependencies_.Settings, Queues_.config());
+  if (Budget.Raised)
+    Dependencies_.Events.record(EventId::HttpLimitRaised, serverRoleName(Role),
+                                fmt::format("bytes {} connections {}",
+                                            Budget.Limits.MaxHeldBytes,
+                                            Budget.Limits.MaxConnections));
   HttpServerOptions Options;
   Options.Address = Endpoint.Address;
   Options.Port = Endpoint.Port;
+  Options.Limits = Budget.Limits;
+  Options.OnLimit = [this, Role](LimitCause Cause, const std::string &Peer) {
+    HttpLimits_.report(Role, Cause, Peer);
+  };
   return startLoopHttpServer(Dependencies_.ControlLoop, Options,
                              std::move(Handler));
 }
@@ -206,24 +224,25 @@
 
 void FleetDaemonImpl::start() {
   PeerServer_ =
-      listen(Dependencies_.Settings.PeerAddress,
+      listen(ServerRole::Peers, Dependencies_.Settings.PeerAddress,
              makePeerHandler(*this, Dependencies_.Advisor, Dependencies_.Store,
                              Dependencies_.MonotonicClock));
   ReadinessServer_ =
-      listen(Dependencies_.Settings.ReadinessAddress,
+      listen(ServerRole::Readiness, Dependencies_.Settings.ReadinessAddress,
              [this](const HttpRequest &, const HttpResponder &Respond) {
                Respond(plainResponse(ready() ? 200 : 503));
              });
   MetricsServer_ = listen(
-      Dependencies_.Settings.MetricsAddress,
+      ServerRole::Metrics, Dependencies_.Settings.MetricsAddress,
       [this](const HttpRequest &, const HttpResponder &Respond) {
         Metrics_.setHttpTraffic(Dependencies_.Client.traffic());
         Metrics_.setConfig(Queues_.config().Version,
                            Queues_.age(Dependencies_.MonotonicClock.now()));
         Respond(HttpResponse{200, {}, Metrics_.render(), MetricsContentType});
       });
-  FrontendServer_ = listen(Dependencies_.Settings.FrontendAddress,
-                           MakeRequestHandler_(Queues_, Frontend_));
+  FrontendServer_ =
+      listen(ServerRole::Frontend, Dependencies_.Settings.FrontendAddress,
+             MakeRequestHandler_(Queues_, Frontend_));
   Dependencies_.Events.record(EventId::DaemonStarted, Self_.Name,
                               Self_.Incarnation);
   ConfigFollower_ =
@@ -298,6 +317,7 @@
                               fmt::format("version {} queues {}",
                                           Queues_.config().Version,
                                           Queues_.config().Routes.size()));
+  updateHttpLimits();
   for (const std::string &Service : Queues_.config().Services)
     startLease(Service);
   if (First) {
@@ -309,6 +329,14 @@
     Owner->queuesChanged();
 }
 
+void FleetDaemonImpl::updateHttpLimits() {
+  for (const auto &[Role, Server] :
+       {std::pair(ServerRole::Frontend, FrontendServer_.get()),
+        std::pair(ServerRole::Readiness, ReadinessServer_.get())})
+    Server->setLimits(
+        makeHttpBudget(Role, Dependencies_.Settings, Queues_.config()).Limits);
+}
+
 void FleetDaemonImpl::daemonsChanged() {
   OtherDaemons_.clear();
   for (const auto &[Name, Bytes] : DaemonTableRows_.rows()) {
--- a/packages/fleet/src/FleetMetrics.cpp
+++ b/packages/fleet/src/FleetMetrics.cpp
@@ -57,6 +57,9 @@
       HttpResends_(counters(Registry_, "cuminroad_http_resends_total",
                             "Requests whose connection was lost without a "
                             "response, by whether they were sent again.")),
+      HttpLimits_(counters(Registry_, "cuminroad_http_limits_total",
+                           "Limits of the HTTP servers that were hit, by "
+                           "server and cause.")),
       ConfigVersion_(gauges(Registry_, "cuminroad_config_version",
                             "Version of the contracts in force.")),
       ConfigAge_(gauges(Registry_, "cuminroad_config_age_seconds",
@@ -109,6 +112,13 @@
   AbandonedJobs_.Add({{"pool", Service}}).Increment();
 }
 
+void FleetMetrics::recordHttpLimit(std::string_view Server,
+                                   std::string_view Cause) {
+  HttpLimits_
+      .Add({{"server", std::string(Server)}, {"cause", std::string(Cause)}})
+      .Increment();
+}
+
 void FleetMetrics::setPoolLoad(const std::string &Service,
                                const PoolLoad &Load) {
   const std::pair<const char *, int> Tasks[] = {
