--- a/packages/fleet/include/cuminroad/fleet/JobFrontend.h
+++ b/packages/fleet/include/cuminroad/fleet/JobFrontend.h
@@ -56,6 +56,8 @@
         PendingJobs_(Context, Owned, Owners),
         Unsettled_(Context.MonotonicClock) {}
 
+  /// \returns the most bytes in a row of the store.
+  std::size_t maxRowBytes() const { return Context_.Settings.MaxRowBytes; }
   /// Takes note of changed contracts.
   void queuesChanged() { PendingJobs_.queuesChanged(); }
   /// Logs that no route of the contracts in force matches a request.
