--- a/packages/net/include/cuminroad/net/ConnectionBudget.h
+++ b/packages/net/include/cuminroad/net/ConnectionBudget.h
@@ -79,12 +79,14 @@
   /// A request of \p Bytes in memory was given to its handler. The connection
   /// is not closed until the response is being sent.
   void requestBegan(Id Connection, std::size_t Bytes);
-  /// \p Bytes of a response wait to be sent.
+  /// A response of \p Bytes was created.
+  void responseReady(Id Connection, std::size_t Bytes);
+  /// A write of \p Bytes of a response begins.
   void responseBegan(Id Connection, std::size_t Bytes, TimePoint Now);
   /// \p Bytes of a response were sent.
   void responseSent(Id Connection, std::size_t Bytes, TimePoint Now);
-  /// The response to the connection's request was sent or has failed.
-  void requestEnded(Id Connection, TimePoint Now);
+  /// The response to a request of \p Bytes was sent or has failed.
+  void requestEnded(Id Connection, std::size_t Bytes, TimePoint Now);
   /// The connection was refused, and stays open only until its client has read
   /// the response.
   void refused(Id Connection, TimePoint Now);
@@ -100,13 +102,15 @@
   struct Connection {
     RequestMeter Meter;
     std::size_t Held = ConnectionCost;
-    /// Of the request in its handler.
+    /// Of the requests whose response is not sent.
     std::size_t RequestBytes = 0;
     std::size_t UnsentBytes = 0;
     /// Bytes of the present request or response that were transferred.
     std::size_t Transferred = 0;
     std::uint64_t RequestsBegan = 0;
-    bool InHandler = false;
+    /// Requests whose response is not sent. The next request may be in its
+    /// handler while the response to the one before is being sent.
+    int Unanswered = 0;
     bool Sending = false;
     bool Refused = false;
     /// When the present request, response or idle time began.
--- a/packages/net/include/cuminroad/net/HttpServer.h
+++ b/packages/net/include/cuminroad/net/HttpServer.h
@@ -25,8 +25,8 @@
 struct HttpServerOptions {
   std::string Address;
   int Port = 0;
-  ConnectionLimits Limits;
-  HttpLimitListener OnLimit;
+  ConnectionLimits Limits = {};
+  HttpLimitListener OnLimit = {};
 };
 
 /// A running HTTP/1.1 server.
--- a/packages/net/include/cuminroad/net/RequestMeter.h
+++ b/packages/net/include/cuminroad/net/RequestMeter.h
@@ -77,6 +77,8 @@
   std::uint64_t Announced_ = 0;
   std::uint64_t Completed_ = 0;
   bool Chunked_ = false;
+  /// Whether the method is CONNECT.
+  bool Tunnel_ = false;
   bool Certain_ = true;
 };
 
--- a/packages/net/src/ConnectionBudget.cpp
+++ b/packages/net/src/ConnectionBudget.cpp
@@ -61,10 +61,10 @@
   const milliseconds Elapsed = toMilliseconds(Now - Of.Since);
   if (Of.Refused)
     return Elapsed + RefusedLateness;
-  if (Of.Sending || (Of.Meter.inRequest() && !Of.InHandler))
+  if (Of.Sending || (Of.Meter.inRequest() && Of.Unanswered == 0))
     return std::max(Elapsed - milliseconds(Of.Transferred * 1000 / SlowestRate),
-                    milliseconds(0));
-  if (Of.InHandler)
+                    toMilliseconds(Now - Of.LastProgress));
+  if (Of.Unanswered > 0)
     return milliseconds(-1);
   return Of.RequestsBegan > 0 ? Elapsed / ServedIdleDivisor : Elapsed;
 }
@@ -74,7 +74,7 @@
   // A response may only be sent while the client waits for its request, which
   // has not been handled, and while no other response is under way.
   const bool MayRespond =
-      Of.Meter.inRequest() && !Of.InHandler && !Of.Sending && !Of.Refused;
+      Of.Meter.inRequest() && Of.Unanswered == 0 && !Of.Refused;
   return ConnectionClosing{Number, Cause, MayRespond ? Status : 0, !Of.Refused};
 }
 
@@ -172,8 +172,8 @@
   const auto Found = Connections_.find(Number);
   if (Found == Connections_.end())
     return;
-  Found->second.InHandler = true;
-  Found->second.RequestBytes = Bytes;
+  ++Found->second.Unanswered;
+  Found->second.RequestBytes += Bytes;
   ++Found->second.RequestsBegan;
   weigh(Found->second);
 }
@@ -190,10 +190,18 @@
     Of.LastProgress = Now;
     Of.Transferred = 0;
   }
-  Of.UnsentBytes = Bytes;
+  Of.UnsentBytes = std::max(Of.UnsentBytes, Bytes);
   weigh(Of);
 }
 
+void ConnectionBudget::responseReady(Id Number, std::size_t Bytes) {
+  const auto Found = Connections_.find(Number);
+  if (Found == Connections_.end())
+    return;
+  Found->second.UnsentBytes = Bytes;
+  weigh(Found->second);
+}
+
 void ConnectionBudget::responseSent(Id Number, std::size_t Bytes,
                                     TimePoint Now) {
   const auto Found = Connections_.find(Number);
@@ -206,14 +214,15 @@
   weigh(Of);
 }
 
-void ConnectionBudget::requestEnded(Id Number, TimePoint Now) {
+void ConnectionBudget::requestEnded(Id Number, std::size_t Bytes,
+                                    TimePoint Now) {
   const auto Found = Connections_.find(Number);
   if (Found == Connections_.end())
     return;
   Connection &Of = Found->second;
-  Of.InHandler = false;
+  --Of.Unanswered;
   Of.Sending = false;
-  Of.RequestBytes = 0;
+  Of.RequestBytes -= Bytes;
   Of.UnsentBytes = 0;
   Of.Transferred = 0;
   Of.Since = Now;
@@ -240,7 +249,7 @@
 ConnectionBudget::Closings ConnectionBudget::expired(TimePoint Now) const {
   Closings Out;
   for (const auto &[Number, Of] : Connections_) {
-    if (Of.InHandler && !Of.Sending)
+    if (Of.Unanswered > 0 && !Of.Sending)
       continue;
     if (Of.Refused) {
       if (Now - Of.Since > LingerTime)
--- a/packages/net/src/RequestMeter.cpp
+++ b/packages/net/src/RequestMeter.cpp
@@ -101,6 +101,7 @@
 void RequestMeter::lineEnded() {
   switch (Part_) {
   case Part::RequestLine:
+    Tunnel_ = line().starts_with("CONNECT ");
     Part_ = Part::Fields;
     return;
   case Part::Fields:
@@ -125,7 +126,8 @@
   ++Fields_;
   const std::string_view Field = line();
   const std::size_t Colon = Field.find(':');
-  if (Colon == std::string_view::npos)
+  // A line that begins with a space continues the value of the one before.
+  if (Colon == std::string_view::npos || Field.find_first_of(" \t") == 0)
     return;
   const std::string_view Name = trim(Field.substr(0, Colon));
   const std::string_view Value = trim(Field.substr(Colon + 1));
@@ -148,6 +150,9 @@
 }
 
 void RequestMeter::headEnded() {
+  // The parser ends such a request with its head, whatever its fields say.
+  if (Tunnel_)
+    return requestEnded();
   if (Chunked_) {
     Announced_ = 0;
     Part_ = Part::ChunkSize;
--- a/packages/net/src/RestinioHttpServer.cpp
+++ b/packages/net/src/RestinioHttpServer.cpp
@@ -84,6 +84,10 @@
 constexpr std::size_t MaxHeadBytes = 1 << 20;
 constexpr std::size_t MaxBodyBytes = 16 << 20;
 
+/// Asio writes no more than this at once, so that BudgetedSocket sees only a
+/// part of a larger response.
+constexpr std::size_t MaxWriteBytes = 64 << 10;
+
 /// \returns the memory that a request takes while it is handled.
 std::size_t weighRequest(const restinio::request_t &Request) {
   std::size_t Bytes = Request.header().request_target().size() +
@@ -169,10 +173,11 @@
   void handle(restinio::request_handle_t RestinioRequest) {
     ++InFlight_;
     const ConnectionGuard::Id Connection = Guard_->current();
-    Guard_->budget().requestBegan(Connection, weighRequest(*RestinioRequest));
-    HttpResponder Respond = [this, Connection,
+    const std::size_t Bytes = weighRequest(*RestinioRequest);
+    Guard_->budget().requestBegan(Connection, Bytes);
+    HttpResponder Respond = [this, Connection, Bytes,
                              RestinioRequest](HttpResponse Response) {
-      respond(*RestinioRequest, Connection, std::move(Response));
+      respond(*RestinioRequest, Connection, Bytes, std::move(Response));
     };
     try {
       Handler_(convertRequest(*RestinioRequest), Respond);
@@ -183,7 +188,8 @@
   }
 
   void respond(restinio::request_t &RestinioRequest,
-               ConnectionGuard::Id Connection, HttpResponse Response) {
+               ConnectionGuard::Id Connection, std::size_t Bytes,
+               HttpResponse Response) {
     auto Builder = RestinioRequest.create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(
             static_cast<std::uint16_t>(Response.Status)),
@@ -193,14 +199,22 @@
       Builder.append_header(Name, Value);
     if (Closing_)
       Builder.connection_close();
+    if (Response.Body.size() > MaxWriteBytes)
+      restinio::asio_ns::dispatch(context(), [Guard = Guard_, Connection,
+                                              Bytes = Response.Body.size()] {
+        Guard->budget().responseReady(Connection, Bytes);
+      });
     Builder.set_body(std::move(Response.Body));
-    Builder.done([this, Connection](const restinio::asio_ns::error_code &) {
-      Guard_->budget().requestEnded(Connection,
-                                    std::chrono::steady_clock::now());
-      --InFlight_;
-    });
+    Builder.done(
+        [this, Connection, Bytes](const restinio::asio_ns::error_code &) {
+          Guard_->budget().requestEnded(Connection, Bytes,
+                                        std::chrono::steady_clock::now());
+          --InFlight_;
+        });
   }
 
+  virtual restinio::asio_ns::io_context &context() = 0;
+
   HttpHandler Handler_;
   std::shared_ptr<ConnectionGuard> Guard_;
   std::atomic<bool> Closing_{false};
@@ -247,6 +261,10 @@
   }
 
 private:
+  restinio::asio_ns::io_context &context() override {
+    return Server_.io_context();
+  }
+
   restinio::http_server_t<Traits> Server_;
   std::thread Thread_;
 };
@@ -273,6 +291,10 @@
   }
 
 private:
+  restinio::asio_ns::io_context &context() override {
+    return Server_.io_context();
+  }
+
   restinio::http_server_t<Traits> Server_;
 };
 
