Send no refusal into the response to another request

The next request of a connection can arrive while the response to the one before is being sent. A 413 or 431 for it was written in between; the connection is now closed without a response. net_ConnectionBudgetTest has the case.

--- a/packages/net/src/BudgetedSocket.h
+++ b/packages/net/src/BudgetedSocket.h
@@ -37,7 +37,8 @@
   BudgetedSocket &operator=(BudgetedSocket &&) = delete;
   ~BudgetedSocket() { leave(); }
 
-  // The interface that RESTinio and Asio expect of a socket.
+  // The interface that RESTinio and Asio expect of a socket, with their names.
+  // NOLINTBEGIN(readability-identifier-naming)
   executor_type get_executor() { return Socket_.get_executor(); }
   auto &lowest_layer() { return Socket_.lowest_layer(); }
   const auto &lowest_layer() const { return Socket_.lowest_layer(); }
@@ -81,6 +82,8 @@
             }));
   }
 
+  // NOLINTEND(readability-identifier-naming)
+
   /// Joins the budget. The socket may be closed at once.
   void join() { Guard_->open(*this); }
   ConnectionGuard::Id connection() const { return Connection_; }
@@ -92,8 +95,6 @@
   /// the connection. A client that may still be sending is given time to read
   /// the response, as a reset would discard it.
   void refuse(std::string_view Response, bool MayLinger);
-  /// Ends the time that a refused client was given.
-  bool isLingering() const { return Lingering_; }
 
 private:
   /// What is read and dropped of a refused request.
--- a/packages/net/src/ConnectionBudget.cpp
+++ b/packages/net/src/ConnectionBudget.cpp
@@ -160,9 +160,11 @@
   weigh(Of);
   Closings Out;
   if (Verdict == RequestMeter::Verdict::HeadTooLarge)
-    Out.push_back({Number, LimitCause::HeadSize, StatusHeadTooLarge});
+    Out.push_back(
+        makeClosing(Number, Of, LimitCause::HeadSize, StatusHeadTooLarge));
   else if (Verdict == RequestMeter::Verdict::BodyTooLarge)
-    Out.push_back({Number, LimitCause::BodySize, StatusPayloadTooLarge});
+    Out.push_back(
+        makeClosing(Number, Of, LimitCause::BodySize, StatusPayloadTooLarge));
   else
     relieve(Number, Now, Out);
   return Out;
--- a/packages/net/tests/ConnectionBudgetTest.cpp
+++ b/packages/net/tests/ConnectionBudgetTest.cpp
@@ -205,6 +205,17 @@
   BOOST_CHECK(!Closings[0].Reported);
 }
 
+// Guards against a refusal that is written into the response to the request
+// before, or taken for it.
+BOOST_FIXTURE_TEST_CASE(refusalWaitsForNoOtherResponse, Fixture) {
+  open(1);
+  receive(1, Get);
+  Budget.requestBegan(1, Get.size());
+  Budget.responseBegan(1, 5000, Now);
+  checkOnly(receive(1, "POST / HTTP/1.1\r\nContent-Length: 262145\r\n\r\n"), 1,
+            LimitCause::BodySize, 0);
+}
+
 // A refused client gets a moment to read the response, and no second one.
 BOOST_FIXTURE_TEST_CASE(refusedConnectionEndsSoon, Fixture) {
   open(1);
--- a/packages/net/tests/HttpServerLimitsTest.cpp
+++ b/packages/net/tests/HttpServerLimitsTest.cpp
@@ -178,6 +178,7 @@
 BOOST_AUTO_TEST_CASE(newClientIsServedWhenAllConnectionsAreTaken) {
   LimitedServer Server(4);
   std::vector<std::unique_ptr<Client>> Silent;
+  Silent.reserve(10);
   for (int Number = 0; Number < 10; ++Number)
     Silent.push_back(std::make_unique<Client>(Server));
   Client Served(Server);
