--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -100,6 +100,7 @@
 
 void JobFrontend::recordUnknownRoute(std::string_view Host,
                                      std::string_view Path) {
+  Context_.Metrics.recordRefusal("unknown_route");
   Context_.Events.record(EventId::RouteUnknown, Host,
                          fmt::format("path {} {}",
                                      Path.substr(0, MaxLoggedPath),
@@ -164,6 +165,7 @@
   Unsettled_.add(Pending->Request.Plan.Id);
   // The store would refuse the row each time, as if it were away.
   if (Pending->EncodedRequest.size() > Context_.Settings.MaxRowBytes) {
+    Context_.Metrics.recordRefusal("too_large");
     Context_.Events.record(
         EventId::JobRefused, Pending->Request.Plan.Id,
         fmt::format("too_large bytes {}", Pending->EncodedRequest.size()));
@@ -263,6 +265,7 @@
     Context_.Events.record(EventId::JobOutcomeUnknown, Job, Reason);
     return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
   }
+  Context_.Metrics.recordRefusal("store_unreachable");
   Context_.Events.record(EventId::JobRefused, Job, Reason);
   reply(*Pending, SubmitReply{SubmitOutcome::NotAccepted, StoreRetryAfter});
 }
--- a/packages/fleet/tests/JobFrontendTest.cpp
+++ b/packages/fleet/tests/JobFrontendTest.cpp
@@ -242,3 +242,17 @@
                  std::string::npos);
   BOOST_CHECK_LT(Lines.back().Detail.size(), 150U);
 }
+
+// Guards against refusals that the metrics don't show, or under another cause.
+BOOST_FIXTURE_TEST_CASE(refusalsAreCountedByCause, FrontendFixture) {
+  Frontend.recordUnknownRoute("a.example", "/p");
+  submit("j", Settings.MaxRowBytes);
+  setStoreFate({StoreFault::Refused, {}});
+  submit("k");
+  ControlLoop.runFor(CallerTimeout);
+  for (const char *Cause : {"unknown_route", "too_large", "store_unreachable"})
+    BOOST_CHECK_MESSAGE(Metrics.render().find(
+                            "cuminroad_refusals_total{cause=\"" +
+                            std::string(Cause) + "\"} 1") != std::string::npos,
+                        Cause);
+}
