Let the trial of cut-off daemons fail without the age rule

Cause: with the age rule switched off (a trial on a scratch change), the trial passed: the daemon was cut off after it had read the added keys. Change: the daemon is cut off before the first key is added, and longer than config_apply_ms + max_stretch_ms.

--- a/tests/failure/fleet_accounts_test.py
+++ b/tests/failure/fleet_accounts_test.py
@@ -29,7 +29,7 @@
 class FleetAccountsTest(unittest.TestCase):
     def run_faults(self, seed, *faults):
         trial = fleet_trial.Trial(seed, accounts=("a", "b"))
-        trial.run([(0, lambda trial, s: trial.accounts.rotate(s), SECONDS),
+        trial.run([(1, lambda trial, s: trial.accounts.rotate(s), SECONDS - 1),
                    (0, lambda trial, s: trial.accounts.probe(s), SECONDS),
                    *faults], SECONDS)
         print(trial.summary(), trial.accounts.probes, flush=True)
@@ -47,10 +47,10 @@
                         (12, fleet_faults.roll_daemons, 3))
 
     def test_keys_change_while_daemons_are_cut_off(self):
-        # Guards against the same at daemons that know of no change, or only
-        # through others.
-        self.run_faults(22, (1, cut_daemon_off, 14), (2, refuse_daemon, 14),
-                        (17, fleet_faults.store_slow, 3))
+        # Guards against the same at a daemon that knows of no change before
+        # it ends, and at one that learns of changes only through others.
+        self.run_faults(22, (0, cut_daemon_off, 18), (2, refuse_daemon, 14),
+                        (19, fleet_faults.store_slow, 3))
 
 
 if __name__ == "__main__":
