Test that daemons pass over an invalid account list as a whole

No test covered what a daemon does with it. The new test of fleet_accounts_test writes one: the keys in force go on working, a key of the list doesn't work, and each daemon's log names the field and no key.

--- a/tests/failure/fleet_accounts_test.py
+++ b/tests/failure/fleet_accounts_test.py
@@ -1,8 +1,11 @@
 """Two client accounts whose keys come and go during the load, under faults."""
 
+import shutil
 import time
 import unittest
 
+import cluster
+import fleet_accounts
 import fleet_faults
 import fleet_trial
 
@@ -52,6 +55,33 @@
         self.run_faults(22, (0, cut_daemon_off, 18), (2, refuse_daemon, 14),
                         (19, fleet_faults.store_slow, 3))
 
+    def test_invalid_accounts_are_passed_over(self):
+        # Guards against a part of an invalid account list that comes into
+        # force, keys that stop working by it, and a key in the log.
+        trial = fleet_trial.Trial(23, accounts=("a", "b"))
+        try:
+            trial.start_all()
+            header = trial.accounts.header("a")
+            valid = trial.accounts.tenants
+            trial.accounts.tenants = lambda: (
+                valid()[1:] + [{"name": "", "api_keys": ["key-new"]}])
+            trial.write_config()
+            time.sleep(fleet_accounts.CONFIG_APPLY_MS / 1e3)
+            for daemon in trial.daemons:
+                for key, expected in ((header, 200), (
+                        trial.accounts.header(None, "key-new"), 401)):
+                    status, _, _ = cluster.call(
+                        daemon.frontend_port, "GET", trial.queues["urgent"][
+                            "path_prefix"], None, {"Host": "h", **key})
+                    self.assertEqual(status, expected, daemon.name)
+                with open(trial.path(daemon, "log")) as log:
+                    text = log.read()
+                self.assertIn("tenants: name", text)
+                self.assertNotIn("key-", text)
+        finally:
+            trial.close()
+        shutil.rmtree(trial.directory)
+
 
 if __name__ == "__main__":
     unittest.main()
