--- a/packages/pool/src/PoolSchedulerAccounts.cpp
+++ b/packages/pool/src/PoolSchedulerAccounts.cpp
@@ -50,6 +50,7 @@
     Account.Terms = Terms;
     Account.InForce = true;
     Account.UnknownUntil.reset();
+    Account.HadTermsOrJobs = true;
     if (!Account.LimitSet)
       Account.Limit = Terms.MaxRunning;
   }
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -2,24 +2,26 @@
 #include "PoolSchedulerImpl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminroad {
 
+AccountRecord &PoolSchedulerImpl::findOrCreateAccount(const std::string &Name) {
+  AccountRecord &Out = Tables_.findOrCreateAccount(Name);
+  if (!std::exchange(Out.HadTermsOrJobs, true) && !Out.LimitSet) {
+    Out.Limit = Capacity{};
+    Out.UnknownUntil = MonotonicClock_.now() + Options_.UnknownAccountDelay;
+  }
+  return Out;
+}
+
 JobRecord &PoolSchedulerImpl::insertJob(JobPlan Plan, QueueTerms Accepted,
                                         TimePoint AcceptedAt) {
   auto New = std::make_unique<JobRecord>();
   New->Plan = std::move(Plan);
   if (!New->Plan.Account.empty()) {
-    New->Account = &Tables_.findOrCreateAccount(New->Plan.Account);
-    AccountRecord &Account = *New->Account;
-    // Its quota isn't known: no contracts of this owner had the account yet.
-    if (!Account.InForce && !Account.LimitSet && !Account.UnknownUntil &&
-        Account.Limit == UnlimitedCapacity) {
-      Account.Limit = Capacity{};
-      Account.UnknownUntil =
-          MonotonicClock_.now() + Options_.UnknownAccountDelay;
-    }
-    New->BeyondRate = !Tables_.countJob(Account, AcceptedAt, Options_);
+    New->Account = &findOrCreateAccount(New->Plan.Account);
+    New->BeyondRate = !Tables_.countJob(*New->Account, AcceptedAt, Options_);
   }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
@@ -49,8 +51,7 @@
                                    const JobProgress &Progress) {
   if (isFinal(Progress.Stage)) {
     countJob(Plan.Account, AcceptedAt);
-    Tables_.FinishedJobs[Plan.Id] = JobStatus{Progress.Stage, Progress.Failure};
-    return;
+    return restoreFinishedJob(Plan, Progress);
   }
   const std::string Id = Plan.Id;
   addJob(std::move(Plan), std::move(Accepted), AcceptedAt);
@@ -62,6 +63,35 @@
     restoreOccurrence(*Job, Entry);
 }
 
+void PoolSchedulerImpl::restoreFinishedJob(const JobPlan &Plan,
+                                           const JobProgress &Progress) {
+  AccountRecord *Account =
+      Plan.Account.empty() ? nullptr : &findOrCreateAccount(Plan.Account);
+  Tables_.FinishedJobs[Plan.Id] =
+      FinishedJob(JobStatus{Progress.Stage, Progress.Failure}, Account, Plan);
+  if (Account == nullptr)
+    return;
+  for (const OccurrenceProgress &Occurrence : Progress.Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps) {
+      if (Step.Step < 0 || Step.Step >= static_cast<int>(Plan.Steps.size()))
+        continue;
+      const StepPlan &Each = Plan.Steps[static_cast<std::size_t>(Step.Step)];
+      for (const TaskProgress &Task : Step.Tasks) {
+        if (Task.Vm.empty())
+          continue;
+        VmRecord &Vm = Tables_.findOrCreateVm(Task.Vm);
+        if (Vm.Description.Incarnation == 0)
+          Vm.Description.Incarnation = Task.VmIncarnation;
+        const StepName Name{Plan.Id, Occurrence.Number, Step.Step};
+        // The next report tells whether the run is still there.
+        Tables_.addUnknownRun(Vm, TaskRun{TaskName{Name, Task.Index}, Task.Run},
+                              UnknownRun{Each.reservedCapacity(),
+                                         MonotonicClock_.now(), Account,
+                                         Each.PerTask});
+      }
+    }
+}
+
 void PoolSchedulerImpl::restoreOccurrence(JobRecord &Job,
                                           const OccurrenceProgress &Progress) {
   const int All = std::max(Job.Plan.Occurrences, 1);
@@ -207,7 +237,8 @@
     for (const StepRecord &Step : Occurrence->Steps)
       if (Step.TasksOnVms > 0)
         return;
-  Tables_.FinishedJobs[Job.Plan.Id] = JobStatus{Job.Stage, Job.Failure};
+  Tables_.FinishedJobs[Job.Plan.Id] =
+      FinishedJob(JobStatus{Job.Stage, Job.Failure}, Job.Account, Job.Plan);
   Tables_.removeJob(Job);
 }
 
@@ -236,7 +267,7 @@
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found == Tables_.FinishedJobs.end())
     return std::nullopt;
-  return Found->second.Stage;
+  return Found->second.Status.Stage;
 }
 
 JobFailure PoolSchedulerImpl::failure(std::string_view Id) const {
@@ -244,7 +275,7 @@
     return Job->Failure;
   const auto Found = Tables_.FinishedJobs.find(Id);
   return Found == Tables_.FinishedJobs.end() ? JobFailure::None
-                                             : Found->second.Failure;
+                                             : Found->second.Status.Failure;
 }
 
 JobProgress PoolSchedulerImpl::progress(std::string_view Id) const {
@@ -253,7 +284,8 @@
   JobProgress Out;
   const auto Found = Tables_.FinishedJobs.find(Id);
   if (Found != Tables_.FinishedJobs.end())
-    Out = JobProgress{Found->second.Stage, Found->second.Failure, {}};
+    Out = JobProgress{
+        Found->second.Status.Stage, Found->second.Status.Failure, {}};
   return Out;
 }
 
