Ask for parts of quotas with headroom

Cause: a pool asked for more of a quota when its part was used up; the part arrived one to two seconds later. Change: a pool asks for a quarter more than it needs.

--- a/packages/fleet/src/QuotaExchange.cpp
+++ b/packages/fleet/src/QuotaExchange.cpp
@@ -19,6 +19,19 @@
 /// Own rows beyond this number are not written by any version.
 constexpr int MaxRows = 10000;
 
+/// A pool asks for this part more than it needs, so that work of the next
+/// seconds finds room: a part arrives one to two seconds after it was needed,
+/// and quick jobs are late by then.
+constexpr std::int64_t HeadroomDivisor = 4;
+
+void addHeadroom(std::vector<AccountLoad> &Loads) {
+  for (AccountLoad &Each : Loads) {
+    Each.Needed.MilliCores += Each.Needed.MilliCores / HeadroomDivisor;
+    Each.Needed.MemoryMb += Each.Needed.MemoryMb / HeadroomDivisor;
+    Each.Needed.Accelerators += Each.Needed.Accelerators / HeadroomDivisor;
+  }
+}
+
 int rowNumber(const std::string &Key) {
   int Out = -1;
   const char *End = Key.data() + Key.size();
@@ -128,8 +141,10 @@
       Now - UpdatedAt_ < UpdateInterval || Now - WrittenAt_ < WriteInterval)
     return false;
   UpdatedAt_ = Now;
+  std::vector<AccountLoad> Current = Loads();
+  addHeadroom(Current);
   const std::vector<int> Changed =
-      Ledger_.update(Loads(), Context_.Store.storeTime());
+      Ledger_.update(Current, Context_.Store.storeTime());
   for (const int Number : Changed)
     write(Number);
   if (!Changed.empty())
