Predict run times from progress, the same step, the queue's history and estimates

Change: RunTimePredictor blends the log-mean of a queue with the estimate by the accuracy of each until now; run times of ended tasks of the step and the progress of running ones outweigh both. Behind PoolOptions::PredictRunTimes, which is off.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -121,6 +121,10 @@
   /// A job is very late, and of little value to its client, once this many
   /// latency objectives have passed since it was due.
   double VeryLateFactor = 3.0;
+  /// Whether deadlines, forecasts and the slowdown of VMs are computed from
+  /// predicted run times, which learn from ended and running tasks, instead of
+  /// from estimates.
+  bool PredictRunTimes = false;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/AdvicePlanner.cpp
+++ b/packages/pool/src/AdvicePlanner.cpp
@@ -118,7 +118,7 @@
     if (Earlier.WaitingTasks > 0)
       return false;
     for (const auto &[Index, Task] : Earlier.Tasks.records())
-      if (Task.isOnVm() && Task.PlacedAt + Earlier.Plan->Estimate > Now_ + Lead)
+      if (Task.isOnVm() && expectedEnd(Task) > Now_ + Lead)
         return false;
   }
   return true;
--- a/packages/pool/src/Forecast.cpp
+++ b/packages/pool/src/Forecast.cpp
@@ -14,8 +14,10 @@
 constexpr milliseconds MinRemaining{50};
 
 TimePoint expectedEnd(const TaskRecord &Task, const VmRecord &Vm) {
+  if (Task.LogRunTime)
+    return expectedEnd(Task);
   return Task.PlacedAt + std::chrono::duration_cast<milliseconds>(
-                             Task.Step->Plan->Estimate * Vm.Slowdown);
+                             predictedRunTime(*Task.Step) * Vm.Slowdown);
 }
 
 /// Counts how many tasks fit in one dimension of a capacity.
@@ -28,6 +30,11 @@
 
 } // namespace
 
+TimePoint expectedEnd(const TaskRecord &Task) {
+  return Task.PlacedAt + (Task.LogRunTime ? fromLogMs(*Task.LogRunTime)
+                                          : predictedRunTime(*Task.Step));
+}
+
 int countFits(const Capacity &Free, const Capacity &Need) {
   return static_cast<int>(
       std::min({fits(Free.MilliCores, Need.MilliCores),
--- a/packages/pool/src/Forecast.h
+++ b/packages/pool/src/Forecast.h
@@ -16,6 +16,9 @@
 /// long-running tasks. Some may be in the past. Valid until a task is placed on
 /// the VM or leaves it.
 std::span<const ExpectedEnd> expectedEnds(const VmRecord &Vm);
+/// \returns when a task on a VM is expected to end if the VM is not slow; by
+/// its progress, if that is known.
+TimePoint expectedEnd(const TaskRecord &Task);
 /// \returns the earliest time at which a task that has not ended is expected to
 /// end.
 TimePoint earliestEnd(TimePoint Now);
--- a/packages/pool/src/PlacementNeed.cpp
+++ b/packages/pool/src/PlacementNeed.cpp
@@ -1,5 +1,7 @@
 #include "PlacementNeed.h"
 
+#include "PoolTables.h"
+
 namespace cuminroad {
 
 PlacementNeed needOf(const StepPlan &Plan) {
@@ -14,6 +16,13 @@
   return Out;
 }
 
+PlacementNeed needOf(const StepRecord &Step) {
+  PlacementNeed Out = needOf(*Step.Plan);
+  if (!Step.Plan->LongRunning)
+    Out.RunTime = predictedRunTime(Step);
+  return Out;
+}
+
 bool isAtLeastAsHard(const PlacementNeed &Harder, const PlacementNeed &Easier) {
   // A limit per VM that is not below the number of tasks limits nothing.
   return Easier.PerTask.fitsIn(Harder.PerTask) &&
--- a/packages/pool/src/PlacementNeed.h
+++ b/packages/pool/src/PlacementNeed.h
@@ -10,6 +10,8 @@
 
 namespace cuminroad {
 
+struct StepRecord;
+
 /// What must be free for a step to start: a single task, or all members of a
 /// gang. Valid as long as the step's plan.
 struct PlacementNeed {
@@ -25,6 +27,8 @@
 };
 
 PlacementNeed needOf(const StepPlan &Plan);
+/// \returns the need of a step, with its predicted run time.
+PlacementNeed needOf(const StepRecord &Step);
 
 /// \returns whether \p Harder can't be met where \p Easier can't.
 bool isAtLeastAsHard(const PlacementNeed &Harder, const PlacementNeed &Easier);
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "AccountRateMeter.h"
+#include "RunTimePredictor.h"
 #include "TaskTable.h"
 #include "cuminroad/pool/ClientAccount.h"
 #include "cuminroad/pool/JobFailure.h"
@@ -65,6 +66,12 @@
   int DoneTasks = 0;
   /// Number of tasks in the phases Placed, Running and Stopping.
   int TasksOnVms = 0;
+  /// Of tasks that are done or running.
+  RunTimeSamples RunTimes;
+  /// Cached result of predictedRunTime(), and the version of the history for
+  /// which it is valid; -1 if for none.
+  mutable milliseconds PredictedRunTime{0};
+  mutable std::int64_t PredictedVersion = -1;
   int GangFailures = 0;
   /// Number of the last run of the gang that was counted as failed.
   std::int64_t GangFailedRun = 0;
@@ -131,6 +138,8 @@
   /// The account had sent more jobs than its rate allows. The job only gets
   /// capacity to which no other job is entitled.
   bool BeyondRate = false;
+  /// The run times of the queue, or nullptr if they are not predicted.
+  RunTimePredictor *QueueRunTimes = nullptr;
   /// Estimated length of the critical path; see criticalPath().
   milliseconds CriticalPath{0};
   JobStage Stage = JobStage::Queued;
@@ -147,9 +156,11 @@
 
   bool isPending() const { return !Started && !isFinal(Stage); }
   /// \returns the time within which an occurrence should complete.
-  milliseconds objective() const {
+  milliseconds objective() const { return objectiveOf(CriticalPath); }
+  /// \returns it for a critical path of the length \p Path.
+  milliseconds objectiveOf(milliseconds Path) const {
     return milliseconds(static_cast<std::int64_t>(
-               Terms.Stretch * static_cast<double>(CriticalPath.count()))) +
+               Terms.Stretch * static_cast<double>(Path.count()))) +
            Terms.LatencyTarget;
   }
 };
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -23,6 +23,8 @@
   const auto InForce = Queues_.find(Job.AcceptedTerms.Name);
   Job.Terms = InForce == Queues_.end() ? Job.AcceptedTerms : InForce->second;
   Job.CriticalPath = criticalPath(Job.Plan, Job.Terms);
+  if (Options_.PredictRunTimes)
+    Job.QueueRunTimes = &Tables_.QueueRunTimes[Job.Terms.Name];
 }
 
 void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Accepted,
@@ -118,6 +120,7 @@
   Task.PlacedAt = MonotonicClock_.now();
   Task.ProgressedAt = Task.PlacedAt;
   Task.ConfirmedAt = TimePoint::min();
+  Task.StartUnknown = true;
   Task.SpeedPercent = UnknownSpeedPercent;
   Tables_.assign(Task, Vm, TaskPhase::Running);
 }
--- a/packages/pool/src/PoolSchedulerRuns.cpp
+++ b/packages/pool/src/PoolSchedulerRuns.cpp
@@ -109,6 +109,18 @@
   }
 }
 
+/// \returns the expected run time of the task without what its own run tells.
+static milliseconds runTimeWithout(const TaskRecord &Task) {
+  const StepRecord &Step = *Task.Step;
+  const RunTimePredictor *Queue = Step.Occurrence->Job->QueueRunTimes;
+  if (Queue == nullptr)
+    return Step.Plan->Estimate;
+  RunTimeSamples Others = Step.RunTimes;
+  if (Task.LogRunTime)
+    Others.remove(*Task.LogRunTime);
+  return std::max(Queue->predict(Step.Plan->Estimate, Others), milliseconds(1));
+}
+
 void PoolSchedulerImpl::updateSlowdown(const TaskRecord &Task,
                                        VmRecord &Vm) const {
   const StepPlan &Plan = *Task.Step->Plan;
@@ -116,13 +128,14 @@
       !Task.Checkpoint.empty() || !Task.ConfirmedAt ||
       *Task.ConfirmedAt == TimePoint::min())
     return;
+  const milliseconds Expected = runTimeWithout(Task);
   const double ElapsedMs =
       static_cast<double>(std::chrono::duration_cast<milliseconds>(
                               MonotonicClock_.now() - Task.PlacedAt)
                               .count());
   const double Ratio =
-      std::clamp(ElapsedMs / static_cast<double>(Plan.Estimate.count()),
-                 MinSlowdown, MaxSlowdown);
+      std::clamp(ElapsedMs / static_cast<double>(Expected.count()), MinSlowdown,
+                 MaxSlowdown);
   Vm.Slowdown += (Ratio - Vm.Slowdown) * SlowdownSmoothing;
   Vm.ExpectedEndsKnown = false;
 }
@@ -136,6 +149,7 @@
   if (Step.Plan->LongRunning)
     return Tables_.release(Task);
   updateSlowdown(Task, Vm);
+  PoolTables::sampleRunTime(Task, MonotonicClock_.now());
   finishTask(Task);
 }
 
--- a/packages/pool/src/PoolSchedulerVms.cpp
+++ b/packages/pool/src/PoolSchedulerVms.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "Forecast.h"
+
 namespace cuminroad {
 
 namespace {
@@ -132,8 +134,7 @@
     const StepPlan &Plan = *Task->Step->Plan;
     const bool Movable = Plan.LongRunning || (Plan.Checkpointing && !Plan.Gang);
     if (Task->Phase == TaskPhase::Running && Movable &&
-        (Plan.LongRunning ||
-         Task->PlacedAt + Plan.Estimate > Now + MinRemainingToMove))
+        (Plan.LongRunning || expectedEnd(*Task) > Now + MinRemainingToMove))
       stopTask(*Task);
   }
 }
@@ -228,6 +229,7 @@
   if (Report.ProgressPercent != Task->ProgressPercent) {
     Task->ProgressPercent = Report.ProgressPercent;
     Task->ProgressedAt = Now;
+    PoolTables::sampleProgress(*Task);
   }
   Task->Measurement = Report.Measurement;
   recordCheckpoint(*Task, Report.Checkpoint);
@@ -256,6 +258,7 @@
   Task->PlacedAt = MonotonicClock_.now();
   Task->ProgressedAt = Task->PlacedAt;
   Task->ConfirmedAt.reset();
+  Task->StartUnknown = true;
   Tables_.assign(*Task, Vm, TaskPhase::Running);
   Tables_.markChanged(*Task->Step->Occurrence->Job);
   return Task;
--- a/packages/pool/src/PoolTables.cpp
+++ b/packages/pool/src/PoolTables.cpp
@@ -11,6 +11,9 @@
 /// Up to this number of tasks and occurrences of a job that are done, they are
 /// stored one by one, as earlier versions read them; more are stored as ranges.
 constexpr std::int64_t MaxSingleNumbers = 5000;
+/// Less progress says little about the run time, since it is reported in whole
+/// percent and a run takes some time to start.
+constexpr int MinSampledPercent = 10;
 
 template <typename Map> auto *lookUp(const Map &In, std::string_view Id) {
   const auto Found = In.find(Id);
@@ -163,6 +166,7 @@
   Task.ConfirmedAt.reset();
   Task.StartConfirmed = false;
   Task.ProgressPercent = -1;
+  Task.StartUnknown = false;
   Task.SpeedPercent = 100;
   assign(Task, Vm, TaskPhase::Placed);
   markChanged(*Task.Step->Occurrence->Job);
@@ -189,6 +193,11 @@
     Account->Used -= Task.Step->Plan->PerTask;
   if (Task.Step->Occurrence->Job->BeyondRate)
     BeyondRateUsed -= Task.Step->Plan->reservedCapacity();
+  if (Task.LogRunTime) {
+    Task.Step->RunTimes.remove(*Task.LogRunTime);
+    Task.Step->PredictedVersion = -1;
+    Task.LogRunTime.reset();
+  }
   Task.Vm->Tasks.erase(&Task);
   Task.Vm->ExpectedEndsKnown = false;
   if (Task.Vm->Trial == &Task)
@@ -197,6 +206,54 @@
   --Task.Step->TasksOnVms;
 }
 
+/// \returns whether the time since the placement of the run tells how long the
+/// task takes.
+static bool isMeasured(const TaskRecord &Task) {
+  const StepPlan &Plan = *Task.Step->Plan;
+  return Task.Step->Occurrence->Job->QueueRunTimes != nullptr &&
+         !Plan.LongRunning && !Plan.BestEffort && !Task.StartUnknown &&
+         !(Plan.Checkpointing && Task.Run > 1);
+}
+
+void PoolTables::sampleProgress(TaskRecord &Task) {
+  if (!isMeasured(Task) || !Task.isOnVm() ||
+      Task.ProgressPercent < MinSampledPercent || Task.ProgressPercent > 100)
+    return;
+  const auto Elapsed = std::chrono::duration_cast<milliseconds>(
+      Task.ProgressedAt - Task.PlacedAt);
+  RunTimeSamples &Samples = Task.Step->RunTimes;
+  if (Task.LogRunTime)
+    Samples.remove(*Task.LogRunTime);
+  Task.LogRunTime = logMs(Elapsed * 100 / Task.ProgressPercent);
+  Samples.add(*Task.LogRunTime);
+  Task.Step->PredictedVersion = -1;
+  Task.Vm->ExpectedEndsKnown = false;
+}
+
+void PoolTables::sampleRunTime(const TaskRecord &Task, TimePoint EndedAt) {
+  if (!isMeasured(Task))
+    return;
+  StepRecord &Step = *Task.Step;
+  const auto RunTime =
+      std::chrono::duration_cast<milliseconds>(EndedAt - Task.PlacedAt);
+  Step.RunTimes.add(logMs(RunTime));
+  Step.PredictedVersion = -1;
+  Step.Occurrence->Job->QueueRunTimes->record(
+      Step.Plan->Estimate, RunTime,
+      1.0 / static_cast<double>(Step.Plan->Gang ? 1 : Step.Plan->Tasks));
+}
+
+milliseconds predictedRunTime(const StepRecord &Step) {
+  const RunTimePredictor *Queue = Step.Occurrence->Job->QueueRunTimes;
+  if (Queue == nullptr || Step.Plan->LongRunning)
+    return Step.Plan->Estimate;
+  if (Step.PredictedVersion != Queue->version()) {
+    Step.PredictedRunTime = Queue->predict(Step.Plan->Estimate, Step.RunTimes);
+    Step.PredictedVersion = Queue->version();
+  }
+  return Step.PredictedRunTime;
+}
+
 void PoolTables::release(TaskRecord &Task) {
   releaseCapacity(Task);
   setPhase(Task, TaskPhase::Waiting);
@@ -257,24 +314,54 @@
       });
 }
 
-milliseconds criticalPath(const JobPlan &Plan, const QueueTerms &Terms) {
+/// \returns the latency of one call to the advisor that objectives allow for.
+static milliseconds adviceTime(const QueueTerms &Terms) {
+  if (!Terms.Advice)
+    return milliseconds(0);
+  return Terms.Advice->DecisionTime +
+         milliseconds(static_cast<std::int64_t>(Terms.Advice->PerVmMs *
+                                                ObjectiveAdviceVms));
+}
+
+/// \returns the length of the longest path through the steps of a plan if each
+/// takes as long as \p LengthOf returns for its number.
+template <typename F>
+static milliseconds longestPath(const JobPlan &Plan, F LengthOf) {
   std::vector<milliseconds> Ends(Plan.Steps.size());
   milliseconds Longest{0};
-  milliseconds Advice{0};
-  if (Terms.Advice)
-    Advice = Terms.Advice->DecisionTime +
-             milliseconds(static_cast<std::int64_t>(Terms.Advice->PerVmMs *
-                                                    ObjectiveAdviceVms));
   for (std::size_t Index = 0; Index < Plan.Steps.size(); ++Index) {
     milliseconds Start{0};
     for (const int Dependency : Plan.Steps[Index].DependsOn)
       Start = std::max(Start, Ends[static_cast<std::size_t>(Dependency)]);
-    Ends[Index] = Start + Plan.Steps[Index].Estimate + Advice;
+    Ends[Index] = Start + LengthOf(Index);
     Longest = std::max(Longest, Ends[Index]);
   }
   return Longest;
 }
 
+milliseconds criticalPath(const JobPlan &Plan, const QueueTerms &Terms) {
+  return longestPath(Plan, [&, Advice = adviceTime(Terms)](std::size_t Step) {
+    return Plan.Steps[Step].Estimate + Advice;
+  });
+}
+
+PathLengths predictedPath(const OccurrenceRecord &Occurrence) {
+  const JobPlan &Plan = Occurrence.Job->Plan;
+  const milliseconds Advice = adviceTime(Occurrence.Job->Terms);
+  PathLengths Out;
+  Out.Whole = longestPath(Plan, [&](std::size_t Index) {
+    return predictedRunTime(Occurrence.Steps[Index]) + Advice;
+  });
+  Out.Remaining = longestPath(Plan, [&](std::size_t Index) {
+    const StepRecord &Step = Occurrence.Steps[Index];
+    if (Step.isComplete())
+      return milliseconds(0);
+    // The runs of a step without waiting tasks are half-way on average.
+    return predictedRunTime(Step) / (Step.WaitingTasks > 0 ? 1 : 2);
+  });
+  return Out;
+}
+
 static TaskProgress progressOf(const TaskRecord &Task) {
   TaskProgress Out;
   Out.Index = Task.Index;
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -76,6 +76,11 @@
   /// they hold, and removes their records.
   void finish(StepRecord &Step, int First, int Count);
   void setPhase(TaskRecord &Task, TaskPhase Phase);
+  /// Derives the run time of the task from its reported progress, if run times
+  /// are predicted.
+  static void sampleProgress(TaskRecord &Task);
+  /// Adds the run time of a task that is done to those of its step and queue.
+  static void sampleRunTime(const TaskRecord &Task, TimePoint EndedAt);
 
   /// The job's progress must be persisted.
   void markChanged(const JobRecord &Job) { ChangedJobs.insert(Job.Plan.Id); }
@@ -83,6 +88,8 @@
   /// Unfinished jobs, and finished jobs with runs that have not ended yet. Jobs
   /// and VMs are only added and removed by the functions above.
   JobMap Jobs;
+  /// The run times of each queue with jobs, if they are predicted.
+  std::map<std::string, RunTimePredictor, std::less<>> QueueRunTimes;
   /// Final statuses of the other finished jobs.
   std::map<std::string, JobStatus, std::less<>> FinishedJobs;
   VmMap Vms;
@@ -136,6 +143,16 @@
 /// \returns the estimated length of the critical path of \p Plan, including one
 /// call to the advisor for each step if the queue needs advice.
 milliseconds criticalPath(const JobPlan &Plan, const QueueTerms &Terms);
+/// \returns the expected run time of a task of the step: its estimate, unless
+/// run times are predicted.
+milliseconds predictedRunTime(const StepRecord &Step);
+/// \returns the expected length of the critical path of an occurrence, and of
+/// the part of it that is left.
+struct PathLengths {
+  milliseconds Whole{0};
+  milliseconds Remaining{0};
+};
+PathLengths predictedPath(const OccurrenceRecord &Occurrence);
 /// \returns the progress of a job to persist.
 JobProgress progressOf(const JobRecord &Job);
 
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -43,7 +43,7 @@
   for (StepRecord *Step : Waiting_.Steps) {
     if (!isReady(*Step) || !mayStartTasks(*Step, Options_))
       continue;
-    const PlacementNeed Need = needOf(*Step->Plan);
+    const PlacementNeed Need = needOf(*Step);
     if (isBeyondRate(*Step) && !admitBeyondRate(*Step, Need))
       continue;
     bool Examined = true;
@@ -118,7 +118,7 @@
       Step.BlockedSince.reset();
     return;
   }
-  const PlacementNeed Need = needOf(*Step.Plan);
+  const PlacementNeed Need = needOf(Step);
   if (!hasRoomFor(Need)) {
     NeedsWithoutRoom_.add(Need);
   } else if (isBeyondRate(Step)) {
--- a/packages/pool/src/SchedulingPassGangs.cpp
+++ b/packages/pool/src/SchedulingPassGangs.cpp
@@ -31,7 +31,7 @@
   }
   if (Step.Plan->Tasks > Options_.MaxGangTasks) {
     Step.Blocked = true;
-    if (hasRoomFor(needOf(*Step.Plan)))
+    if (hasRoomFor(needOf(Step)))
       Tables_.UnrecordableJobs.insert(Step.Occurrence->Job->Plan.Id);
     return;
   }
@@ -67,7 +67,7 @@
   std::vector<ScoredVm> UsableVms;
   forEachPermittedVm(Step, [&](VmRecord &Vm) {
     if (isEligible(Step, Vm) && hasValidCapacity(Vm) &&
-        reservationAllows(needOf(*Step.Plan), Vm) &&
+        reservationAllows(needOf(Step), Vm) &&
         (Rack.empty() || Vm.Description.hasLabel(Rack)))
       UsableVms.push_back(ScoredVm{score(Step, Vm), &Vm});
   });
--- a/packages/pool/src/SchedulingPassPlacement.cpp
+++ b/packages/pool/src/SchedulingPassPlacement.cpp
@@ -77,7 +77,7 @@
 bool SchedulingPass::canPlaceTask(const StepRecord &Step,
                                   const VmRecord &Vm) const {
   return Step.Plan->reservedCapacity().fitsIn(roomFor(Step, Vm)) &&
-         hasValidCapacity(Vm) && reservationAllows(needOf(*Step.Plan), Vm) &&
+         hasValidCapacity(Vm) && reservationAllows(needOf(Step), Vm) &&
          (Step.Plan->MaxPerVm == 0 ||
           tasksOnVm(Step, Vm) < Step.Plan->MaxPerVm);
 }
--- a/packages/pool/src/SchedulingPassRate.cpp
+++ b/packages/pool/src/SchedulingPassRate.cpp
@@ -85,7 +85,7 @@
 
 bool SchedulingPass::leavesRecentPeak(const StepRecord &Step,
                                       std::int64_t Tasks) const {
-  const milliseconds RunTime = needOf(*Step.Plan).RunTime;
+  const milliseconds RunTime = needOf(Step).RunTime;
   const Capacity Peak =
       Tables_.EntitledUse.peak(Now_, std::max(RunTime, MinPeakWindow));
   const Capacity KeptFree = componentwiseMax(Peak - EntitledUse_, Capacity{});
--- a/packages/pool/src/TaskRecord.h
+++ b/packages/pool/src/TaskRecord.h
@@ -51,6 +51,11 @@
   TimePoint ProgressedAt{};
   /// As last reported; -1 before the first report of the run.
   int ProgressPercent = -1;
+  /// Logarithm of the run time in milliseconds that the progress of the current
+  /// run indicates, if run times are predicted.
+  std::optional<double> LogRunTime;
+  /// The current run may have started before PlacedAt.
+  bool StartUnknown = false;
   /// See RunningTask::Measurement.
   double Measurement = 0;
   /// As last commanded with ThrottleRun.
--- a/packages/pool/tests/OverloadedPool.cpp
+++ b/packages/pool/tests/OverloadedPool.cpp
@@ -88,8 +88,7 @@
     for (int Task = 0; Task < Kind.Tasks; ++Task)
       RunTimes.push_back(Kind.Gang ? Typical
                                    : scale(Typical, lognormal(Kind.TaskSigma)));
-    New.Outcome.Objective += scale(
-        *std::max_element(RunTimes.begin(), RunTimes.end()), Kind.Stretch);
+    New.Outcome.Objective += scale(Typical, Kind.Stretch);
     for (const milliseconds Each : RunTimes)
       New.Outcome.MilliCoreSeconds +=
           static_cast<double>(Each.count() * Kind.Size.MilliCores) / 1000;
--- a/packages/pool/tests/OverloadedPool.h
+++ b/packages/pool/tests/OverloadedPool.h
@@ -37,7 +37,7 @@
   std::string Kind;
   std::string Account;
   TimePoint AcceptedAt{};
-  /// By its true run times.
+  /// By the true run time of a typical task.
   milliseconds Objective{0};
   double MilliCoreSeconds = 0;
   std::optional<TimePoint> StartedAt;
