Order jobs that are certain to be late behind those that can be in time

Cause: after an outage, jobs whose deadline could not be met any more took their turn before jobs behind them that could still be in time. Change: with PoolOptions::SlackOrder, which is off, a job counts as late or very late as soon as its remaining critical path ends too late. A late job also yields to jobs in time of the next priority. With PredictRunTimes, deadlines are computed from predicted run times.

--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -125,6 +125,10 @@
   /// predicted run times, which learn from ended and running tasks, instead of
   /// from estimates.
   bool PredictRunTimes = false;
+  /// Whether a job counts as late or very late as soon as it is certain to be,
+  /// by the critical path that is left. A late job then also yields to jobs in
+  /// time of the next priority.
+  bool SlackOrder = false;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -1,6 +1,7 @@
 #include "WaitingSteps.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -16,15 +17,17 @@
   /// So late that the job is of little value to its client.
   bool VeryLate = false;
   int Priority = 0;
-  /// Past its deadline: steps that can still meet theirs go first.
+  /// Past its deadline, or certain to be: steps that can still meet theirs go
+  /// first.
   bool Late = false;
   TimePoint Deadline{};
 
   friend bool operator<(const Urgency &Left, const Urgency &Right) {
-    return std::tie(Left.BeyondRate, Left.VeryLate, Left.Priority, Left.Late,
-                    Left.Deadline) < std::tie(Right.BeyondRate, Right.VeryLate,
-                                              Right.Priority, Right.Late,
-                                              Right.Deadline);
+    const auto Key = [](const Urgency &Of) {
+      return std::tie(Of.BeyondRate, Of.VeryLate, Of.Priority, Of.Late,
+                      Of.Deadline);
+    };
+    return Key(Left) < Key(Right);
   }
 };
 
@@ -32,7 +35,10 @@
 Urgency urgencyOf(const OccurrenceRecord &Occurrence,
                   const PoolOptions &Options, TimePoint Now) {
   const JobRecord &Job = *Occurrence.Job;
-  const milliseconds Objective = Job.objective();
+  PathLengths Path{Job.CriticalPath, milliseconds(0)};
+  if (Options.SlackOrder || Job.QueueRunTimes != nullptr)
+    Path = predictedPath(Occurrence);
+  const milliseconds Objective = Job.objectiveOf(Path.Whole);
   Urgency Out;
   Out.BeyondRate = Job.BeyondRate;
   Out.Priority = Job.Terms.Priority;
@@ -40,11 +46,21 @@
   // A long-running job does not end and so is never late.
   if (Job.Plan.isLongRunning())
     return Out;
-  Out.Late = Now > Out.Deadline;
+  TimePoint EndsAt = Now;
+  if (Options.SlackOrder)
+    EndsAt += Path.Remaining;
+  Out.Late = EndsAt > Out.Deadline;
   Out.VeryLate =
-      Now > Occurrence.Due + milliseconds(static_cast<std::int64_t>(
-                                 Options.VeryLateFactor *
-                                 static_cast<double>(Objective.count())));
+      EndsAt > Occurrence.Due + milliseconds(static_cast<std::int64_t>(
+                                    Options.VeryLateFactor *
+                                    static_cast<double>(Objective.count())));
+  // A late job is worth a fraction of one in time, but not nothing: it yields
+  // to jobs in time of the next priority, not of all priorities. In
+  // overload_experiment, yielding to all loses value where jobs of low priority
+  // have much time left, and yielding to none where they have little.
+  if (Options.SlackOrder && Out.Late &&
+      Out.Priority < std::numeric_limits<int>::max())
+    ++Out.Priority;
   return Out;
 }
 
