Bound the work of a pass for jobs beyond the rate

Cause: with 3000 jobs of 210 accounts on 252 VMs, half of them beyond their rates, a pass took 14.2 ms on average, against 5.7 ms without accounts: each waiting step claimed room on all VMs that the advisor allows, and the recent peak was computed for each step.

--- a/packages/pool/src/SchedulingPass.h
+++ b/packages/pool/src/SchedulingPass.h
@@ -73,7 +73,7 @@
   bool admitBeyondRate(StepRecord &Step, const PlacementNeed &Need);
   /// \returns whether the capacity that stays free when \p Tasks tasks start
   /// covers what entitled work has recently used beyond its present use.
-  bool leavesRecentPeak(const StepRecord &Step, std::int64_t Tasks) const;
+  bool leavesRecentPeak(const StepRecord &Step, std::int64_t Tasks);
   /// Keeps room that a waiting step within the rate could use free of jobs
   /// beyond the rate. \p Examined whether the step has had its turn.
   void claimRoom(const StepRecord &Step, const PlacementNeed &Need,
@@ -165,6 +165,12 @@
   std::optional<Capacity> SpareCapacity_;
   /// Capacity that runs occupy which are not beyond the rate.
   Capacity EntitledUse_;
+  /// What entitled work used more than now within the window that was last
+  /// asked for.
+  Capacity KeptFree_;
+  milliseconds PeakWindow_{0};
+  /// Steps with advice for which room is kept free.
+  int AdvisedClaims_ = 0;
   /// Steps for which room is kept free, without those that need advice.
   std::vector<PlacementNeed> ClaimedNeeds_;
   /// There is no room for these that isn't claimed.
--- a/packages/pool/src/SchedulingPassRate.cpp
+++ b/packages/pool/src/SchedulingPassRate.cpp
@@ -58,7 +58,10 @@
   if (Step.WaitingTasks == 0 || !isWhole(Step))
     return;
   if (Step.Occurrence->Job->Terms.Advice) {
-    // A step without advice doesn't wait for room yet.
+    // A step without advice doesn't wait for room yet. Of many steps with
+    // advice, the most urgent ones suffice.
+    if (Step.AllowedVms.empty() || ++AdvisedClaims_ > Options_.MaxBlockedSteps)
+      return;
     for (const auto &[Vm, Ticket] : Step.AllowedVms)
       claimOn(*Vm, Need);
     return;
@@ -84,13 +87,16 @@
 }
 
 bool SchedulingPass::leavesRecentPeak(const StepRecord &Step,
-                                      std::int64_t Tasks) const {
-  const milliseconds RunTime = needOf(Step).RunTime;
-  const Capacity Peak =
-      Tables_.EntitledUse.peak(Now_, std::max(RunTime, MinPeakWindow));
-  const Capacity KeptFree = componentwiseMax(Peak - EntitledUse_, Capacity{});
+                                      std::int64_t Tasks) {
+  const milliseconds Window =
+      std::clamp(needOf(Step).RunTime, MinPeakWindow, UsageHistory::MaxWindow);
+  if (Window != PeakWindow_) {
+    PeakWindow_ = Window;
+    const Capacity Peak = Tables_.EntitledUse.peak(Now_, Window);
+    KeptFree_ = componentwiseMax(Peak - EntitledUse_, Capacity{});
+  }
   return fitsWhereNeeded(Step.Plan->reservedCapacity() * Tasks,
-                         *SpareCapacity_ - KeptFree);
+                         *SpareCapacity_ - KeptFree_);
 }
 
 void SchedulingPass::holdBack(StepRecord &Step) {
