Let accounts have shares by weight when the pool is full

Cause: what an account got of a full pool followed the number of its jobs. Change: among steps of the same priority and class, those of accounts that use more for their weight than the accounts with waiting work on average come later. Use is the dominant share of what an account's runs occupy, so an account that was idle needs no credit. pool_benchmark takes a number of accounts.

--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -4,9 +4,11 @@
 // that only saves time leaves it as it is. The second table is for steps that
 // can't start ahead of a job that can.
 //
-// usage: pool_benchmark [VMS] [JOBS]
+// usage: pool_benchmark [VMS [JOBS [ACCOUNTS [learn]]]]
 //
-// JOBS restricts the run to one of the numbers of jobs.
+// JOBS, unless it is 0, restricts the run to one of the numbers of jobs. Jobs
+// belong to ACCOUNTS accounts in turn, half of them within their rates. With a
+// fourth argument, run times are predicted and SlackOrder is on.
 
 #include <cstdlib>
 #include <ctime>
@@ -33,9 +35,16 @@
 /// A pool with more waiting work than capacity, as after an outage.
 class OverloadedPool {
 public:
-  OverloadedPool(int Vms, int Jobs)
-      : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, {})) {
+  OverloadedPool(int Vms, int Jobs, int Accounts, const PoolOptions &Options)
+      : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, Options)),
+        Accounts_(Accounts) {
     addPoolVms(*Scheduler_, Vms, MonotonicClock_.now());
+    std::vector<ClientAccount> Contracts(static_cast<std::size_t>(Accounts));
+    for (std::size_t Number = 0; Number < Contracts.size(); ++Number) {
+      Contracts[Number].Name = fmt::format("a{}", Number);
+      Contracts[Number].Weight = Jobs / (2.0 * Accounts);
+    }
+    Scheduler_->setAccounts(Contracts);
     for (int Number = 0; Number < Jobs; ++Number)
       addJob(Number);
   }
@@ -80,6 +89,8 @@
   void addJob(int Number) {
     JobPlan Plan;
     Plan.Id = fmt::format("{:016x}", Number);
+    if (Accounts_ > 0)
+      Plan.Account = fmt::format("a{}", Number % Accounts_);
     const int Steps = 1 + static_cast<int>(Random_() % 2);
     for (int Each = 0; Each < Steps; ++Each) {
       StepPlan Step;
@@ -133,6 +144,7 @@
   SystemWallClock SystemClock_;
   std::mt19937 Random_{1};
   std::unique_ptr<PoolScheduler> Scheduler_;
+  int Accounts_;
   std::vector<StartRun> Running_;
   std::int64_t EndNumber_ = 0;
   std::size_t StartedRuns_ = 0;
@@ -216,14 +228,17 @@
 
 int main(int Argc, char **Argv) {
   const int Vms = Argc > 1 ? std::atoi(Argv[1]) : 252;
+  const int Accounts = Argc > 3 ? std::atoi(Argv[3]) : 0;
+  PoolOptions Options;
+  Options.PredictRunTimes = Options.SlackOrder = Argc > 4;
   fmt::print(
       "| jobs | ms per pass, mean | ms per pass, max | starts per pass | "
       "advice requests per pass | bytes recorded per pass | checksum |\n");
   fmt::print("| --- | --- | --- | --- | --- | --- | --- |\n");
   for (const int Jobs : {10, 100, 300, 1000, 3000}) {
-    if (Argc > 2 && Jobs != std::atoi(Argv[2]))
+    if (Argc > 2 && std::atoi(Argv[2]) != 0 && Jobs != std::atoi(Argv[2]))
       continue;
-    OverloadedPool Pool(Vms, Jobs);
+    OverloadedPool Pool(Vms, Jobs, Accounts, Options);
     constexpr int Passes = 200;
     double TotalMs = 0;
     double MaxMs = 0;
--- a/packages/pool/src/PoolRecords.h
+++ b/packages/pool/src/PoolRecords.h
@@ -46,6 +46,11 @@
   /// Capacity of its runs that may be on VMs: tasks in the phases Placed,
   /// Running and Stopping, and unknown runs.
   Capacity Used;
+  /// Within a pass: whether steps of the account that are within its rate are
+  /// ready and wait, and whether it uses more for its weight than the accounts
+  /// for which that holds do on average.
+  bool HasWaiting = false;
+  bool OverShare = false;
   /// Counts the account's jobs of all pools.
   AccountRateMeter Rate;
 };
--- a/packages/pool/src/WaitingSteps.cpp
+++ b/packages/pool/src/WaitingSteps.cpp
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "AccountShares.h"
+
 namespace cuminroad {
 
 namespace {
@@ -20,12 +22,14 @@
   /// Past its deadline, or certain to be: steps that can still meet theirs go
   /// first.
   bool Late = false;
+  /// The account uses more for its weight than others with waiting work.
+  bool OverShare = false;
   TimePoint Deadline{};
 
   friend bool operator<(const Urgency &Left, const Urgency &Right) {
     const auto Key = [](const Urgency &Of) {
       return std::tie(Of.BeyondRate, Of.VeryLate, Of.Priority, Of.Late,
-                      Of.Deadline);
+                      Of.OverShare, Of.Deadline);
     };
     return Key(Left) < Key(Right);
   }
@@ -64,12 +68,29 @@
   return Out;
 }
 
+using Entry = std::pair<Urgency, StepRecord *>;
+
+/// Marks the steps of accounts that use more for their weight than the others
+/// with ready steps that are within the rate.
+void markOverShare(std::vector<Entry> &Entries, const PoolTables &Tables) {
+  for (const auto &[Name, Account] : Tables.Accounts)
+    Account->HasWaiting = false;
+  for (const auto &[StepUrgency, Step] : Entries)
+    if (AccountRecord *Account = Step->Occurrence->Job->Account;
+        Account != nullptr && !Account->HasWaiting && !StepUrgency.BeyondRate)
+      Account->HasWaiting = isReady(*Step);
+  findAccountsOverShare(Tables);
+  for (auto &[StepUrgency, Step] : Entries)
+    if (const AccountRecord *Account = Step->Occurrence->Job->Account)
+      StepUrgency.OverShare = Account->OverShare;
+}
+
 } // namespace
 
 WaitingSteps collectWaitingSteps(const PoolTables &Tables,
                                  const PoolOptions &Options, TimePoint Now) {
   WaitingSteps Out;
-  std::vector<std::pair<Urgency, StepRecord *>> Entries;
+  std::vector<Entry> Entries;
   for (const auto &[Id, Job] : Tables.Jobs) {
     if (isFinal(Job->Stage))
       continue;
@@ -91,6 +112,8 @@
       }
     }
   }
+  if (Tables.AnyAccountInForce)
+    markOverShare(Entries, Tables);
   std::stable_sort(Entries.begin(), Entries.end(),
                    [](const auto &Left, const auto &Right) {
                      return Left.first < Right.first;
