--- a/packages/fleet/tests/PoolTestSupport.cpp
+++ b/packages/fleet/tests/PoolTestSupport.cpp
@@ -115,6 +115,17 @@
   start();
 }
 
+void TestDaemon::setAccounts(const std::vector<ClientAccount> &Accounts) {
+  QueueConfig Config = Queues_.config();
+  ++Config.Version;
+  Config.Accounts.emplace();
+  for (const ClientAccount &Each : Accounts)
+    Config.Accounts->push_back(AccountEntry{Each, {}});
+  Queues_.apply(Config);
+  if (Owner_)
+    Process.run([this] { Owner_->queuesChanged(); });
+}
+
 void TestDaemon::listVms(const std::vector<StoredRow> &Rows) {
   Process.run([this, Rows] { Directory_.tableRead(Rows); });
 }
--- a/packages/fleet/tests/PoolTestSupport.h
+++ b/packages/fleet/tests/PoolTestSupport.h
@@ -135,6 +135,8 @@
   /// \returns the last events of all owners that the daemon has been.
   std::vector<Event> events() const { return Events_.since(0); }
   void listVms(const std::vector<StoredRow> &Rows);
+  /// Puts contracts with these accounts in force.
+  void setAccounts(const std::vector<ClientAccount> &Accounts);
 
   FakeRowStore Store;
   FakeVmCalls Calls;
