--- a/packages/pool/tests/OverloadedPool.cpp
+++ b/packages/pool/tests/OverloadedPool.cpp
@@ -89,6 +89,7 @@
       RunTimes.push_back(Kind.Gang ? Typical
                                    : scale(Typical, lognormal(Kind.TaskSigma)));
     New.Outcome.Objective += scale(Typical, Kind.Stretch);
+    New.Outcome.Path += *std::max_element(RunTimes.begin(), RunTimes.end());
     for (const milliseconds Each : RunTimes)
       New.Outcome.MilliCoreSeconds +=
           static_cast<double>(Each.count() * Kind.Size.MilliCores) / 1000;
--- a/packages/pool/tests/OverloadedPool.h
+++ b/packages/pool/tests/OverloadedPool.h
@@ -39,6 +39,8 @@
   TimePoint AcceptedAt{};
   /// By the true run time of a typical task.
   milliseconds Objective{0};
+  /// The shortest time in which it can complete.
+  milliseconds Path{0};
   double MilliCoreSeconds = 0;
   std::optional<TimePoint> StartedAt;
   std::optional<TimePoint> CompletedAt;
