--- a/benchmark/PoolBenchmark.cpp
+++ b/benchmark/PoolBenchmark.cpp
@@ -4,11 +4,11 @@
 // that only saves time leaves it as it is. The second table is for steps that
 // can't start ahead of a job that can.
 //
-// usage: pool_benchmark [VMS] [JOBS [ACCOUNTS]]
+// usage: pool_benchmark [VMS [JOBS [ACCOUNTS [learn]]]]
 //
-// JOBS restricts the run to one of the numbers of jobs. These belong to
-// ACCOUNTS client accounts, whose quotas are compared but never reached, so
-// that the checksum is the same for each number of accounts.
+// JOBS, unless it is 0, restricts the run to one of the numbers of jobs. Jobs
+// belong to ACCOUNTS accounts in turn, half of them within their rates. With a
+// fourth argument, run times are predicted and SlackOrder is on.
 
 #include <cstdlib>
 #include <ctime>
@@ -32,22 +32,24 @@
          static_cast<double>(Now.tv_nsec) / 1e6;
 }
 
-constexpr double LargeRate = 1'000'000;
 constexpr Capacity LargeQuota{1'000'000'000, 1'000'000'000, 1'000'000'000};
 
 /// A pool with more waiting work than capacity, as after an outage.
 class OverloadedPool {
 public:
-  OverloadedPool(int Vms, int Jobs, int Accounts)
-      : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, {})) {
+  OverloadedPool(int Vms, int Jobs, int Accounts, const PoolOptions &Options)
+      : Scheduler_(makePoolScheduler(MonotonicClock_, SystemClock_, Options)),
+        Accounts_(Accounts) {
     addPoolVms(*Scheduler_, Vms, MonotonicClock_.now());
-    std::vector<ClientAccount> Terms;
-    for (int Number = 0; Number < Accounts; ++Number)
-      Terms.push_back(ClientAccount{fmt::format("account-{}", Number),
-                                    LargeRate, LargeQuota});
-    Scheduler_->setAccounts(Terms);
+    std::vector<ClientAccount> Contracts(static_cast<std::size_t>(Accounts));
+    for (std::size_t Number = 0; Number < Contracts.size(); ++Number) {
+      Contracts[Number].Name = fmt::format("a{}", Number);
+      Contracts[Number].Weight = Jobs / (2.0 * Accounts);
+      Contracts[Number].MaxRunning = LargeQuota;
+    }
+    Scheduler_->setAccounts(Contracts);
     for (int Number = 0; Number < Jobs; ++Number)
-      addJob(Number, Accounts > 0 ? Terms[Number % Accounts].Name : "");
+      addJob(Number);
   }
 
   /// Runs one pass, including the encoding of changed progress records.
@@ -87,10 +89,11 @@
   std::uint64_t checksum() const { return Checksum_; }
 
 private:
-  void addJob(int Number, const std::string &Account) {
+  void addJob(int Number) {
     JobPlan Plan;
     Plan.Id = fmt::format("{:016x}", Number);
-    Plan.Account = Account;
+    if (Accounts_ > 0)
+      Plan.Account = fmt::format("a{}", Number % Accounts_);
     const int Steps = 1 + static_cast<int>(Random_() % 2);
     for (int Each = 0; Each < Steps; ++Each) {
       StepPlan Step;
@@ -144,6 +147,7 @@
   SystemWallClock SystemClock_;
   std::mt19937 Random_{1};
   std::unique_ptr<PoolScheduler> Scheduler_;
+  int Accounts_;
   std::vector<StartRun> Running_;
   std::int64_t EndNumber_ = 0;
   std::size_t StartedRuns_ = 0;
@@ -227,14 +231,17 @@
 
 int main(int Argc, char **Argv) {
   const int Vms = Argc > 1 ? std::atoi(Argv[1]) : 252;
+  const int Accounts = Argc > 3 ? std::atoi(Argv[3]) : 0;
+  PoolOptions Options;
+  Options.PredictRunTimes = Options.SlackOrder = Argc > 4;
   fmt::print(
       "| jobs | ms per pass, mean | ms per pass, max | starts per pass | "
       "advice requests per pass | bytes recorded per pass | checksum |\n");
   fmt::print("| --- | --- | --- | --- | --- | --- | --- |\n");
   for (const int Jobs : {10, 100, 300, 1000, 3000}) {
-    if (Argc > 2 && Jobs != std::atoi(Argv[2]))
+    if (Argc > 2 && std::atoi(Argv[2]) != 0 && Jobs != std::atoi(Argv[2]))
       continue;
-    OverloadedPool Pool(Vms, Jobs, Argc > 3 ? std::atoi(Argv[3]) : 0);
+    OverloadedPool Pool(Vms, Jobs, Accounts, Options);
     constexpr int Passes = 200;
     double TotalMs = 0;
     double MaxMs = 0;
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -132,6 +132,14 @@
   /// A job is very late, and of little value to its client, once this many
   /// latency objectives have passed since it was due.
   double VeryLateFactor = 3.0;
+  /// Whether deadlines, forecasts and the slowdown of VMs are computed from
+  /// predicted run times, which learn from ended and running tasks, instead of
+  /// from estimates.
+  bool PredictRunTimes = false;
+  /// Whether a job counts as late or very late as soon as it is certain to be,
+  /// by the critical path that is left. A late job then also yields to jobs in
+  /// time of the next priority.
+  bool SlackOrder = false;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/SchedulingPass.cpp
+++ b/packages/pool/src/SchedulingPass.cpp
@@ -54,7 +54,7 @@
       continue;
     }
     Step->QuotaBlockedSince.reset();
-    const PlacementNeed Need = needOf(*Step->Plan);
+    const PlacementNeed Need = needOf(*Step);
     if (isBeyondRate(*Step) && !admitBeyondRate(*Step, Need))
       continue;
     bool Examined = true;
@@ -129,7 +129,7 @@
       Step.BlockedSince.reset();
     return;
   }
-  const PlacementNeed Need = needOf(*Step.Plan);
+  const PlacementNeed Need = needOf(Step);
   if (!hasRoomFor(Need)) {
     NeedsWithoutRoom_.add(Need);
   } else if (isBeyondRate(Step) && !Step.Occurrence->Job->Terms.Advice) {
