--- a/packages/base/include/cuminroad/base/EventId.h
+++ b/packages/base/include/cuminroad/base/EventId.h
@@ -79,6 +79,8 @@
   RequestNotRun = 1501,
   RouteUnknown = 1502,
   KeyUnknown = 1503,
+  HttpLimitHit = 1510,
+  HttpLimitRaised = 1511,
   PeerMessageRejected = 1600,
   LinesDropped = 1700,
 };
--- a/packages/pool/include/cuminroad/pool/PoolOptions.h
+++ b/packages/pool/include/cuminroad/pool/PoolOptions.h
@@ -95,6 +95,13 @@
   /// into force everywhere within 3 s. Nothing of an account whose quota isn't
   /// known starts for this long; later, the contracts have dropped it.
   milliseconds UnknownAccountDelay{4000};
+  /// An account saves up its rate for this long, and for twice the length of a
+  /// gap in the acceptance of jobs: callers that could not submit while daemons
+  /// restarted or the store was away are accepted together afterwards, though
+  /// they came within the rate.
+  milliseconds RateBurst{1000};
+  /// A longer time without any accepted job counts as such a gap.
+  milliseconds MinAcceptanceGap{1000};
   /// Delay before a task whose start was refused is placed again.
   milliseconds RefusedStartDelay{150};
   /// Largest delay before a task whose start was invalid is placed again. The
@@ -125,6 +132,14 @@
   /// A job is very late, and of little value to its client, once this many
   /// latency objectives have passed since it was due.
   double VeryLateFactor = 3.0;
+  /// Whether deadlines, forecasts and the slowdown of VMs are computed from
+  /// predicted run times, which learn from ended and running tasks, instead of
+  /// from estimates.
+  bool PredictRunTimes = false;
+  /// Whether a job counts as late or very late as soon as it is certain to be,
+  /// by the critical path that is left. A late job then also yields to jobs in
+  /// time of the next priority.
+  bool SlackOrder = false;
 };
 
 } // namespace cuminroad
--- a/packages/pool/src/PoolSchedulerJobs.cpp
+++ b/packages/pool/src/PoolSchedulerJobs.cpp
@@ -21,7 +21,7 @@
   New->Plan = std::move(Plan);
   if (!New->Plan.Account.empty()) {
     New->Account = &findOrCreateAccount(New->Plan.Account);
-    New->BeyondRate = !Tables_.countJob(*New->Account, AcceptedAt);
+    New->BeyondRate = !Tables_.countJob(*New->Account, AcceptedAt, Options_);
   }
   New->AcceptedTerms = std::move(Accepted);
   New->AcceptedAt = AcceptedAt;
@@ -33,6 +33,8 @@
   const auto InForce = Queues_.find(Job.AcceptedTerms.Name);
   Job.Terms = InForce == Queues_.end() ? Job.AcceptedTerms : InForce->second;
   Job.CriticalPath = criticalPath(Job.Plan, Job.Terms);
+  if (Options_.PredictRunTimes)
+    Job.QueueRunTimes = &Tables_.QueueRunTimes[Job.Terms.Name];
 }
 
 void PoolSchedulerImpl::addJob(JobPlan Plan, QueueTerms Accepted,
@@ -156,6 +158,7 @@
   Task.PlacedAt = MonotonicClock_.now();
   Task.ProgressedAt = Task.PlacedAt;
   Task.ConfirmedAt = TimePoint::min();
+  Task.StartUnknown = true;
   Task.SpeedPercent = UnknownSpeedPercent;
   Tables_.assign(Task, Vm, TaskPhase::Running);
 }
--- a/packages/pool/tests/OverloadedPool.h
+++ b/packages/pool/tests/OverloadedPool.h
@@ -37,8 +37,10 @@
   std::string Kind;
   std::string Account;
   TimePoint AcceptedAt{};
-  /// By its true run times.
+  /// By the true run time of a typical task.
   milliseconds Objective{0};
+  /// The shortest time in which it can complete.
+  milliseconds Path{0};
   double MilliCoreSeconds = 0;
   std::optional<TimePoint> StartedAt;
   std::optional<TimePoint> CompletedAt;
