--- a/packages/fleet/src/VmLinkOrders.cpp
+++ b/packages/fleet/src/VmLinkOrders.cpp
@@ -17,6 +17,10 @@
 /// expire on the way.
 constexpr milliseconds TicketMargin{20};
 constexpr milliseconds OrderRetryDelay{200};
+/// A start is repeated only if the VM has answered within this time. A VM that
+/// has restarted since then may be of another kind, and would run a task that
+/// it must not run.
+constexpr milliseconds MaxAnswerAgeOfRepeat{500};
 /// The delay before a stop is repeated doubles up to this.
 constexpr milliseconds MaxStopRetryDelay{800};
 
@@ -88,6 +92,10 @@
     // The next hold tells.
     PausedStarts_.emplace_back(std::move(Order), Attempts);
     return;
+  } else if (MonotonicClock_.now() - LastAnsweredAt_ > MaxAnswerAgeOfRepeat) {
+    PausedStarts_.emplace_back(std::move(Order), Attempts);
+    rescheduleHold(milliseconds(0));
+    return;
   }
   recordLeaseSent();
   Calls_.start(
