Put gangs and small accelerator tasks under more than the pool can do in OrderTest

With the earlier rates all jobs were served, so that the test would not have seen an order that starves one kind.

--- a/packages/pool/tests/OrderTest.cpp
+++ b/packages/pool/tests/OrderTest.cpp
@@ -157,8 +157,8 @@
     BOOST_CHECK_GE(WithinThree("gang"), 0.75);
     BOOST_CHECK_GE(WithinThree("small"), 0.75);
   };
-  Run(0.6, 4);
-  Run(2.2, 0.7);
+  Run(0.6, 6);
+  Run(3.5, 0.7);
 }
 
 BOOST_AUTO_TEST_CASE(longRunningTasksStartUnderLoad) {
--- a/packages/pool/tests/OverloadedPool.cpp
+++ b/packages/pool/tests/OverloadedPool.cpp
@@ -198,6 +198,7 @@
   if (Jobs.empty())
     return milliseconds(0);
   std::vector<milliseconds> Waits;
+  Waits.reserve(Jobs.size());
   for (const JobOutcome *Each : Jobs)
     Waits.push_back(Each->waited(Clock.now()));
   const auto Index = static_cast<std::ptrdiff_t>(
