--- a/packages/fleet/src/VmLinkOrders.cpp
+++ b/packages/fleet/src/VmLinkOrders.cpp
@@ -20,7 +20,7 @@
 /// A start is repeated only if the VM has answered within this time. A VM that
 /// has restarted since then may be of another kind, and would run a task that
 /// it must not run.
-constexpr milliseconds MaxAnswerAgeOfRepeat{500};
+constexpr milliseconds MaxAnswerAgeOfRepeat{800};
 /// The delay before a stop is repeated doubles up to this.
 constexpr milliseconds MaxStopRetryDelay{800};
 
