--- a/packages/fleet/src/PoolOwner.cpp
+++ b/packages/fleet/src/PoolOwner.cpp
@@ -55,8 +55,11 @@
   return Out;
 }
 
-PoolOptions poolOptions(const FleetSettings &Settings) {
+PoolOptions poolOptions(const FleetSettings &Settings, bool HasAccounts) {
   PoolOptions Out;
+  // Client accounts compete for capacity, so that jobs that are certain to be
+  // late yield to those that can be in time.
+  Out.SlackOrder = HasAccounts;
   Out.RemoteFactor = Settings.RemoteFactor;
   Out.MaxCapacityAge = maxCapacityAge(Settings);
   Out.MaxRecordedTasks =
@@ -221,8 +224,9 @@
 void PoolOwner::loadJobsWhenRead() {
   if (!RequestsRead_ || !ProgressRead_ || Scheduler_)
     return;
-  Scheduler_ = makePoolScheduler(Context_.MonotonicClock, Context_.SystemClock,
-                                 poolOptions(Context_.Settings));
+  Scheduler_ = makePoolScheduler(
+      Context_.MonotonicClock, Context_.SystemClock,
+      poolOptions(Context_.Settings, Context_.Queues.hasAccounts()));
   Scheduler_->setQueues(Context_.Queues.allTerms());
   Scheduler_->setAccounts(Context_.Queues.allAccounts());
   applyAccountLimits();
