Use half of the overage of quotas

Change: an owner divides the quota and half of the allowed overage; a pool asks for parts as before.

--- a/packages/fleet/include/cuminroad/fleet/FleetSettings.h
+++ b/packages/fleet/include/cuminroad/fleet/FleetSettings.h
@@ -47,6 +47,8 @@
   /// before a daemon accepts no more jobs. Applies if they have client
   /// accounts.
   milliseconds ConfigStaleTolerance{6000};
+  /// Part of its quota by which an account may have more running.
+  double QuotaOverage = 0;
   /// Factor by which a task takes longer away from its data, or in a gang that
   /// spans racks.
   double RemoteFactor = 1.0;
--- a/packages/fleet/src/QuotaExchange.cpp
+++ b/packages/fleet/src/QuotaExchange.cpp
@@ -32,6 +32,10 @@
   }
 }
 
+/// Of the overage that quotas allow, one part in this many is used. The rest is
+/// for runs that no owner knows of yet, such as late orders.
+constexpr double OverageDivisor = 2;
+
 int rowNumber(const std::string &Key) {
   int Out = -1;
   const char *End = Key.data() + Key.size();
@@ -54,7 +58,11 @@
 
 void QuotaExchange::contractsChanged() {
   const bool Restarts = Ledger_.setPools(Context_.Queues.config().Services);
-  Ledger_.setAccounts(Context_.Queues.allAccounts());
+  std::vector<ClientAccount> Accounts = Context_.Queues.allAccounts();
+  for (ClientAccount &Each : Accounts)
+    Each.MaxRunning = quotaWithOverage(
+        Each.MaxRunning, Context_.Settings.QuotaOverage / OverageDivisor);
+  Ledger_.setAccounts(Accounts);
   if (Restarts && Follower_)
     std::exchange(Follower_, nullptr)->close();
   if (Follower_ || !Ledger_.needsExchange())
--- a/packages/pool/include/cuminroad/pool/ClientAccount.h
+++ b/packages/pool/include/cuminroad/pool/ClientAccount.h
@@ -39,6 +39,19 @@
                   Divide(Quota.Accelerators)};
 }
 
+/// \returns the quota and a part of it more; a component that never binds stays
+/// as it is.
+inline Capacity quotaWithOverage(const Capacity &Quota, double Part) {
+  const auto Raise = [Part](std::int64_t Amount) {
+    return Amount >= UnlimitedAmount
+               ? Amount
+               : Amount + static_cast<std::int64_t>(
+                              static_cast<double>(Amount) * Part);
+  };
+  return Capacity{Raise(Quota.MilliCores), Raise(Quota.MemoryMb),
+                  Raise(Quota.Accelerators)};
+}
+
 /// What an account has in one pool, for logs, metrics and the division of its
 /// quota among pools.
 struct AccountLoad {
--- a/packages/pool/tests/QuotaLedgerTest.cpp
+++ b/packages/pool/tests/QuotaLedgerTest.cpp
@@ -445,3 +445,12 @@
   Row.Accounts[TestAccount].Given["b"] = {-1, 2, 3};
   BOOST_CHECK(!decodeQuotaRow(encodeQuotaRow(Row)));
 }
+
+// Guards against an overage that grows beyond its part, or changes a component
+// without a limit.
+BOOST_AUTO_TEST_CASE(overageIsAPartOfTheQuota) {
+  BOOST_CHECK(quotaWithOverage({1000, UnlimitedAmount, 19}, 0.05) ==
+              (Capacity{1050, UnlimitedAmount, 19}));
+  BOOST_CHECK(quotaWithOverage({1000, 2000, 20}, 0) ==
+              (Capacity{1000, 2000, 20}));
+}
