Let overdue requests for advice go first instead of putting extensions last

Change: a request without which a step can't start goes before more urgent ones once it has waited for 0.5 s; requests on further VMs keep their queue's priority; second copies of long requests stay last.

--- a/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
+++ b/packages/fleet/include/cuminroad/fleet/AdviceDispatcher.h
@@ -68,12 +68,13 @@
     /// daemon's.
     bool Failed = false;
 
-    /// \returns the position in the queue; lower values are sent first. A
-    /// step without any advice can't start at all, so that requests for further
-    /// VMs, and second copies of slow requests, only get the capacity that the
-    /// others leave: on an overloaded pool they took it all, and steps of the
-    /// least urgent queue waited 20 s for their first answer.
-    std::tuple<bool, int, bool> rank() const;
+    TimePoint RequestedAt{};
+
+    /// \returns the position in the queue at \p Now; lower values are sent
+    /// first. A step without any advice can't start at all: once its request
+    /// has waited for long, it goes before more urgent ones. Second copies of
+    /// slow requests only get what the others leave.
+    std::tuple<bool, bool, int, bool, bool> rank(TimePoint Now) const;
   };
   using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
--- a/packages/fleet/src/AdviceDispatcher.cpp
+++ b/packages/fleet/src/AdviceDispatcher.cpp
@@ -27,20 +27,27 @@
 /// Shorter than the time that it takes to detect a dead daemon.
 constexpr milliseconds HedgeDelay{150};
 constexpr int MaxAttempts = 4;
+/// A request other than for further VMs goes before more urgent ones when it
+/// has waited for this long.
+constexpr milliseconds MaxWaitOfFirstRequest{500};
 /// Time allowed for a call beyond the advisor's decision: the network, and a
 /// call of another pool that is served first.
 constexpr milliseconds CallOverhead{900};
 
 } // namespace
 
-std::tuple<bool, int, bool> AdviceDispatcher::PendingRequest::rank() const {
+std::tuple<bool, bool, int, bool, bool>
+AdviceDispatcher::PendingRequest::rank(TimePoint Now) const {
   // Short decisions have daemons of their own, where a second copy delays few
   // others.
   const bool IsCopy =
       OpenCalls > 0 && Command.ExpectedLatencyMs > MaxShortDecisionMs;
+  const bool IsOverdue =
+      !Command.Extension && Now - RequestedAt > MaxWaitOfFirstRequest;
   // Renewals go first: capacity is kept free for steps whose tickets are
   // renewed.
-  return {Command.Extension || IsCopy, Command.Priority, !Command.Renewal};
+  return {IsCopy, !IsOverdue, Command.Priority, Command.Extension,
+          !Command.Renewal};
 }
 
 AdviceDispatcher::AdviceDispatcher(PlacementAdvisor &LocalAdvisor,
@@ -83,6 +90,7 @@
   auto Request = std::make_shared<PendingRequest>();
   Request->Command = Command;
   Request->Failed = Command.AfterFailure;
+  Request->RequestedAt = MonotonicClock_.now();
   Queue_.push_back(std::move(Request));
   dispatch();
 }
@@ -142,10 +150,11 @@
 }
 
 void AdviceDispatcher::dispatchOnce() {
+  const TimePoint Now = MonotonicClock_.now();
   std::stable_sort(
       Queue_.begin(), Queue_.end(),
-      [](const PendingRequestPtr &Left, const PendingRequestPtr &Right) {
-        return Left->rank() < Right->rank();
+      [Now](const PendingRequestPtr &Left, const PendingRequestPtr &Right) {
+        return Left->rank(Now) < Right->rank(Now);
       });
   std::vector<PendingRequestPtr> Waiting;
   std::vector<StepName> Obsolete;
