--- a/packages/pool/tests/RateTest.cpp
+++ b/packages/pool/tests/RateTest.cpp
@@ -278,8 +278,10 @@
   const auto Run = [&](double HotFactor, bool WithAccounts) {
     OverloadedPool Pool{PoolOptions{}};
     Pool.addVms(220, Capacity{32000, 64000, 0});
+    constexpr int AccountCount = 20;
     std::vector<ClientAccount> Accounts;
-    for (int Number = 0; Number < 20; ++Number)
+    Accounts.reserve(AccountCount);
+    for (int Number = 0; Number < AccountCount; ++Number)
       Accounts.push_back(
           AccountsFixture::account(fmt::format("a{}", Number), 6));
     if (WithAccounts)
