Find the request's row of a job in one place

Cause: three functions of JobFrontend searched the rows of a job and of its cancellation for the job's own row, each with a loop of its own. Change: they call findRequest().

--- a/packages/fleet/src/JobFrontend.cpp
+++ b/packages/fleet/src/JobFrontend.cpp
@@ -70,6 +70,16 @@
                   keyAfter(cancelRow(Job).Key), 2};
 }
 
+/// \returns the row of the job's request among \p Rows, or nullptr.
+const StoredRow *findRequest(std::span<const StoredRow> Rows,
+                             std::string_view Job) {
+  const auto Found =
+      std::find_if(Rows.begin(), Rows.end(), [Job](const StoredRow &Each) {
+        return Each.Name.Key == Job;
+      });
+  return Found == Rows.end() ? nullptr : &*Found;
+}
+
 } // namespace
 
 struct JobFrontend::Submission {
@@ -190,10 +200,7 @@
       requestRange(Pending->Request.Plan.Id), Pending->RetryUntil,
       [this, Pending](const std::optional<RowPage> &Page) {
         const std::string &Job = Pending->Request.Plan.Id;
-        if (Page && std::any_of(Page->Rows.begin(), Page->Rows.end(),
-                                [&Job](const StoredRow &Each) {
-                                  return Each.Name.Key == Job;
-                                }))
+        if (Page && findRequest(Page->Rows, Job) != nullptr)
           return handleKnownJob(Pending, Page->Rows);
         // An earlier copy may still be written.
         if (Pending->Uncertain) {
@@ -271,11 +278,8 @@
       [this, Pending, Write, Delay](const Result<RowPage> &Page) {
         if (Pending->AwaitedWrite != Write)
           return;
-        const std::string &Job = Pending->Request.Plan.Id;
-        if (!Page || std::none_of(Page->Rows.begin(), Page->Rows.end(),
-                                  [&Job](const StoredRow &Each) {
-                                    return Each.Name.Key == Job;
-                                  }))
+        if (!Page ||
+            findRequest(Page->Rows, Pending->Request.Plan.Id) == nullptr)
           return probeLater(Pending, Write, Delay * 2);
         Pending->AwaitedWrite = 0;
         handleKnownJob(Pending, Page->Rows);
@@ -303,12 +307,9 @@
 void JobFrontend::handleKnownJob(const std::shared_ptr<Submission> &Pending,
                                  std::span<const StoredRow> Rows) {
   const std::string &Job = Pending->Request.Plan.Id;
-  const auto Row =
-      std::find_if(Rows.begin(), Rows.end(), [&Job](const StoredRow &Each) {
-        return Each.Name.Key == Job;
-      });
+  const StoredRow *Row = findRequest(Rows, Job);
   const auto Access =
-      checkAccess(Pending->Client, Job, Row == Rows.end() ? "" : Row->Value);
+      checkAccess(Pending->Client, Job, Row == nullptr ? "" : Row->Value);
   if (!Access)
     return reply(*Pending, SubmitReply{SubmitOutcome::Unknown});
   if (!*Access) {
