Remove quotaPart(), which nothing calls, and move a doc comment

Cause: equal parts of a quota are computed by QuotaLedger since owners exchange parts; a doc comment of predictedPath() stood above the struct that it returns. Change: the function is gone, struct and function have a comment each.

--- a/packages/pool/include/cuminroad/pool/ClientAccount.h
+++ b/packages/pool/include/cuminroad/pool/ClientAccount.h
@@ -29,16 +29,6 @@
   bool operator==(const ClientAccount &) const = default;
 };
 
-/// \returns one of \p Parts equal parts of a quota; a component that never
-/// binds is not divided.
-inline Capacity quotaPart(const Capacity &Quota, std::int64_t Parts) {
-  const auto Divide = [Parts](std::int64_t Amount) {
-    return Amount >= UnlimitedAmount ? UnlimitedAmount : Amount / Parts;
-  };
-  return Capacity{Divide(Quota.MilliCores), Divide(Quota.MemoryMb),
-                  Divide(Quota.Accelerators)};
-}
-
 /// \returns the quota and a part of it more; a component that never binds stays
 /// as it is.
 inline Capacity quotaWithOverage(const Capacity &Quota, double Part) {
--- a/packages/pool/src/PoolTables.h
+++ b/packages/pool/src/PoolTables.h
@@ -152,12 +152,12 @@
 /// \returns the expected run time of a task of the step: its estimate, unless
 /// run times are predicted.
 milliseconds predictedRunTime(const StepRecord &Step);
-/// \returns the expected length of the critical path of an occurrence, and of
-/// the part of it that is left.
+/// The length of a critical path, and of the part of it that is left.
 struct PathLengths {
   milliseconds Whole{0};
   milliseconds Remaining{0};
 };
+/// \returns the expected lengths of the critical path of an occurrence.
 PathLengths predictedPath(const OccurrenceRecord &Occurrence);
 /// \returns the progress of a job to persist. That of a finished job has the
 /// runs on VMs if they count against an account.
